Lay out the workspace with crates and module contracts

Cause: several people are to work at once, each on crates or modules of its own. Change: nine crates, the schema of the peer service with its generated code, the messages of the platform's and the engines' APIs, and the parts of a node with their signatures. The parts of the node other than `peers` are signatures only: limits and claims grant all, slots hold none. Weighed: one crate with modules (fewer files, but nothing would stop decision code from doing I/O) against a crate a layer; the latter was taken.

--- /dev/null
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decision logic of dogwoodpier without I/O, clocks or threads.
+//!
+//! Every type here is a plain state machine. Callers pass the time in and carry out what a call
+//! returns, so that each decision can be driven by a test as well as by the node.
+
+#![forbid(unsafe_code)]
+
+pub mod refusal;
+pub mod rendezvous;
+pub mod units;
+
+pub use refusal::Execution;
+pub use refusal::Refusal;
+pub use refusal::RefusalReason;
+pub use units::Pieces;
+pub use units::TimeMs;
+pub use units::Tokens;
+pub use units::TokensPerSecond;
--- /dev/null
+++ b/crates/dogwoodpier-fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/dogwoodpier-node/src/clock.rs
@@ -0,0 +1,30 @@
+//! The node's clock.
+
+use std::sync::LazyLock;
+
+use rustix::time::ClockId;
+use rustix::time::Timespec;
+use rustix::time::clock_gettime;
+
+use dogwoodpier_core::TimeMs;
+
+const MS_PER_S: u64 = 1_000;
+const NS_PER_MS: u64 = 1_000_000;
+
+static START: LazyLock<u64> = LazyLock::new(boot_time_ms);
+
+/// Returns the time since the process first asked, in milliseconds.
+///
+/// The clock counts time in which the machine was suspended, so that a node finds out that it was
+/// paused past a deadline.
+pub fn now() -> TimeMs {
+    // Starts above zero, so that a deadline in the past can be expressed.
+    const ORIGIN_MS: u64 = 3_600_000;
+    let start_ms = *START;
+    TimeMs(ORIGIN_MS + boot_time_ms().saturating_sub(start_ms))
+}
+
+fn boot_time_ms() -> u64 {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(ClockId::Boottime);
+    tv_sec.unsigned_abs() * MS_PER_S + tv_nsec.unsigned_abs() / NS_PER_MS
+}
--- /dev/null
+++ b/crates/dogwoodpier-node/src/lib.rs
@@ -0,0 +1,26 @@
+//! The node program of dogwoodpier.
+//!
+//! Each instance runs one node. A node takes callers' requests through the filters of `pipeline`,
+//! and shares with its peers the limits, claims and reservations that the filters ask for.
+
+#![forbid(unsafe_code)]
+
+pub mod claims;
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod drain;
+pub mod keeper;
+pub mod limits;
+pub mod peers;
+pub mod pipeline;
+pub mod quarantine;
+pub mod servers;
+pub mod settings;
+pub mod slots;
+pub mod start;
+pub mod state;
+pub mod upstreams;
+
+pub use settings::Settings;
+pub use state::Node;
--- /dev/null
+++ b/crates/dogwoodpier-node/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -0,0 +1,142 @@
+//! Heartbeats: liveness, promises to slot holders and deltas of soft state.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+
+use dogwoodpier_proto::HeartbeatReply;
+use dogwoodpier_proto::HeartbeatRequest;
+use dogwoodpier_proto::NodeInfo;
+
+use crate::clock;
+use crate::state::Node;
+use crate::state::SharedNode;
+
+// Peers that get a heartbeat in each round besides the heirs. In a fleet no larger than this,
+// everybody hears everybody.
+const FANOUT: usize = 8;
+const KNOWN_SAMPLE: usize = 4;
+
+/// Sends heartbeats until the process ends.
+pub async fn run(node: SharedNode) {
+    let mut interval = tokio::time::interval(Duration::from_millis(
+        node.settings.tuning.heartbeat_interval_ms,
+    ));
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        for peer in round(&node) {
+            // Each call has a timeout, so a silent peer delays nobody and nothing piles up.
+            tokio::spawn(beat(node.clone(), peer));
+        }
+    }
+}
+
+/// Sends one heartbeat to a peer and takes in the answer. Returns whether there was one.
+pub async fn beat(node: SharedNode, peer: NodeInfo) -> bool {
+    let instance = peer.id.clone().unwrap_or_default().instance;
+    let sent_ms = clock::now();
+    let request = HeartbeatRequest {
+        sender: Some(node.info()),
+        promise_requests: node.slots.promise_requests(&instance, sent_ms),
+        config_version: node.config.current().version,
+        platform_contact_age_ms: node.config.platform_contact_age_ms(sent_ms),
+        crashes: node.quarantine.reports_for(&instance, sent_ms),
+        known: node.peers.sample(KNOWN_SAMPLE),
+    };
+    let answer = node
+        .peers
+        .transport()
+        .call(
+            "heartbeat",
+            &peer.peer_address,
+            request,
+            |mut client, request| async move { client.heartbeat(request).await },
+        )
+        .await;
+    let now = clock::now();
+    node.peers.note_call(&instance, answer.is_ok(), now);
+    let Ok(reply) = answer else {
+        return false;
+    };
+    node.slots
+        .take_promises(&instance, &reply.promises, sent_ms);
+    node.quarantine.take_reports(&reply.crashes, now);
+    if let Some(sender) = reply.sender {
+        node.config.heard(
+            &sender,
+            reply.config_version,
+            reply.platform_contact_age_ms,
+            now,
+        );
+        node.peers.take_heard(sender, now);
+    }
+    true
+}
+
+/// Answers a heartbeat.
+pub fn answer(node: &Node, request: HeartbeatRequest) -> HeartbeatReply {
+    let now = clock::now();
+    let sender = request.sender.unwrap_or_default();
+    let instance = sender.id.clone().unwrap_or_default().instance;
+    node.quarantine.take_reports(&request.crashes, now);
+    node.config.heard(
+        &sender,
+        request.config_version,
+        request.platform_contact_age_ms,
+        now,
+    );
+    let promises = node
+        .slots
+        .grant_promises(&sender, &request.promise_requests, now);
+    node.peers.take_heard(sender, now);
+    for info in request.known {
+        if info
+            .id
+            .as_ref()
+            .is_some_and(|id| id.instance != *node.settings.instance)
+        {
+            node.peers.take_known(info);
+        }
+    }
+    HeartbeatReply {
+        sender: Some(node.info()),
+        promises,
+        config_version: node.config.current().version,
+        platform_contact_age_ms: node.config.platform_contact_age_ms(now),
+        crashes: node.quarantine.reports_for(&instance, now),
+    }
+}
+
+// Chooses the peers of one round: the heirs, who must hear of us, and a random sample.
+fn round(node: &Node) -> Vec<NodeInfo> {
+    let mut chosen: BTreeMap<String, NodeInfo> = BTreeMap::new();
+    let sample = node.peers.sample(FANOUT);
+    for info in node.slots.heirs().into_iter().chain(sample) {
+        chosen.insert(info.peer_address.clone(), info);
+    }
+    chosen.into_values().collect()
+}
+
+impl super::Peers {
+    /// Returns a random sample of the known peers.
+    fn sample(&self, count: usize) -> Vec<NodeInfo> {
+        self.lock()
+            .all()
+            .into_iter()
+            .choose_multiple(&mut rand::rng(), count)
+    }
+
+    fn note_call(&self, instance: &str, answered: bool, now: dogwoodpier_core::TimeMs) {
+        self.lock().note_call(instance, answered, now);
+    }
+
+    fn take_heard(&self, info: NodeInfo, now: dogwoodpier_core::TimeMs) {
+        self.lock().take_heard(info, now);
+    }
+
+    fn take_known(&self, info: NodeInfo) {
+        self.lock().take_known(info);
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-node/src/peers/members.rs
@@ -0,0 +1,177 @@
+//! Members of the fleet: the platform's list joined with heartbeats.
+
+use std::collections::BTreeMap;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_derive::plain;
+use dogwoodpier_proto::NodeInfo;
+
+/// What is known of the other nodes.
+pub struct Members {
+    member_timeout_ms: u64,
+    by_instance: BTreeMap<String, Member>,
+}
+
+#[plain]
+struct Member {
+    info: NodeInfo,
+    // Absent until the first sign of life.
+    heard_ms: Option<TimeMs>,
+    // The last call to it that was answered, and the last that was made.
+    answered_ms: Option<TimeMs>,
+    tried_ms: Option<TimeMs>,
+    listed: bool,
+}
+
+impl Members {
+    /// Returns an empty set. A member counts as alive for `member_timeout_ms` after a sign of life.
+    pub fn new(member_timeout_ms: u64) -> Self {
+        Self {
+            member_timeout_ms,
+            by_instance: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the platform's list. It adds and removes addresses but is no sign of life.
+    pub fn take_listed(&mut self, nodes: Vec<NodeInfo>, now: TimeMs) {
+        for member in self.by_instance.values_mut() {
+            member.listed = false;
+        }
+        for info in nodes {
+            match self
+                .by_instance
+                .get_mut(&info.id.clone().unwrap_or_default().instance)
+            {
+                Some(member) => {
+                    member.listed = true;
+                    // A heartbeat's address is newer than the list's, unless the member is silent.
+                    if member.silent(now, self.member_timeout_ms) {
+                        member.info.peer_address = info.peer_address;
+                    }
+                }
+                None => self.add(info, None, true),
+            }
+        }
+        let timeout_ms = self.member_timeout_ms;
+        self.by_instance
+            .retain(|_, member| member.listed || !member.silent(now, timeout_ms));
+    }
+
+    /// Takes in a sign of life from the node itself.
+    pub fn take_heard(&mut self, info: NodeInfo, now: TimeMs) {
+        let instance = info.id.clone().unwrap_or_default().instance;
+        match self.by_instance.get_mut(&instance) {
+            Some(member) => {
+                member.info = info;
+                member.heard_ms = Some(now);
+            }
+            None => self.add(info, Some(now), false),
+        }
+    }
+
+    /// Takes in a node that another member knows.
+    pub fn take_known(&mut self, info: NodeInfo) {
+        let instance = info.id.clone().unwrap_or_default().instance;
+        if !self.by_instance.contains_key(&instance) {
+            self.add(info, None, false);
+        }
+    }
+
+    /// Notes that a call to the member was made, and whether it was answered.
+    pub fn note_call(&mut self, instance: &str, answered: bool, now: TimeMs) {
+        if let Some(member) = self.by_instance.get_mut(instance) {
+            member.tried_ms = Some(now);
+            if answered {
+                member.answered_ms = Some(now);
+            }
+        }
+    }
+
+    /// Returns the members heard lately that are not draining.
+    pub fn alive(&self, now: TimeMs) -> Vec<NodeInfo> {
+        self.by_instance
+            .values()
+            .filter(|member| !member.silent(now, self.member_timeout_ms) && !member.info.draining)
+            .map(|member| member.info.clone())
+            .collect()
+    }
+
+    /// Returns every member that there is an address of.
+    pub fn all(&self) -> Vec<NodeInfo> {
+        self.by_instance
+            .values()
+            .map(|member| member.info.clone())
+            .collect()
+    }
+
+    /// Returns a member that was heard lately.
+    pub fn find(&self, instance: &str, now: TimeMs) -> Option<NodeInfo> {
+        self.by_instance
+            .get(instance)
+            .filter(|member| !member.silent(now, self.member_timeout_ms))
+            .map(|member| member.info.clone())
+    }
+
+    /// Returns whether an incarnation may still live.
+    pub fn may_live(&self, incarnation: u64, silence_ms: u64, now: TimeMs) -> bool {
+        self.by_instance.values().any(|member| {
+            let id = member.info.id.clone().unwrap_or_default();
+            id.incarnation == incarnation && !member.silent(now, silence_ms)
+        })
+    }
+
+    /// Returns the share of the members tried lately that answered.
+    pub fn reach(&self, now: TimeMs) -> Option<f64> {
+        let window_ms = self.member_timeout_ms;
+        let recent = |time_ms: Option<TimeMs>| time_ms.is_some_and(|t| now.since(t) <= window_ms);
+        let tried = self
+            .by_instance
+            .values()
+            .filter(|member| recent(member.tried_ms))
+            .count();
+        let answered = self
+            .by_instance
+            .values()
+            .filter(|member| recent(member.answered_ms))
+            .count();
+        (tried > 0).then(|| answered as f64 / tried as f64)
+    }
+
+    /// Returns the state as JSON.
+    pub fn dump(&self, now: TimeMs) -> serde_json::Value {
+        let age_ms = |time_ms: Option<TimeMs>| time_ms.map(|time_ms| now.since(time_ms));
+        self.by_instance
+            .iter()
+            .map(|(instance, member)| {
+                serde_json::json!({
+                    "instance": instance,
+                    "peer_address": member.info.peer_address,
+                    "data_centre": member.info.data_centre,
+                    "draining": member.info.draining,
+                    "listed": member.listed,
+                    "heard_age_ms": age_ms(member.heard_ms),
+                    "answered_age_ms": age_ms(member.answered_ms),
+                })
+            })
+            .collect()
+    }
+
+    fn add(&mut self, info: NodeInfo, heard_ms: Option<TimeMs>, listed: bool) {
+        let instance = info.id.clone().unwrap_or_default().instance;
+        let member = Member {
+            info,
+            heard_ms,
+            answered_ms: None,
+            tried_ms: None,
+            listed,
+        };
+        self.by_instance.insert(instance, member);
+    }
+}
+
+impl Member {
+    fn silent(&self, now: TimeMs, timeout_ms: u64) -> bool {
+        self.heard_ms
+            .is_none_or(|heard_ms| now.since(heard_ms) > timeout_ms)
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -0,0 +1,79 @@
+//! Peers: the other nodes of the fleet, as far as this node knows them.
+//!
+//! What is known here only steers: whom to ask, whom to tell. Nothing that must hold rests on it.
+
+mod heartbeat;
+mod members;
+mod service;
+mod transport;
+
+use std::sync::Mutex;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_proto::NodeInfo;
+
+pub use heartbeat::run;
+pub use members::Members;
+pub use service::serve;
+pub use transport::PeerError;
+pub use transport::Transport;
+
+/// Members of the fleet and connections to them.
+pub struct Peers {
+    members: Mutex<Members>,
+    transport: Transport,
+}
+
+impl Peers {
+    /// Returns the peers of a node that knows nobody yet.
+    pub fn new(member_timeout_ms: u64, peer_timeout_ms: u64) -> Self {
+        Self {
+            members: Mutex::new(Members::new(member_timeout_ms)),
+            transport: Transport::new(peer_timeout_ms),
+        }
+    }
+
+    /// Returns the peers heard lately that are not draining, in order of name.
+    pub fn alive(&self, now: TimeMs) -> Vec<NodeInfo> {
+        self.lock().alive(now)
+    }
+
+    /// Returns the peer with an instance name, if it was heard lately.
+    pub fn find(&self, instance: &str, now: TimeMs) -> Option<NodeInfo> {
+        self.lock().find(instance, now)
+    }
+
+    /// Returns whether the incarnation was heard lately or may still live. False only for
+    /// incarnations that another incarnation of the same instance has replaced, or that have been
+    /// silent for `silence_ms`.
+    pub fn may_live(&self, incarnation: u64, silence_ms: u64, now: TimeMs) -> bool {
+        self.lock().may_live(incarnation, silence_ms, now)
+    }
+
+    /// Returns the share of the peers tried lately that answered, from 0 to 1, or `None` if there
+    /// are no peers.
+    pub fn reach(&self, now: TimeMs) -> Option<f64> {
+        self.lock().reach(now)
+    }
+
+    /// Takes in the platform's list of nodes.
+    pub fn take_listed(&self, nodes: Vec<NodeInfo>, now: TimeMs) {
+        self.lock().take_listed(nodes, now);
+    }
+
+    /// Returns the connections to the peers.
+    pub fn transport(&self) -> &Transport {
+        &self.transport
+    }
+
+    /// Returns the state as JSON.
+    pub fn dump(&self, now: TimeMs) -> serde_json::Value {
+        self.lock().dump(now)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Members> {
+        self.members
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-node/src/servers/callers.rs
@@ -0,0 +1,1 @@
+//! The server for callers.
--- /dev/null
+++ b/crates/dogwoodpier-node/src/servers/mod.rs
@@ -0,0 +1,4 @@
+//! HTTP servers of the node.
+
+pub mod callers;
+pub mod operators;
--- /dev/null
+++ b/crates/dogwoodpier-node/src/servers/operators.rs
@@ -0,0 +1,1 @@
+//! The server for operators: metrics, health, readiness and dump.
--- /dev/null
+++ b/crates/dogwoodpier-node/src/start.rs
@@ -0,0 +1,1 @@
+//! Starting and stopping a node.
--- /dev/null
+++ b/crates/dogwoodpier-node/src/state.rs
@@ -0,0 +1,88 @@
+//! The state of a node, shared by all of its tasks.
+
+use std::sync::Arc;
+
+use dogwoodpier_proto::NodeId;
+use dogwoodpier_proto::NodeInfo;
+
+use crate::claims::Claims;
+use crate::config::ConfigStore;
+use crate::drain::Drain;
+use crate::keeper::Keeper;
+use crate::limits::Limits;
+use crate::peers::Peers;
+use crate::quarantine::Quarantine;
+use crate::settings::Settings;
+use crate::slots::Slots;
+use crate::upstreams::Upstreams;
+
+/// The state of a node. Each part guards its own data.
+pub struct Node {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Random id of this life of the process.
+    pub incarnation: u64,
+    /// Client of the platform.
+    pub platform: dogwoodpier_platform::Client,
+    /// Members and connections to them.
+    pub peers: Peers,
+    /// Configuration in force.
+    pub config: ConfigStore,
+    /// Slots and who holds them.
+    pub slots: Slots,
+    /// Rates and bursts of workspaces.
+    pub limits: Limits,
+    /// Claims of idempotency keys.
+    pub claims: Claims,
+    /// Requests that crash engines.
+    pub quarantine: Quarantine,
+    /// Upstreams and what is known of their load.
+    pub upstreams: Upstreams,
+    /// Reservations at the decode engines that this node keeps.
+    pub keeper: Keeper,
+    /// Graceful shutdown.
+    pub drain: Drain,
+}
+
+impl Node {
+    /// Returns this node's id.
+    pub fn id(&self) -> NodeId {
+        NodeId {
+            instance: self.settings.instance.to_string(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Returns how this node presents itself to its peers.
+    pub fn info(&self) -> NodeInfo {
+        NodeInfo {
+            id: Some(self.id()),
+            peer_address: self.settings.peer_address.to_string(),
+            data_centre: self.settings.data_centre.to_string(),
+            draining: self.drain.is_draining(),
+        }
+    }
+
+    /// Returns the state of all parts as JSON, without secrets.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = crate::clock::now();
+        serde_json::json!({
+            "instance": self.settings.instance,
+            "incarnation": format!("{:016x}", self.incarnation),
+            "now_ms": now.0,
+            "draining": self.drain.is_draining(),
+            "in_flight": self.drain.in_flight(),
+            "peers": self.peers.dump(now),
+            "config": self.config.dump(now),
+            "slots": self.slots.dump(now),
+            "limits": self.limits.dump(now),
+            "claims": self.claims.dump(now),
+            "quarantine": self.quarantine.dump(now),
+            "upstreams": self.upstreams.dump(now),
+            "keeper": self.keeper.dump(now),
+        })
+    }
+}
+
+/// A node as its tasks share it.
+pub type SharedNode = Arc<Node>;
--- /dev/null
+++ b/crates/dogwoodpier-platform/src/client.rs
@@ -0,0 +1,4 @@
+//! The client.
+
+/// Client of the object API.
+pub struct Client {}
--- /dev/null
+++ b/crates/dogwoodpier-upstream/src/lib.rs
@@ -0,0 +1,8 @@
+//! Clients of model engines and plain services.
+//!
+//! One module a protocol: `engine` speaks to model engines, `service` to plain services. Both hide
+//! HTTP behind typed messages, so that another wire form is one more module.
+
+#![forbid(unsafe_code)]
+
+pub mod wire;
