Parse, check, resolve and compare declarations

Cause: nodes and the operators' tool need one form of declarations. Weighed: serde alone stops at the first error and knows no lines for errors of meaning, so a small reader walks the document of the toml library with its spans and collects everything. Values of a workspace stand in the defaults or in an exception with a reason, never in the entry itself. The stored form divides workspaces and keys by the hash of their names into parts of about 8 KB, so that a change of one key is one part and the root; one part in all would be sent whole at each change. Effective::route now matches whole segments and no path with dot segments: an open route /catalogue must open neither /catalogues nor /catalogue/../stock. Before: routes_match_whole_segments failed with the former prefix match (it found catalogue for /catalogues), small_change_touches_one_part failed with one part in all. After: cargo test -p dogwoodpier-config, 12 passed. Conclusion: nodes can resolve, operators can validate.

--- a/crates/dogwoodpier-config/src/effective.rs
+++ b/crates/dogwoodpier-config/src/effective.rs
@@ -109,12 +109,33 @@
         self.keys.get(key_hash)
     }
 
-    /// Returns the route for a method and path, if one matches.
+    /// Returns the route for a method and path, if one matches. A prefix matches whole segments of
+    /// the path. No route matches a path with dot segments, since the service behind the route could
+    /// resolve it to another route's path.
     pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
+        if has_dot_segment(path) {
+            return None;
+        }
         self.routes.iter().find(|route| {
-            path.starts_with(route.path_prefix.as_ref())
+            is_under(path, &route.path_prefix)
                 && (route.methods.is_empty()
                     || route.methods.iter().any(|known| &**known == method))
         })
     }
 }
+
+fn is_under(path: &str, prefix: &str) -> bool {
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'))
+}
+
+// A backslash counts as a slash and an encoded character as itself, as many services take them.
+fn has_dot_segment(path: &str) -> bool {
+    path.to_ascii_lowercase()
+        .replace("%2e", ".")
+        .replace("%2f", "/")
+        .replace("%5c", "/")
+        .replace('\\', "/")
+        .split('/')
+        .any(|segment| matches!(segment, "." | ".."))
+}
--- a/crates/dogwoodpier-config/src/lib.rs
+++ b/crates/dogwoodpier-config/src/lib.rs
@@ -1,10 +1,24 @@
 //! Declarations of workspaces, keys, pools and routes.
 //!
 //! Operators write declarations in TOML: defaults, and exceptions that each carry a reason. Checked
-//! declarations resolve to [`Effective`], the form that nodes decide by.
+//! declarations resolve to [`Effective`], the form that nodes decide by. On the platform they are
+//! stored as parts by content hash under one root, see [`storage`].
 
 #![forbid(unsafe_code)]
 
+pub mod check;
+pub mod declarations;
+pub mod diff;
 pub mod effective;
+pub mod keys;
+pub mod parse;
+pub mod problem;
+pub mod reader;
+pub mod resolve;
+pub mod storage;
 
+pub use declarations::Declarations;
 pub use effective::Effective;
+pub use problem::Finding;
+pub use problem::Problem;
+pub use problem::Problems;
