Drain: count requests by guards, refuse in a second step

Cause: a request that gets in between the look at the flag and the count could be missed by the shutdown, and a forgotten `leave` would hold it up. Change: `enter` counts first and returns a guard. Readiness fails at `begin`, new requests are refused from `refuse_new`, so that the balancer has time to notice.

--- a/crates/dogwoodpier-node/src/drain.rs
+++ b/crates/dogwoodpier-node/src/drain.rs
@@ -1,13 +1,26 @@
 //! Graceful shutdown: counts requests in flight and refuses new ones once it has begun.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
 use tokio::sync::watch;
 
+/// One request in flight. Dropping it ends the count.
+pub struct InFlight {
+    drain: Arc<Drain>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.drain.in_flight.send_modify(|count| *count -= 1);
+    }
+}
+
 /// Requests in flight and whether new ones are taken.
 pub struct Drain {
     draining: AtomicBool,
+    refusing: AtomicBool,
     in_flight: watch::Sender<usize>,
 }
 
@@ -15,6 +28,7 @@
     fn default() -> Self {
         Self {
             draining: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             in_flight: watch::Sender::new(0),
         }
     }
@@ -31,19 +45,25 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Begins to refuse new requests. Follows `begin` once the balancer had time to notice.
+    pub fn refuse_new(&self) {
+        self.refusing.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         *self.in_flight.borrow()
     }
 
-    /// Counts one more request in flight.
-    pub fn enter(&self) {
+    /// Counts one more request in flight until the guard is dropped, or returns `None` if new
+    /// requests are refused.
+    pub fn enter(self: &Arc<Self>) -> Option<InFlight> {
+        // Counts before it looks, so that `wait_idle` can't miss a request that gets in.
         self.in_flight.send_modify(|count| *count += 1);
-    }
-
-    /// Counts one request less in flight.
-    pub fn leave(&self) {
-        self.in_flight.send_modify(|count| *count -= 1);
+        let guard = InFlight {
+            drain: self.clone(),
+        };
+        (!self.refusing.load(Ordering::SeqCst)).then_some(guard)
     }
 
     /// Waits until nothing is in flight.
--- a/crates/dogwoodpier-node/src/state.rs
+++ b/crates/dogwoodpier-node/src/state.rs
@@ -41,7 +41,7 @@
     /// Reservations at the decode engines that this node keeps.
     pub keeper: Keeper,
     /// Graceful shutdown.
-    pub drain: Drain,
+    pub drain: Arc<Drain>,
 }
 
 impl Node {
