Peers: presume listed members alive, fan out by fleet size

Cause: with 550 nodes and a fixed sample of peers a round, each node would hear only a few dozen others, so nodes would presume different members and pick different brokers and keepers. By count, 8 heartbeats each 500 ms of about 500 bytes both ways would also be above 16 KB/s. Weighed: gossip of all signs of life (550 entries to 550 nodes each few seconds), probes with suspicion gossip, and the platform's list corrected by what a node meets itself. The last costs one failed call a node and dead member, and nothing else; it was taken. Change: a listed member counts as alive unless a call to it failed since it was last heard. Up to 16 peers everybody hears everybody; above, heirs and two random peers a round.

--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -13,10 +13,11 @@
 use crate::state::Node;
 use crate::state::SharedNode;
 
-// Peers that get a heartbeat in each round besides the heirs. In a fleet no larger than this,
-// everybody hears everybody.
-const FANOUT: usize = 8;
-const KNOWN_SAMPLE: usize = 4;
+// In a fleet with no more peers than this, everybody hears everybody.
+const FULL_MESH_PEERS: usize = 16;
+// Peers that get a heartbeat in each round of a larger fleet, besides the heirs.
+const LARGE_FLEET_FANOUT: usize = 2;
+const KNOWN_SAMPLE: usize = 1;
 
 /// Sends heartbeats until the process ends.
 pub async fn run(node: SharedNode) {
@@ -112,7 +113,12 @@
 // Chooses the peers of one round: the heirs, who must hear of us, and a random sample.
 fn round(node: &Node) -> Vec<NodeInfo> {
     let mut chosen: BTreeMap<String, NodeInfo> = BTreeMap::new();
-    let sample = node.peers.sample(FANOUT);
+    let fanout = if node.peers.count() <= FULL_MESH_PEERS {
+        FULL_MESH_PEERS
+    } else {
+        LARGE_FLEET_FANOUT
+    };
+    let sample = node.peers.sample(fanout);
     for info in node.slots.heirs().into_iter().chain(sample) {
         chosen.insert(info.peer_address.clone(), info);
     }
@@ -128,6 +134,10 @@
             .choose_multiple(&mut rand::rng(), count)
     }
 
+    fn count(&self) -> usize {
+        self.lock().count()
+    }
+
     fn note_call(&self, instance: &str, answered: bool, now: dogwoodpier_core::TimeMs) {
         self.lock().note_call(instance, answered, now);
     }
--- a/crates/dogwoodpier-node/src/peers/members.rs
+++ b/crates/dogwoodpier-node/src/peers/members.rs
@@ -20,6 +20,8 @@
     // The last call to it that was answered, and the last that was made.
     answered_ms: Option<TimeMs>,
     tried_ms: Option<TimeMs>,
+    // The last call to it that was not answered.
+    failed_ms: Option<TimeMs>,
     listed: bool,
 }
 
@@ -83,15 +85,20 @@
             member.tried_ms = Some(now);
             if answered {
                 member.answered_ms = Some(now);
+            } else {
+                member.failed_ms = Some(now);
             }
         }
     }
 
-    /// Returns the members heard lately that are not draining.
+    /// Returns the members that are presumed alive and not draining: those heard lately, and
+    /// listed ones of which nothing speaks against it. In a large fleet a node hears only a part
+    /// of the others, and all must presume the same members to pick the same ones.
     pub fn alive(&self, now: TimeMs) -> Vec<NodeInfo> {
         self.by_instance
             .values()
-            .filter(|member| !member.silent(now, self.member_timeout_ms) && !member.info.draining)
+            .filter(|member| !member.info.draining)
+            .filter(|member| member.presumed_alive(now, self.member_timeout_ms))
             .map(|member| member.info.clone())
             .collect()
     }
@@ -104,11 +111,16 @@
             .collect()
     }
 
-    /// Returns a member that was heard lately.
+    /// Returns how many members there are addresses of.
+    pub fn count(&self) -> usize {
+        self.by_instance.len()
+    }
+
+    /// Returns a member that is presumed alive.
     pub fn find(&self, instance: &str, now: TimeMs) -> Option<NodeInfo> {
         self.by_instance
             .get(instance)
-            .filter(|member| !member.silent(now, self.member_timeout_ms))
+            .filter(|member| member.presumed_alive(now, self.member_timeout_ms))
             .map(|member| member.info.clone())
     }
 
@@ -163,6 +175,7 @@
             heard_ms,
             answered_ms: None,
             tried_ms: None,
+            failed_ms: None,
             listed,
         };
         self.by_instance.insert(instance, member);
@@ -170,6 +183,13 @@
 }
 
 impl Member {
+    fn presumed_alive(&self, now: TimeMs, timeout_ms: u64) -> bool {
+        let failed_since_heard = self
+            .failed_ms
+            .is_some_and(|failed_ms| self.heard_ms.is_none_or(|heard_ms| failed_ms > heard_ms));
+        !self.silent(now, timeout_ms) || (self.listed && !failed_since_heard)
+    }
+
     fn silent(&self, now: TimeMs, timeout_ms: u64) -> bool {
         self.heard_ms
             .is_none_or(|heard_ms| now.since(heard_ms) > timeout_ms)
--- a/crates/dogwoodpier-node/src/peers/mod.rs
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -33,12 +33,12 @@
         }
     }
 
-    /// Returns the peers heard lately that are not draining, in order of name.
+    /// Returns the peers that are presumed alive and not draining, in order of name.
     pub fn alive(&self, now: TimeMs) -> Vec<NodeInfo> {
         self.lock().alive(now)
     }
 
-    /// Returns the peer with an instance name, if it was heard lately.
+    /// Returns the peer with an instance name, if it is presumed alive.
     pub fn find(&self, instance: &str, now: TimeMs) -> Option<NodeInfo> {
         self.lock().find(instance, now)
     }
