Add the platform client over a shared HTTP pool

The contracts had a wire format but no client. The platform's and the upstreams' clients both need connections that say whether anything was sent and that are dropped when one goes silent, so this lives once, in the new crate dogwoodpier-http; two copies in the two clients were ruled out. hyper-util's own repeat of cancelled requests is off, since such a request may have run.

put_resolved repeats a write in doubt only while its condition still holds: only one try can win. An unconditional write in doubt is never repeated, since that could undo another's later write.

--- /dev/null
+++ b/crates/dogwoodpier-http/src/answer.rs
@@ -0,0 +1,92 @@
+//! An answer whose body is read part by part.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::error::BodyError;
+use crate::pool::PoolShared;
+
+/// An answer with its head read. Dropping it early closes its connection.
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    generation: Generation,
+}
+
+/// The connections of a pool that an answer came over.
+pub(crate) struct Generation {
+    pub(crate) pool: Arc<PoolShared>,
+    pub(crate) number: u64,
+}
+
+impl Answer {
+    pub(crate) fn new(response: Response<Incoming>, generation: Generation) -> Self {
+        let (head, body) = response.into_parts();
+        Self {
+            status: head.status,
+            headers: head.headers,
+            body,
+            generation,
+        }
+    }
+
+    /// Returns true if the head says how the body ends, so that a body read without an error is
+    /// known to be whole.
+    pub fn is_framed(&self) -> bool {
+        self.headers.contains_key(header::CONTENT_LENGTH)
+            || self.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
+    /// Returns the next part of the body, or `None` at its end. A silence longer than `timeout_ms`
+    /// is an error and renews the pool.
+    pub async fn next_part(&mut self, timeout_ms: u64) -> Result<Option<Bytes>, BodyError> {
+        let limit = Duration::from_millis(timeout_ms);
+        loop {
+            let frame = match tokio::time::timeout(limit, self.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => {
+                    self.generation.pool.renew(self.generation.number);
+                    return Err(BodyError::Timeout { timeout_ms });
+                }
+            };
+            match frame {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(BodyError::Cut(error.to_string())),
+                Some(Ok(frame)) => {
+                    // Trailers carry nothing that is of use here.
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the body to its end: at most `max_bytes`, with no silence longer than `timeout_ms`.
+    pub async fn read_body(
+        &mut self,
+        max_bytes: usize,
+        timeout_ms: u64,
+    ) -> Result<Bytes, BodyError> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.next_part(timeout_ms).await? {
+            if whole.len() + part.len() > max_bytes {
+                return Err(BodyError::TooLarge { max_bytes });
+            }
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.freeze())
+    }
+}
--- a/crates/dogwoodpier-platform/src/lib.rs
+++ b/crates/dogwoodpier-platform/src/lib.rs
@@ -5,7 +5,18 @@
 
 #![forbid(unsafe_code)]
 
+pub mod calls;
 pub mod client;
+pub mod error;
+pub mod resolve;
 pub mod wire;
 
+pub use calls::CallCount;
+pub use calls::Operation;
 pub use client::Client;
+pub use client::ClientOptions;
+pub use client::Expect;
+pub use client::PutOutcome;
+pub use client::WatchOutcome;
+pub use error::Error;
+pub use error::Result;
