Slots: tell a tenure's first version and what it replaced

Cause: a new holder must know whether it has every claim that its predecessor granted. It does if the predecessor's copies were complete at the very version that the new holder's write replaced, so it needs that version, and the first version of its own tenure to notice that a slot was lost and regained between. Weighed: a mark on the slot's object that claims are kept by the heir only; it can't be written in an outage, which is when it is needed. Change: HeldSlot carries tenure_version and superseded_version; Claims::prepare_hand_over is to be called by slots before a hand-over's write. No behaviour yet, so no test.

--- a/crates/dogwoodpier-node/src/claims/mod.rs
+++ b/crates/dogwoodpier-node/src/claims/mod.rs
@@ -8,6 +8,7 @@
 use dogwoodpier_proto::ClaimRequest;
 use dogwoodpier_proto::KeepClaimsReply;
 use dogwoodpier_proto::KeepClaimsRequest;
+use dogwoodpier_proto::NodeInfo;
 use dogwoodpier_proto::RecordOutcomesReply;
 use dogwoodpier_proto::RecordOutcomesRequest;
 use dogwoodpier_proto::RecordedOutcome;
@@ -86,6 +87,11 @@
         KeepClaimsReply::default()
     }
 
+    /// Stops granting on a held slot and gives its successor the claims that the platform lacks. To
+    /// be called before the conditional write that hands the slot over. A slot handed over without
+    /// it grants nothing for a claim window.
+    pub async fn prepare_hand_over(&self, _node: &SharedNode, _slot: u32, _successor: &NodeInfo) {}
+
     /// Returns the state as JSON.
     pub fn dump(&self, _now: TimeMs) -> serde_json::Value {
         serde_json::Value::Null
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -23,6 +23,11 @@
     pub slot: u32,
     /// Version of the slot's object, its fencing number.
     pub version: u64,
+    /// Version of the write by which this incarnation became holder; renewals and changes of heir
+    /// leave it as it is.
+    pub tenure_version: u64,
+    /// Version that the write of `tenure_version` replaced, zero if it created the slot's object.
+    pub superseded_version: u64,
     /// The heir that promises not to claim it.
     pub heir: NodeInfo,
     /// Time until which this node may act on the slot, by its own clock.
@@ -64,7 +69,8 @@
     /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`.
     pub fn take_promises(&self, _heir: &str, _promises: &[SlotPromise], _sent_ms: TimeMs) {}
 
-    /// Hands slots over to a joining node.
+    /// Hands slots over to a joining node. Before the write that names the successor of a slot,
+    /// `Claims::prepare_hand_over` passes the slot's claims on.
     pub async fn hand_over(&self, _node: &Arc<Node>, _request: HandOverRequest) -> HandOverReply {
         HandOverReply::default()
     }
