--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -5,6 +5,7 @@
 
 use rand::seq::IteratorRandom;
 
+use dogwoodpier_core::TimeMs;
 use dogwoodpier_proto::HeartbeatReply;
 use dogwoodpier_proto::HeartbeatRequest;
 use dogwoodpier_proto::NodeInfo;
@@ -98,7 +99,7 @@
             .as_ref()
             .is_some_and(|id| id.instance != *node.settings.instance)
         {
-            node.peers.take_known(info);
+            node.peers.take_known(info, now);
         }
     }
     HeartbeatReply {
@@ -138,15 +139,15 @@
         self.lock().count()
     }
 
-    fn note_call(&self, instance: &str, answered: bool, now: dogwoodpier_core::TimeMs) {
+    fn note_call(&self, instance: &str, answered: bool, now: TimeMs) {
         self.lock().note_call(instance, answered, now);
     }
 
-    fn take_heard(&self, info: NodeInfo, now: dogwoodpier_core::TimeMs) {
+    fn take_heard(&self, info: NodeInfo, now: TimeMs) {
         self.lock().take_heard(info, now);
     }
 
-    fn take_known(&self, info: NodeInfo) {
-        self.lock().take_known(info);
+    fn take_known(&self, info: NodeInfo, now: TimeMs) {
+        self.lock().take_known(info, now);
     }
 }
--- a/crates/dogwoodpier-node/src/peers/members.rs
+++ b/crates/dogwoodpier-node/src/peers/members.rs
@@ -6,6 +6,9 @@
 use dogwoodpier_derive::plain;
 use dogwoodpier_proto::NodeInfo;
 
+// Longest lag of the platform's list that does no harm.
+const LISTING_GRACE_MS: u64 = 30_000;
+
 /// What is known of the other nodes.
 pub struct Members {
     member_timeout_ms: u64,
@@ -23,6 +26,8 @@
     // The last call to it that was not answered.
     failed_ms: Option<TimeMs>,
     listed: bool,
+    // Until then the member is kept though the lagging list may not have it yet.
+    listing_deadline_ms: TimeMs,
 }
 
 impl Members {
@@ -51,12 +56,30 @@
                         member.info.peer_address = info.peer_address;
                     }
                 }
-                None => self.add(info, None, true),
+                None => self.add(info, None, true, now),
             }
         }
         let timeout_ms = self.member_timeout_ms;
-        self.by_instance
-            .retain(|_, member| member.listed || !member.silent(now, timeout_ms));
+        self.by_instance.retain(|_, member| {
+            let new = now < member.listing_deadline_ms;
+            member.listed || new || !member.silent(now, timeout_ms)
+        });
+    }
+
+    /// Takes in a registration. It names the newest incarnation of an instance, but is no sign of
+    /// life, since the object outlives the process.
+    pub fn take_registered(&mut self, info: NodeInfo, now: TimeMs) {
+        let id = info.id.clone().unwrap_or_default();
+        match self.by_instance.get_mut(&id.instance) {
+            Some(member) if member.incarnation() == id.incarnation => {}
+            // Registrations of one instance arrive in order, so this one is later. Yet what the
+            // member itself has said lately is later still.
+            Some(member) if member.silent(now, self.member_timeout_ms) => {
+                member.info = info;
+            }
+            Some(_) => {}
+            None => self.add(info, None, false, now),
+        }
     }
 
     /// Takes in a sign of life from the node itself.
@@ -67,15 +90,15 @@
                 member.info = info;
                 member.heard_ms = Some(now);
             }
-            None => self.add(info, Some(now), false),
+            None => self.add(info, Some(now), false, now),
         }
     }
 
     /// Takes in a node that another member knows.
-    pub fn take_known(&mut self, info: NodeInfo) {
+    pub fn take_known(&mut self, info: NodeInfo, now: TimeMs) {
         let instance = info.id.clone().unwrap_or_default().instance;
         if !self.by_instance.contains_key(&instance) {
-            self.add(info, None, false);
+            self.add(info, None, false, now);
         }
     }
 
@@ -127,8 +150,8 @@
     /// Returns whether an incarnation may still live.
     pub fn may_live(&self, incarnation: u64, silence_ms: u64, now: TimeMs) -> bool {
         self.by_instance.values().any(|member| {
-            let id = member.info.id.clone().unwrap_or_default();
-            id.incarnation == incarnation && !member.silent(now, silence_ms)
+            let silent = member.silent(now, silence_ms) && member.failed_since_heard();
+            member.incarnation() == incarnation && !silent
         })
     }
 
@@ -168,7 +191,7 @@
             .collect()
     }
 
-    fn add(&mut self, info: NodeInfo, heard_ms: Option<TimeMs>, listed: bool) {
+    fn add(&mut self, info: NodeInfo, heard_ms: Option<TimeMs>, listed: bool, now: TimeMs) {
         let instance = info.id.clone().unwrap_or_default().instance;
         let member = Member {
             info,
@@ -177,6 +200,7 @@
             tried_ms: None,
             failed_ms: None,
             listed,
+            listing_deadline_ms: now.after(LISTING_GRACE_MS),
         };
         self.by_instance.insert(instance, member);
     }
@@ -184,10 +208,16 @@
 
 impl Member {
     fn presumed_alive(&self, now: TimeMs, timeout_ms: u64) -> bool {
-        let failed_since_heard = self
-            .failed_ms
-            .is_some_and(|failed_ms| self.heard_ms.is_none_or(|heard_ms| failed_ms > heard_ms));
-        !self.silent(now, timeout_ms) || (self.listed && !failed_since_heard)
+        !self.silent(now, timeout_ms) || (self.listed && !self.failed_since_heard())
+    }
+
+    fn failed_since_heard(&self) -> bool {
+        self.failed_ms
+            .is_some_and(|failed_ms| self.heard_ms.is_none_or(|heard_ms| failed_ms > heard_ms))
+    }
+
+    fn incarnation(&self) -> u64 {
+        self.info.id.as_ref().map_or(0, |id| id.incarnation)
     }
 
     fn silent(&self, now: TimeMs, timeout_ms: u64) -> bool {
--- a/crates/dogwoodpier-node/src/peers/mod.rs
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -4,9 +4,11 @@
 
 mod heartbeat;
 mod members;
+pub mod registry;
 mod service;
 mod transport;
 
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use dogwoodpier_core::TimeMs;
@@ -20,14 +22,16 @@
 
 /// Members of the fleet and connections to them.
 pub struct Peers {
+    own_instance: Arc<str>,
     members: Mutex<Members>,
     transport: Transport,
 }
 
 impl Peers {
     /// Returns the peers of a node that knows nobody yet.
-    pub fn new(member_timeout_ms: u64, peer_timeout_ms: u64) -> Self {
+    pub fn new(own_instance: Arc<str>, member_timeout_ms: u64, peer_timeout_ms: u64) -> Self {
         Self {
+            own_instance,
             members: Mutex::new(Members::new(member_timeout_ms)),
             transport: Transport::new(peer_timeout_ms),
         }
@@ -43,9 +47,9 @@
         self.lock().find(instance, now)
     }
 
-    /// Returns whether the incarnation was heard lately or may still live. False only for
-    /// incarnations that another incarnation of the same instance has replaced, or that have been
-    /// silent for `silence_ms`.
+    /// Returns whether the incarnation may still live. False for incarnations that nobody has
+    /// registered or that a later process of the same instance has replaced, and for those that
+    /// have been silent for `silence_ms` since a call to them failed.
     pub fn may_live(&self, incarnation: u64, silence_ms: u64, now: TimeMs) -> bool {
         self.lock().may_live(incarnation, silence_ms, now)
     }
@@ -56,9 +60,31 @@
         self.lock().reach(now)
     }
 
+    /// Takes in registrations of nodes, which tell incarnations apart.
+    pub fn take_registered<I>(&self, nodes: I, now: TimeMs)
+    where
+        I: IntoIterator<Item = NodeInfo>,
+    {
+        let own = &self.own_instance;
+        let mut members = self.lock();
+        for info in nodes {
+            if info.id.as_ref().is_some_and(|id| id.instance != **own) {
+                members.take_registered(info, now);
+            }
+        }
+    }
+
     /// Takes in the platform's list of nodes.
     pub fn take_listed(&self, nodes: Vec<NodeInfo>, now: TimeMs) {
-        self.lock().take_listed(nodes, now);
+        let others = nodes
+            .into_iter()
+            .filter(|info| {
+                info.id
+                    .as_ref()
+                    .is_some_and(|id| id.instance != *self.own_instance)
+            })
+            .collect();
+        self.lock().take_listed(others, now);
     }
 
     /// Returns the connections to the peers.
--- /dev/null
+++ b/crates/dogwoodpier-node/tests/member_view.rs
@@ -0,0 +1,92 @@
+//! What a node presumes of its peers.
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_node::peers::Members;
+use dogwoodpier_proto::NodeId;
+use dogwoodpier_proto::NodeInfo;
+
+const TIMEOUT_MS: u64 = 3_000;
+const START: TimeMs = TimeMs(1_000_000);
+
+fn info(instance: &str, incarnation: u64) -> NodeInfo {
+    NodeInfo {
+        id: Some(NodeId {
+            instance: instance.to_owned(),
+            incarnation,
+        }),
+        peer_address: "127.0.0.1:1".to_owned(),
+        data_centre: "dc1".to_owned(),
+        draining: false,
+    }
+}
+
+fn names(members: &Members, now: TimeMs) -> Vec<String> {
+    let alive = members.alive(now).into_iter();
+    alive
+        .filter_map(|info| info.id.map(|id| id.instance))
+        .collect()
+}
+
+#[test]
+fn listed_member_is_alive_until_call_fails() {
+    let mut members = Members::new(TIMEOUT_MS);
+    members.take_listed(vec![info("a", 0), info("b", 0)], START);
+    assert_eq!(names(&members, START), ["a", "b"]);
+    members.note_call("a", false, START.after(1));
+    assert_eq!(names(&members, START.after(1)), ["b"]);
+    members.take_heard(info("a", 7), START.after(2));
+    assert_eq!(names(&members, START.after(2)), ["a", "b"]);
+}
+
+#[test]
+fn draining_member_is_not_alive() {
+    let mut members = Members::new(TIMEOUT_MS);
+    let draining = NodeInfo {
+        draining: true,
+        ..info("a", 7)
+    };
+    members.take_heard(draining, START);
+    assert!(names(&members, START).is_empty());
+}
+
+#[test]
+fn new_member_survives_lagging_list() {
+    let mut members = Members::new(TIMEOUT_MS);
+    members.take_registered(info("a", 7), START);
+    members.take_listed(vec![], START.after(10_000));
+    assert!(members.may_live(7, TIMEOUT_MS, START.after(10_000)));
+    members.take_listed(vec![], START.after(60_000));
+    assert!(!members.may_live(7, TIMEOUT_MS, START.after(60_000)));
+}
+
+#[test]
+fn replaced_incarnation_is_dead() {
+    let mut members = Members::new(TIMEOUT_MS);
+    members.take_heard(info("a", 7), START);
+    assert!(members.may_live(7, TIMEOUT_MS, START));
+    members.take_heard(info("a", 8), START.after(1));
+    assert!(!members.may_live(7, TIMEOUT_MS, START.after(1)));
+    assert!(members.may_live(8, TIMEOUT_MS, START.after(1)));
+}
+
+#[test]
+fn silent_incarnation_is_dead_only_after_failed_call() {
+    let mut members = Members::new(TIMEOUT_MS);
+    members.take_heard(info("a", 7), START);
+    members.take_listed(vec![info("a", 0)], START);
+    let later = START.after(60_000);
+    assert!(members.may_live(7, TIMEOUT_MS, later));
+    members.note_call("a", false, later);
+    assert!(!members.may_live(7, TIMEOUT_MS, later));
+}
+
+#[test]
+fn reach_counts_answered_share_of_recent_calls() {
+    let mut members = Members::new(TIMEOUT_MS);
+    assert_eq!(members.reach(START), None);
+    members.take_listed(vec![info("a", 0), info("b", 0)], START);
+    members.note_call("a", true, START);
+    members.note_call("b", false, START);
+    assert_eq!(members.reach(START), Some(0.5));
+    assert_eq!(members.reach(START.after(TIMEOUT_MS + 1)), None);
+}
