Follow the configuration from the platform and from peers

Cause: nodes need the highest accepted version within seconds, also from peers, and must know whether their keys may be relied on. Weighed: news counts from when the question was sent, since an answer may have waited in a socket while the process was paused; the age in an incoming heartbeat is no news at all, for the same reason. News of a version counts only once its withdrawals of keys are in force. A version that this program can't read is counted and logged once; its withdrawn keys are taken out of the version in force. ConfigStore::new(freshness_ms) replaces the default: settings give the bound. Before: stub. Conclusion: the thin path can load a configuration.

--- a/crates/dogwoodpier-config/src/storage.rs
+++ b/crates/dogwoodpier-config/src/storage.rs
@@ -53,15 +53,25 @@
     pub text: String,
 }
 
-/// A root with its parts, as a node relays it to another.
+/// A root with parts, as a node relays it to another.
 #[wire]
 pub struct Bundle {
     /// The root.
     pub root: Root,
-    /// Texts of the root's parts, in its order.
+    /// Texts of those of the root's parts that the receiver may lack.
     pub parts: Vec<Arc<str>>,
 }
 
+/// A part as the platform stores it.
+#[wire]
+pub struct StoredPart {
+    /// JSON of a piece of the declarations.
+    pub text: Arc<str>,
+    /// When it was last written, seconds since 1970. Parts that no root lists are collected some
+    /// time after that.
+    pub written_unix_s: u64,
+}
+
 /// Why stored declarations can't be read.
 #[derive(Debug, Error)]
 pub enum StorageError {
@@ -133,6 +143,23 @@
     Ok(joined.unwrap_or_default())
 }
 
+/// Returns the keys that are granted, by hash, from parts of which this program may not understand
+/// the rest. Returns `None` if it can't be sure of the keys either.
+pub fn join_keys<F>(root: &Root, find: F) -> Option<BTreeMap<Arc<str>, Arc<str>>>
+where
+    F: Fn(&str) -> Option<Arc<str>>,
+{
+    let mut granted = BTreeMap::new();
+    for hash in &root.parts {
+        let text = find(hash).filter(|text| hash_text(text) == *hash)?;
+        let piece: KeysOnly = serde_json::from_str(&text).ok()?;
+        let entries = piece.keys.into_values();
+        granted.extend(entries.map(|key| (key.sha256, key.workspace)));
+    }
+    // No keys at all rather means that they are kept in a form unknown here.
+    (!granted.is_empty()).then_some(granted)
+}
+
 /// Returns the lower-case hex of a text's SHA-256 hash.
 pub fn hash_text(text: &str) -> Arc<str> {
     hex::encode(Sha256::digest(text.as_bytes())).into()
@@ -149,6 +176,19 @@
     keys: BTreeMap<Arc<str>, crate::declarations::KeyEntry>,
 }
 
+// The keys of a part, whatever else is in it.
+#[wire]
+struct KeysOnly {
+    #[serde(default)]
+    keys: BTreeMap<Arc<str>, KeyOnly>,
+}
+
+#[wire]
+struct KeyOnly {
+    workspace: Arc<str>,
+    sha256: Arc<str>,
+}
+
 fn part<T>(content: &T) -> Part
 where
     T: serde::Serialize,
--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -5,9 +5,11 @@
 
 #![forbid(unsafe_code)]
 
+pub mod freshness;
 pub mod refusal;
 pub mod rendezvous;
 pub mod units;
+pub mod versions;
 
 pub use refusal::Execution;
 pub use refusal::Refusal;
--- /dev/null
+++ b/crates/dogwoodpier-core/src/versions.rs
@@ -0,0 +1,62 @@
+//! Versions of the configuration: which one is in force, and which are known to exist.
+
+use dogwoodpier_derive::plain;
+
+/// The versions that a node knows of. Version zero is the lack of a configuration.
+#[plain]
+#[derive(Default)]
+pub struct Versions {
+    in_force: u64,
+    keys: u64,
+    highest_seen: u64,
+}
+
+impl Versions {
+    /// Returns the version in force.
+    pub fn in_force(&self) -> u64 {
+        self.in_force
+    }
+
+    /// Returns the version whose withdrawals of keys are in force. It is above `in_force` while the
+    /// node can read only the keys of a newer version.
+    pub fn keys(&self) -> u64 {
+        self.keys
+    }
+
+    /// Returns the highest version known to exist.
+    pub fn highest_seen(&self) -> u64 {
+        self.highest_seen
+    }
+
+    /// Notes that a version exists. Returns whether the node should fetch it.
+    pub fn see(&mut self, version: u64) -> bool {
+        self.highest_seen = self.highest_seen.max(version);
+        version > self.keys
+    }
+
+    /// Puts a whole version in force. Returns false, and changes nothing, unless it is higher than
+    /// all that was in force before: an old read never reverts.
+    pub fn take(&mut self, version: u64) -> bool {
+        if version <= self.keys {
+            return false;
+        }
+        self.in_force = version;
+        self.take_keys(version)
+    }
+
+    /// Puts the withdrawals of keys of a version in force. Returns false unless it is higher than
+    /// all before.
+    pub fn take_keys(&mut self, version: u64) -> bool {
+        if version <= self.keys {
+            return false;
+        }
+        self.keys = version;
+        self.see(version);
+        true
+    }
+
+    /// Returns whether a version is known to exist whose withdrawals of keys aren't in force.
+    pub fn is_behind(&self) -> bool {
+        self.highest_seen > self.keys
+    }
+}
--- a/crates/dogwoodpier-node/src/config/mod.rs
+++ b/crates/dogwoodpier-node/src/config/mod.rs
@@ -1,24 +1,108 @@
 //! The configuration in force at this node.
+//!
+//! Versions come from the platform's watch ([`source`]) and from peers ([`relay`]). Each is checked
+//! against its hashes and resolved before it is taken, and only a higher version is taken.
 
+mod relay;
+mod source;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use arc_swap::ArcSwap;
+use log::error;
+use log::info;
+use log::warn;
+use metrics::counter;
+use metrics::gauge;
+use tokio::sync::Notify;
 
 use dogwoodpier_config::Effective;
+use dogwoodpier_config::keys;
+use dogwoodpier_config::resolve;
+use dogwoodpier_config::storage;
+use dogwoodpier_config::storage::Root;
 use dogwoodpier_core::Refusal;
+use dogwoodpier_core::RefusalReason;
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::freshness::Freshness;
+use dogwoodpier_core::freshness::NO_CONTACT_AGE_MS;
+use dogwoodpier_core::freshness::News;
+use dogwoodpier_core::freshness::Trust;
+use dogwoodpier_core::versions::Versions;
+use dogwoodpier_derive::plain;
 use dogwoodpier_proto::FetchConfigReply;
 use dogwoodpier_proto::NodeInfo;
 
+use crate::counters;
 use crate::state::SharedNode;
 
+const RETRY_AFTER_STALE_MS: u64 = 2_000;
+const RETRY_AFTER_START_MS: u64 = 1_000;
+// A look at the reach of the peers counts for this long.
+const REACH_VALID_MS: u64 = 1_000;
+// Former roots, kept to tell which parts a peer has already.
+const RECENT_ROOTS: usize = 8;
+
+/// Texts of parts by their hash.
+type Parts = BTreeMap<Arc<str>, Arc<str>>;
+
 /// The configuration in force and how fresh the node's knowledge of it is.
-#[derive(Default)]
 pub struct ConfigStore {
     current: ArcSwap<Effective>,
+    knowledge: Mutex<Knowledge>,
+    // Held while a version is fetched, so that one is fetched once.
+    fetching: tokio::sync::Mutex<()>,
+    // The peer that names the highest version not in force here.
+    ahead: Mutex<Option<NodeInfo>>,
+    ahead_notify: Notify,
+    taken_notify: Notify,
+}
+
+struct Knowledge {
+    versions: Versions,
+    freshness: Freshness,
+    root: Option<Root>,
+    recent: VecDeque<Root>,
+    parts: Parts,
+    rejected: Option<Rejected>,
+    // The last judgement, to log changes only.
+    trust: Trust,
+}
+
+// A version that this node can't take.
+#[plain]
+struct Rejected {
+    version: u64,
+    reason: Arc<str>,
 }
 
 impl ConfigStore {
+    /// Returns the store of a node without a configuration. Keys are relied on for `freshness_ms`
+    /// after the last news of the platform.
+    pub fn new(freshness_ms: u64) -> Self {
+        Self {
+            current: ArcSwap::default(),
+            knowledge: Mutex::new(Knowledge {
+                versions: Versions::default(),
+                freshness: Freshness::new(freshness_ms, REACH_VALID_MS),
+                root: None,
+                recent: VecDeque::new(),
+                parts: Parts::new(),
+                rejected: None,
+                trust: Trust::Stale,
+            }),
+            fetching: tokio::sync::Mutex::new(()),
+            ahead: Mutex::new(None),
+            ahead_notify: Notify::new(),
+            taken_notify: Notify::new(),
+        }
+    }
+
     /// Returns the configuration in force.
     pub fn current(&self) -> Arc<Effective> {
         self.current.load_full()
@@ -26,40 +110,263 @@
 
     /// Returns the workspace whose key this is. Refuses unknown and withdrawn keys, and all keys
     /// while the node can't know which are withdrawn.
-    pub fn authenticate(&self, _key: &str, _now: TimeMs) -> Result<Arc<str>, Refusal> {
-        Err(Refusal::not_run(
-            dogwoodpier_core::RefusalReason::InvalidKey,
-            "no configuration",
-        ))
+    pub fn authenticate(&self, key: &str, now: TimeMs) -> Result<Arc<str>, Refusal> {
+        let key_hash = keys::hash_key(key);
+        if self.trust(now) == Trust::Stale {
+            return Err(self.refuse_stale());
+        }
+        match self.current.load().workspace_of_key(&key_hash) {
+            Some(workspace) => Ok(workspace.clone()),
+            None => Err(Refusal::not_run(
+                RefusalReason::InvalidKey,
+                "the key is unknown or withdrawn; ask the operators for a new one",
+            )),
+        }
+    }
+
+    /// Returns whether a key, by the hash that `keys::hash_key` gives, may be used now. Requests
+    /// that run for longer ask this again and again.
+    pub fn is_key_valid(&self, key_hash: &str, now: TimeMs) -> bool {
+        self.trust(now) != Trust::Stale && self.current.load().workspace_of_key(key_hash).is_some()
+    }
+
+    /// Returns whether the node may rely on its keys.
+    pub fn trust(&self, now: TimeMs) -> Trust {
+        let knowledge = self.lock();
+        knowledge.freshness.trust(&knowledge.versions, now)
     }
 
     /// Returns the age of the newest contact with the platform that this node knows of, its own or a
-    /// peer's.
-    pub fn platform_contact_age_ms(&self, _now: TimeMs) -> u64 {
-        u64::MAX
+    /// peer's. Ask before the version: an age that is older than the version does no harm.
+    pub fn platform_contact_age_ms(&self, now: TimeMs) -> u64 {
+        let knowledge = self.lock();
+        if knowledge.versions.keys() > knowledge.versions.in_force() {
+            // Peers would take it for news of the version in force.
+            return NO_CONTACT_AGE_MS;
+        }
+        knowledge.freshness.contact_age_ms(now)
     }
 
     /// Takes in what a peer says in a heartbeat. A higher version is fetched from it in the
-    /// background.
+    /// background. `asked_ms` is a time at or before the moment at which the peer said it.
     pub fn heard(
         &self,
-        _peer: &NodeInfo,
-        _config_version: u64,
-        _contact_age_ms: u64,
-        _now: TimeMs,
+        peer: &NodeInfo,
+        config_version: u64,
+        contact_age_ms: u64,
+        asked_ms: TimeMs,
     ) {
+        let mut knowledge = self.lock();
+        if contact_age_ms < asked_ms.0 {
+            let contact_ms = TimeMs(asked_ms.0 - contact_age_ms);
+            knowledge.take_news(config_version, contact_ms);
+        }
+        let rejected = knowledge
+            .rejected
+            .as_ref()
+            .is_some_and(|rejected| rejected.version == config_version);
+        if knowledge.versions.see(config_version) && !rejected {
+            drop(knowledge);
+            *lock(&self.ahead) = Some(peer.clone());
+            self.ahead_notify.notify_one();
+        }
     }
 
     /// Returns the configuration in force for a peer that has an older one.
-    pub fn fetch(&self, _newer_than: u64) -> FetchConfigReply {
-        FetchConfigReply::default()
+    pub fn fetch(&self, newer_than: u64) -> FetchConfigReply {
+        relay::bundle(&self.lock(), newer_than)
     }
 
     /// Returns the state as JSON, without key hashes.
-    pub fn dump(&self, _now: TimeMs) -> serde_json::Value {
-        serde_json::json!({ "version": self.current().version })
+    pub fn dump(&self, now: TimeMs) -> serde_json::Value {
+        let current = self.current();
+        let knowledge = self.lock();
+        let root = knowledge.root.as_ref();
+        serde_json::json!({
+            "version": current.version,
+            "keys_version": knowledge.versions.keys(),
+            "highest_seen_version": knowledge.versions.highest_seen(),
+            "message": root.map(|root| root.message.clone()),
+            "author": root.map(|root| root.author.clone()),
+            "rejected": knowledge.rejected.as_ref().map(|rejected| serde_json::json!({
+                "version": rejected.version,
+                "reason": rejected.reason,
+            })),
+            "platform_contact_age_ms": knowledge.freshness.contact_age_ms(now),
+            "key_trust": format!("{:?}", knowledge.freshness.trust(&knowledge.versions, now)),
+            "slot_count": current.slot_count,
+            "key_count": current.keys.len(),
+            "workspaces": current.workspaces,
+            "pools": current.pools,
+            "models": current.models,
+            "routes": current.routes,
+        })
+    }
+
+    /// Puts a version in force if it is higher than what is in force and its parts are whole and
+    /// readable. `source` names where it came from in metrics.
+    fn take(&self, root: Root, parts: Parts, source: &'static str) {
+        let find = |hash: &str| parts.get(hash).cloned();
+        let generation = root.generation;
+        let resolved = storage::join(&root, find)
+            .map_err(|error| error.to_string())
+            .and_then(|declarations| {
+                resolve::resolve(&declarations, generation).map_err(|findings| {
+                    findings
+                        .first()
+                        .map(ToString::to_string)
+                        .unwrap_or_default()
+                })
+            })
+            .and_then(|effective| self.check_slots(effective));
+        match resolved {
+            Ok(effective) => self.put_in_force(root, parts, effective, source),
+            Err(reason) => self.reject(&root, &parts, &reason),
+        }
+    }
+
+    fn check_slots(&self, effective: Effective) -> Result<Effective, String> {
+        let current = self.current();
+        if current.version > 0 && current.slot_count != effective.slot_count {
+            return Err(format!(
+                "fleet.slot_count changed from {} to {}; limits are divided by it",
+                current.slot_count, effective.slot_count
+            ));
+        }
+        Ok(effective)
+    }
+
+    fn put_in_force(&self, root: Root, parts: Parts, effective: Effective, source: &'static str) {
+        let mut knowledge = self.lock();
+        if !knowledge.versions.take(root.generation) {
+            return;
+        }
+        let version = root.generation;
+        self.current.store(Arc::new(effective));
+        knowledge.parts = parts;
+        if let Some(former) = knowledge.root.replace(root) {
+            knowledge.recent.push_front(former);
+            knowledge.recent.truncate(RECENT_ROOTS);
+        }
+        knowledge.rejected = None;
+        knowledge.settle();
+        drop(knowledge);
+        info!("configuration {version} in force, from {source}");
+        gauge!(counters::CONFIG_VERSION).set(version as f64);
+        counter!(counters::CONFIGS_TAKEN_TOTAL, "source" => source).increment(1);
+        self.taken_notify.notify_one();
+    }
+
+    // Keeps the configuration in force, but for keys that the rejected one withdraws.
+    fn reject(&self, root: &Root, parts: &Parts, reason: &str) {
+        let granted = storage::join_keys(root, |hash| parts.get(hash).cloned());
+        let mut knowledge = self.lock();
+        if root.generation <= knowledge.versions.keys() {
+            return;
+        }
+        if let Some(granted) = granted.filter(|_| knowledge.versions.in_force() > 0) {
+            let mut current = Effective::clone(&self.current.load());
+            current
+                .keys
+                .retain(|hash, workspace| granted.get(hash) == Some(workspace));
+            self.current.store(Arc::new(current));
+            knowledge.versions.take_keys(root.generation);
+            knowledge.settle();
+        }
+        let version = root.generation;
+        let known = knowledge
+            .rejected
+            .replace(Rejected {
+                version,
+                reason: reason.into(),
+            })
+            .is_some_and(|rejected| rejected.version == version);
+        drop(knowledge);
+        counter!(counters::CONFIGS_REJECTED_TOTAL).increment(1);
+        if !known {
+            error!("configuration {version} is not taken, the former stays in force: {reason}");
+        }
+    }
+
+    // Takes in the reach of the peers, and tells operators of a change of trust.
+    fn review(&self, reach: Option<f64>, now: TimeMs) {
+        let mut knowledge = self.lock();
+        knowledge.freshness.take_reach(reach, now);
+        let trust = knowledge.freshness.trust(&knowledge.versions, now);
+        let age_ms = knowledge.freshness.contact_age_ms(now);
+        let former = std::mem::replace(&mut knowledge.trust, trust);
+        drop(knowledge);
+        gauge!(counters::PLATFORM_CONTACT_AGE_MS).set(age_ms as f64);
+        let trusted = if trust == Trust::Stale { 0.0 } else { 1.0 };
+        gauge!(counters::KEYS_TRUSTED_STATE).set(trusted);
+        if trust == former {
+            return;
+        }
+        match trust {
+            Trust::Fresh => info!("news of the platform is recent, keys are relied on"),
+            Trust::Outage => {
+                warn!("no news of the platform at any peer, keys are relied on as known")
+            }
+            Trust::Stale => warn!("cut off from news of the platform, keyed requests are refused"),
+        }
+    }
+
+    fn refuse_stale(&self) -> Refusal {
+        if self.current.load().version == 0 {
+            return Refusal::not_run(
+                RefusalReason::KeysStale,
+                "this instance has no configuration yet; come back soon",
+            )
+            .retry_after(RETRY_AFTER_START_MS);
+        }
+        Refusal::not_run(
+            RefusalReason::KeysStale,
+            "this instance can't tell at present whether keys are still valid; come back soon",
+        )
+        .retry_after(RETRY_AFTER_STALE_MS)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Knowledge> {
+        lock(&self.knowledge)
     }
 }
 
+impl Knowledge {
+    fn take_news(&mut self, version: u64, contact_ms: TimeMs) {
+        let news = News {
+            version,
+            contact_ms,
+        };
+        self.freshness.take_news(news, &mut self.versions);
+    }
+
+    fn settle(&mut self) {
+        self.freshness.settle(&mut self.versions);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Keeps the configuration up to date from the platform's watch and from peers.
-pub async fn run(_node: SharedNode) {}
+pub async fn run(node: SharedNode) {
+    tokio::join!(
+        source::run(node.clone()),
+        relay::run_fetch(node.clone()),
+        relay::run_push(node.clone()),
+        review(node),
+    );
+}
+
+// Reviews often enough that a look at the reach is still valid at the next one.
+async fn review(node: SharedNode) {
+    const INTERVAL: std::time::Duration = std::time::Duration::from_millis(REACH_VALID_MS / 4);
+    let mut interval = tokio::time::interval(INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = crate::clock::now();
+        node.config.review(node.peers.reach(now), now);
+    }
+}
--- a/crates/dogwoodpier-node/src/counters.rs
+++ b/crates/dogwoodpier-node/src/counters.rs
@@ -12,3 +12,13 @@
 pub const PEER_CALLS_TOTAL: &str = "dogwoodpier_peer_calls_total";
 /// Calls to the platform by operation and result.
 pub const PLATFORM_CALLS_TOTAL: &str = "dogwoodpier_platform_calls_total";
+/// Version of the configuration in force.
+pub const CONFIG_VERSION: &str = "dogwoodpier_config_version";
+/// Configurations taken by source.
+pub const CONFIGS_TAKEN_TOTAL: &str = "dogwoodpier_configs_taken_total";
+/// Configurations that this node could not take, by reason.
+pub const CONFIGS_REJECTED_TOTAL: &str = "dogwoodpier_configs_rejected_total";
+/// Age of the newest contact with the platform that the node knows of.
+pub const PLATFORM_CONTACT_AGE_MS: &str = "dogwoodpier_platform_contact_age_ms";
+/// 1 while the node takes keyed requests, 0 while it can't tell which keys are withdrawn.
+pub const KEYS_TRUSTED_STATE: &str = "dogwoodpier_keys_trusted_state";
--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -6,6 +6,7 @@
 use rand::seq::IteratorRandom;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::freshness::NO_CONTACT_AGE_MS;
 use dogwoodpier_proto::HeartbeatReply;
 use dogwoodpier_proto::HeartbeatRequest;
 use dogwoodpier_proto::NodeInfo;
@@ -42,8 +43,9 @@
     let request = HeartbeatRequest {
         sender: Some(node.info()),
         promise_requests: node.slots.promise_requests(&instance, sent_ms),
-        config_version: node.config.current().version,
+        // The age goes before the version, which may rise in between.
         platform_contact_age_ms: node.config.platform_contact_age_ms(sent_ms),
+        config_version: node.config.current().version,
         crashes: node.quarantine.reports_for(&instance, sent_ms),
         known: node.peers.sample(KNOWN_SAMPLE),
     };
@@ -66,11 +68,12 @@
         .take_promises(&instance, &reply.promises, sent_ms);
     node.quarantine.take_reports(&reply.crashes, now);
     if let Some(sender) = reply.sender {
+        // Counted from the question: the answer may have waited while this process was paused.
         node.config.heard(
             &sender,
             reply.config_version,
             reply.platform_contact_age_ms,
-            now,
+            sent_ms,
         );
         node.peers.take_heard(sender, now);
     }
@@ -83,12 +86,9 @@
     let sender = request.sender.unwrap_or_default();
     let instance = sender.id.clone().unwrap_or_default().instance;
     node.quarantine.take_reports(&request.crashes, now);
-    node.config.heard(
-        &sender,
-        request.config_version,
-        request.platform_contact_age_ms,
-        now,
-    );
+    // Nothing tells how long the request waited for this process, so its age of contact is no news.
+    node.config
+        .heard(&sender, request.config_version, NO_CONTACT_AGE_MS, now);
     let promises = node
         .slots
         .grant_promises(&sender, &request.promise_requests, now);
@@ -105,8 +105,9 @@
     HeartbeatReply {
         sender: Some(node.info()),
         promises,
-        config_version: node.config.current().version,
+        // The age goes before the version, which may rise in between.
         platform_contact_age_ms: node.config.platform_contact_age_ms(now),
+        config_version: node.config.current().version,
         crashes: node.quarantine.reports_for(&instance, now),
     }
 }
--- a/crates/dogwoodpier-node/src/peers/mod.rs
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -14,6 +14,7 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_proto::NodeInfo;
 
+pub use heartbeat::beat;
 pub use heartbeat::run;
 pub use members::Members;
 pub use service::serve;
