--- a/crates/dogwoodpier-node/src/lib.rs
+++ b/crates/dogwoodpier-node/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod claims;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod counters;
@@ -20,6 +21,7 @@
 pub mod slots;
 pub mod start;
 pub mod state;
+pub mod telemetry;
 pub mod upstreams;
 
 pub use settings::Settings;
--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -1,10 +1,25 @@
 //! Settings of a node, read from a TOML file.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 
+use log::LevelFilter;
+use serde_json::Value;
+
+use dogwoodpier_config::Finding;
+use dogwoodpier_config::Problem;
+use dogwoodpier_config::Problems;
+use dogwoodpier_config::reader::Fields;
+use dogwoodpier_config::reader::Report;
 use dogwoodpier_derive::wire;
 
+use crate::telemetry::FORMAT_JSON;
+
+const MAX_NAME_LENGTH: usize = 63;
+const FORMAT_TEXT: &str = "text";
+const ADDRESS_HELP: &str = "give an IP address and a port, for example \"10.0.0.7:7100\"";
+
 /// Settings of a node.
 #[wire]
 #[serde(deny_unknown_fields)]
@@ -105,3 +120,230 @@
         }
     }
 }
+
+// Bounds of a field of `Tuning`.
+struct Bounds {
+    field: &'static str,
+    min: i64,
+    max: i64,
+}
+
+const fn bounds(field: &'static str, min: i64, max: i64) -> Bounds {
+    Bounds { field, min, max }
+}
+
+const HOUR_MS: i64 = 3_600_000;
+const DAY_MS: i64 = 24 * HOUR_MS;
+const MAX_BODY_BYTES: i64 = 256 * 1024 * 1024;
+
+const TUNING: &[Bounds] = &[
+    bounds("heartbeat_interval_ms", 10, 60_000),
+    bounds("member_timeout_ms", 50, HOUR_MS),
+    bounds("promise_ms", 50, HOUR_MS),
+    bounds("long_lease_ms", 1_000, 7 * DAY_MS),
+    bounds("loan_ms", 10, HOUR_MS),
+    bounds("claim_window_ms", 1_000, 7 * DAY_MS),
+    bounds("peer_timeout_ms", 10, 60_000),
+    bounds("platform_timeout_ms", 10, 60_000),
+    bounds("instances_interval_ms", 10, HOUR_MS),
+    bounds("load_interval_ms", 10, HOUR_MS),
+    bounds("freshness_ms", 100, HOUR_MS),
+    bounds("drain_ms", 0, DAY_MS),
+    bounds("max_body_bytes", 1, MAX_BODY_BYTES),
+    bounds("body_timeout_ms", 10, HOUR_MS),
+    bounds("write_timeout_ms", 10, HOUR_MS),
+];
+
+/// Loads settings from a file, or returns everything that is wrong with them.
+pub fn load(file: &Path) -> Result<Settings, Problems> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        Problems(vec![Problem {
+            file: name.clone(),
+            line: 1,
+            path: String::new(),
+            message: format!("can't be read: {error}"),
+        }])
+    })?;
+    parse(&name, &text)
+}
+
+/// Parses and checks settings. `file` names the text in messages.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Problems> {
+    let mut report = Report::new(file, text);
+    let table = report.parse();
+    let settings = read(Fields::root(table.get_ref()), &mut report);
+    if report.is_clean()
+        && let Some(settings) = &settings
+    {
+        check(settings, &mut report);
+    }
+    report
+        .finish(())
+        .map(|()| settings.expect("a clean report has read all settings"))
+}
+
+fn read(mut root: Fields<'_, '_>, report: &mut Report<'_>) -> Option<Settings> {
+    let instance = name(&mut root, "instance", report);
+    let data_centre = name(&mut root, "data_centre", report);
+    let caller_address = address(&mut root, "caller_address", report);
+    let operator_address = address(&mut root, "operator_address", report);
+    let peer_address = address(&mut root, "peer_address", report);
+    let platform_address = address(&mut root, "platform_address", report);
+    let tuning = read_tuning(root.table("tuning", report), report);
+    let log = read_log(root.table("log", report), report);
+    root.finish(report);
+    Some(Settings {
+        instance: instance?,
+        data_centre: data_centre?,
+        caller_address: caller_address?,
+        operator_address: operator_address?,
+        peer_address: peer_address?,
+        platform_address: platform_address?,
+        tuning,
+        log,
+    })
+}
+
+fn name(
+    fields: &mut Fields<'_, '_>,
+    field: &'static str,
+    report: &mut Report<'_>,
+) -> Option<Arc<str>> {
+    let right =
+        format!("give a name of 1 to {MAX_NAME_LENGTH} letters, digits, hyphens and underscores");
+    fields.require(field, &right, report);
+    let name = fields.text(field, report)?;
+    let valid = (1..=MAX_NAME_LENGTH).contains(&name.len())
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_'));
+    if !valid {
+        let message = format!("{name:?} is no name: {right}");
+        report.add(Finding::new(fields.path_of(field), message));
+    }
+    valid.then_some(name)
+}
+
+fn address(
+    fields: &mut Fields<'_, '_>,
+    field: &'static str,
+    report: &mut Report<'_>,
+) -> Option<SocketAddr> {
+    fields.require(field, ADDRESS_HELP, report);
+    let text = fields.text(field, report)?;
+    match text.parse::<SocketAddr>() {
+        Ok(address) if address.port() != 0 => Some(address),
+        _ => {
+            let message = format!("{text:?} is no address: {ADDRESS_HELP}");
+            report.add(Finding::new(fields.path_of(field), message));
+            None
+        }
+    }
+}
+
+fn read_tuning(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> Tuning {
+    let mut found = serde_json::Map::new();
+    for Bounds { field, min, max } in TUNING {
+        let Some(value) = fields.integer(field, report) else {
+            continue;
+        };
+        if (*min..=*max).contains(&value) {
+            found.insert((*field).to_owned(), Value::from(value));
+        } else {
+            let message = format!("must be a whole number from {min} to {max}, not {value}");
+            report.add(Finding::new(fields.path_of(field), message));
+        }
+    }
+    fields.finish(report);
+    serde_json::from_value(Value::Object(found)).unwrap_or_else(|error| {
+        report.add(Finding::new("tuning", error.to_string()));
+        Tuning::default()
+    })
+}
+
+fn read_log(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> LogSettings {
+    let mut log = LogSettings::default();
+    if let Some(level) = fields.text("level", report) {
+        if level.parse::<LevelFilter>().is_err() {
+            let message = format!("{level:?} is not one of error, warn, info, debug, trace");
+            report.add(Finding::new(fields.path_of("level"), message));
+        }
+        log.level = level;
+    }
+    if let Some(format) = fields.text("format", report) {
+        if ![FORMAT_TEXT, FORMAT_JSON].contains(&&*format) {
+            let message = format!("{format:?} is not one of {FORMAT_TEXT}, {FORMAT_JSON}");
+            report.add(Finding::new(fields.path_of("format"), message));
+        }
+        log.format = format;
+    }
+    fields.finish(report);
+    log
+}
+
+// Checks what involves several settings.
+fn check(settings: &Settings, report: &mut Report<'_>) {
+    let own = [
+        ("caller_address", settings.caller_address),
+        ("operator_address", settings.operator_address),
+        ("peer_address", settings.peer_address),
+    ];
+    for (index, (field, address)) in own.iter().enumerate() {
+        if let Some((other, _)) = own[..index].iter().find(|(_, taken)| taken == address) {
+            let message = format!("is the same as {other}: give each its own port");
+            report.add(Finding::new(*field, message));
+        }
+    }
+    for (field, address) in [
+        ("peer_address", settings.peer_address),
+        ("platform_address", settings.platform_address),
+    ] {
+        if address.ip().is_unspecified() {
+            let message = "must be an address that others can connect to, not all addresses";
+            report.add(Finding::new(field, message));
+        }
+    }
+    check_tuning(&settings.tuning, report);
+}
+
+fn check_tuning(tuning: &Tuning, report: &mut Report<'_>) {
+    // Each rule: what must be larger, and what it must exceed.
+    let rules = [
+        (
+            ("member_timeout_ms", tuning.member_timeout_ms),
+            (
+                "twice heartbeat_interval_ms",
+                2 * tuning.heartbeat_interval_ms,
+            ),
+        ),
+        (
+            ("promise_ms", tuning.promise_ms),
+            (
+                "twice heartbeat_interval_ms",
+                2 * tuning.heartbeat_interval_ms,
+            ),
+        ),
+        (
+            ("freshness_ms", tuning.freshness_ms),
+            (
+                "twice heartbeat_interval_ms",
+                2 * tuning.heartbeat_interval_ms,
+            ),
+        ),
+        (
+            ("long_lease_ms", tuning.long_lease_ms),
+            ("claim_window_ms", tuning.claim_window_ms),
+        ),
+        (
+            ("long_lease_ms", tuning.long_lease_ms),
+            ("promise_ms", tuning.promise_ms),
+        ),
+    ];
+    for ((field, value), (other, bound)) in rules {
+        if value <= bound {
+            let message = format!("{value} must be more than {other}, {bound}");
+            report.add(Finding::new(format!("tuning.{field}"), message));
+        }
+    }
+}
