Add dogwoodpierctl: validate, plan, apply, get, history, status, dump, hash-key

Cause: operators put declarations in force, and race each other. An apply that read the version itself would silently undo what another operator applied since the file was edited. Each root is kept in the history before another replaces it, so a writer whose answer was lost finds out whether its change was in force. Parts are written anew by each apply that needs them, and collected by conditional deletes, so that a collection can't take a part from a running apply. status asks the addresses that nodes register on the platform, or those given when the platform is out. Before: placeholder. Conclusion: the thin path can apply a configuration.

--- /dev/null
+++ b/crates/dogwoodpier-ctl/src/cli.rs
@@ -0,0 +1,118 @@
+//! The command line of `dogwoodpierctl`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+const DEFAULT_TIMEOUT_MS: &str = "5000";
+
+/// Returns the command line's description.
+pub fn command() -> Command {
+    Command::new("dogwoodpierctl")
+        .about("Operates a fleet of dogwoodpier nodes")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .value_name("IP:PORT")
+                .help("Address of the platform's object API")
+                .global(true)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            Arg::new("timeout-ms")
+                .long("timeout-ms")
+                .value_name("MS")
+                .help("Longest time for one call")
+                .global(true)
+                .default_value(DEFAULT_TIMEOUT_MS)
+                .value_parser(value_parser!(u64)),
+        )
+        .subcommands([
+            Command::new("validate")
+                .about(
+                    "Checks declarations and prints all that is wrong; exit code 2 if anything is",
+                )
+                .arg(file()),
+            Command::new("plan")
+                .about("Shows field by field what an apply would change")
+                .arg(file()),
+            apply(),
+            Command::new("get")
+                .about("Prints the declarations in force, or those of a former version")
+                .arg(version("Version instead of the one in force")),
+            Command::new("history").about("Lists the versions that are kept, newest first"),
+            Command::new("status")
+                .about("Shows which version each instance runs")
+                .arg(node().action(ArgAction::Append)),
+            Command::new("dump")
+                .about("Prints the state of one node as JSON")
+                .arg(node().required(true)),
+            Command::new("hash-key")
+                .about("Reads a key from standard input and prints its hash for the declarations"),
+        ])
+}
+
+/// Returns the declarations' file.
+pub fn file_of(matches: &ArgMatches) -> Option<&PathBuf> {
+    matches.get_one("file")
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Puts declarations in force")
+        .arg(file())
+        .arg(
+            Arg::new("message")
+                .long("message")
+                .short('m')
+                .value_name("TEXT")
+                .help("What changes and why, kept in the history")
+                .required(true),
+        )
+        .arg(
+            Arg::new("expect-version")
+                .long("expect-version")
+                .value_name("N")
+                .help("Version that `plan` showed as in force; 0 for the first")
+                .required(true)
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("author")
+                .long("author")
+                .value_name("NAME")
+                .help("Who makes the change; else the user's name"),
+        )
+}
+
+fn file() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .help("Declarations, TOML")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn version(help: &'static str) -> Arg {
+    Arg::new("version")
+        .long("version")
+        .value_name("N")
+        .help(help)
+        .value_parser(value_parser!(u64))
+}
+
+fn node() -> Arg {
+    Arg::new("node")
+        .long("node")
+        .value_name("IP:PORT")
+        .help("A node's address for operators; without it those registered on the platform")
+        .value_parser(value_parser!(SocketAddr))
+}
--- /dev/null
+++ b/crates/dogwoodpier-ctl/src/error.rs
@@ -0,0 +1,126 @@
+//! Errors of the operators' tool. Each says what to do.
+
+use std::fmt;
+
+use thiserror::Error;
+
+use dogwoodpier_config::Problems;
+use dogwoodpier_config::diff::Change;
+use dogwoodpier_config::storage::Root;
+use dogwoodpier_config::storage::StorageError;
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The declarations are wrong.
+    #[error("{0}\nNothing was applied.")]
+    Declarations(#[from] Problems),
+    /// A file or the standard input can't be used.
+    #[error("{what}: {source}")]
+    Input {
+        /// What was read.
+        what: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// An argument is missing or wrong.
+    #[error("{0}")]
+    Argument(String),
+    /// Another version is in force than the one that the operator read.
+    #[error("{0}")]
+    Conflict(Box<Conflict>),
+    /// The change is not allowed.
+    #[error("{0}\nNothing was applied.")]
+    Refused(String),
+    /// The platform failed before anything took effect.
+    #[error("{0}\nNothing was applied. Try again when the platform answers.")]
+    Platform(dogwoodpier_platform::Error),
+    /// The write of a new version may or may not have taken effect.
+    #[error(
+        "the platform's answer was lost, and version {generation} may or may not be in force: \
+         {source}\nRun `dogwoodpierctl history`: if it shows write {write_id}, the change was \
+         applied; if not, plan and apply it again."
+    )]
+    Unknown {
+        /// Version that was to be written.
+        generation: u64,
+        /// Id of the write.
+        write_id: String,
+        /// The cause.
+        source: dogwoodpier_platform::Error,
+    },
+    /// What the platform stores can't be read.
+    #[error("{0}\nRead the version before with `dogwoodpierctl get --version N`, and apply it.")]
+    Stored(#[from] StorageError),
+    /// A root on the platform can't be read.
+    #[error("the root on the platform can't be read by this program, use a newer one: {0}")]
+    Root(serde_json::Error),
+    /// A version isn't on the platform any more, or never was.
+    #[error("version {0} is not on the platform; `dogwoodpierctl history` lists those that are")]
+    NoVersion(u64),
+    /// A node didn't answer.
+    #[error("node at {address}: {cause}; is it running, and is this its address for operators?")]
+    Node {
+        /// Address for operators.
+        address: String,
+        /// The cause.
+        cause: String,
+    },
+}
+
+/// Result of a command.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A lost race: who won, and what changed meanwhile.
+#[derive(Debug)]
+pub struct Conflict {
+    /// Version that the operator read.
+    pub expected: u64,
+    /// Root in force, absent if there is none.
+    pub current: Option<Root>,
+    /// What changed between the two, absent if the version read isn't kept any more.
+    pub changes: Option<Vec<Change>>,
+    /// True if the own write was in force before it was replaced.
+    pub was_in_force: bool,
+}
+
+impl fmt::Display for Conflict {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(current) = &self.current else {
+            return write!(
+                formatter,
+                "conflict: you read version {}, but there is no configuration\n\
+                 Nothing was applied. For the first version use --expect-version 0.",
+                self.expected
+            );
+        };
+        writeln!(
+            formatter,
+            "conflict: you read version {}, but version {} is in force, by {}: {}",
+            self.expected, current.generation, current.author, current.message
+        )?;
+        match &self.changes {
+            Some(changes) if changes.is_empty() => writeln!(formatter, "No field differs.")?,
+            Some(changes) => {
+                writeln!(formatter, "What changed meanwhile:")?;
+                for change in changes {
+                    writeln!(formatter, "  {change}")?;
+                }
+            }
+            None => writeln!(formatter, "Version {} is not kept any more.", self.expected)?,
+        }
+        if self.was_in_force {
+            return write!(
+                formatter,
+                "Your change was in force as version {} before it was replaced.",
+                self.expected + 1
+            );
+        }
+        write!(
+            formatter,
+            "Nothing was applied. Take the changes into your file (`dogwoodpierctl get` prints what \
+             is in force), run `dogwoodpierctl plan`, and apply with --expect-version {}.",
+            current.generation
+        )
+    }
+}
--- a/crates/dogwoodpier-ctl/src/main.rs
+++ b/crates/dogwoodpier-ctl/src/main.rs
@@ -1,2 +1,36 @@
-//! Placeholder.
-fn main() {}
+//! The `dogwoodpierctl` binary: the operators' tool.
+
+use std::process::ExitCode;
+
+use dogwoodpier_ctl::Error;
+use dogwoodpier_ctl::cli;
+use dogwoodpier_ctl::commands;
+
+const EXIT_WRONG_INPUT: u8 = 2;
+const EXIT_CONFLICT: u8 = 3;
+const EXIT_UNKNOWN: u8 = 4;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match commands::run(&cli::command().get_matches()).await {
+        Ok(shown) => {
+            print!("{shown}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            exit_code(&error)
+        }
+    }
+}
+
+fn exit_code(error: &Error) -> ExitCode {
+    match error {
+        Error::Declarations(_) | Error::Argument(_) | Error::Input { .. } => {
+            ExitCode::from(EXIT_WRONG_INPUT)
+        }
+        Error::Conflict(_) => ExitCode::from(EXIT_CONFLICT),
+        Error::Unknown { .. } => ExitCode::from(EXIT_UNKNOWN),
+        _ => ExitCode::FAILURE,
+    }
+}
