Let a held slot have no heir and bind promises to an incarnation

A node alone in the fleet has nobody to name as heir, and a promise of the heir's next incarnation is none: the earlier one may still have a claim under way. Ruled out: an empty NodeInfo for no heir, which every user would have to know about. Contract change: HeldSlot.heir is an Option, and Slots::take_promises gets the NodeInfo that answered.

--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -60,10 +60,9 @@
     let Ok(reply) = answer else {
         return false;
     };
-    node.slots
-        .take_promises(&instance, &reply.promises, sent_ms);
     node.quarantine.take_reports(&reply.crashes, now);
     if let Some(sender) = reply.sender {
+        node.slots.take_promises(&sender, &reply.promises, sent_ms);
         node.config.heard(
             &sender,
             reply.config_version,
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -23,8 +23,8 @@
     pub slot: u32,
     /// Version of the slot's object, its fencing number.
     pub version: u64,
-    /// The heir that promises not to claim it.
-    pub heir: NodeInfo,
+    /// The heir that promises not to claim it, absent while this node knows no other member.
+    pub heir: Option<NodeInfo>,
     /// Time until which this node may act on the slot, by its own clock.
     pub act_deadline_ms: TimeMs,
 }
@@ -61,8 +61,9 @@
         Vec::new()
     }
 
-    /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`.
-    pub fn take_promises(&self, _heir: &str, _promises: &[SlotPromise], _sent_ms: TimeMs) {}
+    /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`. `heir` is who
+    /// answered, since a promise of another incarnation than the heir's is none.
+    pub fn take_promises(&self, _heir: &NodeInfo, _promises: &[SlotPromise], _sent_ms: TimeMs) {}
 
     /// Hands slots over to a joining node.
     pub async fn hand_over(&self, _node: &Arc<Node>, _request: HandOverRequest) -> HandOverReply {
