Add the clients of engines and plain services

Typed calls over the shared pool. The errors tell what a refusal may claim: NotSent (no connection was made), Busy and Gone (the engine did nothing), Cut and Timeout (may have run), Crossed (an event of another request). A decode without its finish event is Cut, never a short success. Calls that may not repeat get a connection of their own: on a pooled one a close by the peer may show only after bytes were sent, and the call could then not be called not-run.

Prompt sizes and prefix hashes, which engine and router must compute alike, are in prefix.rs.

--- a/crates/dogwoodpier-http/src/pool.rs
+++ b/crates/dogwoodpier-http/src/pool.rs
@@ -108,6 +108,9 @@
         timeout_ms: u64,
     ) -> Result<Answer, SendError> {
         let address = self.address();
+        *request.uri_mut() = path_of(&request)
+            .parse()
+            .map_err(|error: http::uri::InvalidUri| SendError::NotSent(error.to_string()))?;
         if !request.headers().contains_key(header::HOST) {
             let host = HeaderValue::from_str(&address.to_string())
                 .map_err(|error| SendError::NotSent(error.to_string()))?;
@@ -140,14 +143,14 @@
     }
 
     fn absolute(&self, request: Request<Bytes>) -> Result<Request<Full<Bytes>>, SendError> {
-        let (mut head, body) = request.into_parts();
-        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        head.uri = Uri::builder()
+        let uri = Uri::builder()
             .scheme("http")
             .authority(self.address().to_string())
-            .path_and_query(path)
+            .path_and_query(path_of(&request))
             .build()
             .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let (mut head, body) = request.into_parts();
+        head.uri = uri;
         Ok(Request::from_parts(head, Full::new(body)))
     }
 }
@@ -168,6 +171,13 @@
     }
 }
 
+fn path_of(request: &Request<Bytes>) -> &str {
+    request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+}
+
 fn new_client(options: &PoolOptions) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- a/crates/dogwoodpier-upstream/src/lib.rs
+++ b/crates/dogwoodpier-upstream/src/lib.rs
@@ -5,4 +5,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod engine;
+pub mod headers;
+pub mod prefix;
+pub mod service;
+pub mod sse;
 pub mod wire;
