Core: delivery, fair queue, reservations, holds and selection

Cause: the engine filters need decisions that tests can drive without I/O. Weighed: a queue for each pool (one node for hundreds of engines) against one for each engine; chosen is one for each engine, as keepers are spread that way. Before: none.

--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -5,8 +5,14 @@
 
 #![forbid(unsafe_code)]
 
+pub mod delivery;
+pub mod fair_queue;
+pub mod holds;
+pub mod links;
 pub mod refusal;
 pub mod rendezvous;
+pub mod reservations;
+pub mod selection;
 pub mod units;
 
 pub use refusal::Execution;
--- /dev/null
+++ b/crates/dogwoodpier-core/src/reservations.rs
@@ -0,0 +1,260 @@
+//! Reservations at one decode engine, as its keeper counts them.
+//!
+//! The book is soft state: it may be wrong about the engine, whose own refusal decides. Audits of
+//! what the engine really holds correct it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dogwoodpier_derive::plain;
+
+use crate::TimeMs;
+use crate::Tokens;
+use crate::fair_queue::FairQueue;
+use crate::fair_queue::Waiting;
+use crate::holds::HoldId;
+
+// A place in the queue is lost if its owner doesn't ask again within this time.
+const PLACE_MS: u64 = 2_000;
+// A reservation that the engine doesn't show this long after it was granted was never used.
+const UNUSED_MS: u64 = 3_000;
+// The mean time of a reservation moves by one part in this many with each release.
+const MEAN_WEIGHT: u64 = 16;
+
+/// Room at an engine.
+#[plain]
+#[derive(Copy, Default, Eq)]
+pub struct Room {
+    /// Decode sequences.
+    pub sequences: u32,
+    /// KV pieces.
+    pub pieces: u32,
+}
+
+impl Room {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            sequences: self.sequences.saturating_add(other.sequences),
+            pieces: self.pieces.saturating_add(other.pieces),
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            sequences: self.sequences.saturating_sub(other.sequences),
+            pieces: self.pieces.saturating_sub(other.pieces),
+        }
+    }
+
+    /// Returns whether `other` fits in this room.
+    pub fn fits(self, other: Self) -> bool {
+        self.sequences >= other.sequences && self.pieces >= other.pieces
+    }
+}
+
+/// A request for a reservation.
+#[plain]
+pub struct Ask {
+    /// Tag of the reservation; asking again with it changes nothing.
+    pub hold: HoldId,
+    /// Workspace that it is for.
+    pub workspace: Arc<str>,
+    /// Share of the workspace in a full queue.
+    pub weight: u32,
+    /// Service that the request will get.
+    pub cost_tokens: Tokens,
+    /// Room that it needs.
+    pub room: Room,
+    /// Time after which a reservation is of no use.
+    pub deadline_ms: TimeMs,
+    /// Whether to wait in the queue if the engine is full.
+    pub may_wait: bool,
+}
+
+/// Answer to an [`Ask`].
+#[plain]
+#[derive(Copy, Eq)]
+pub enum Verdict {
+    /// The room is reserved.
+    Reserved,
+    /// The request has a place in the queue and must ask again to keep it.
+    Waiting,
+    /// The engine is full, and waiting is of no use or not wanted.
+    Full {
+        /// Estimated wait.
+        wait_ms: u64,
+    },
+    /// The engine could not hold the request even if it were empty.
+    TooLarge,
+}
+
+/// What an engine keeps for a hold, as the engine says.
+#[plain]
+#[derive(Copy, Eq)]
+pub struct Held {
+    /// Tag.
+    pub hold: HoldId,
+    /// Room in use.
+    pub room: Room,
+}
+
+#[plain]
+struct Reservation {
+    room: Room,
+    granted_ms: TimeMs,
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    hold: HoldId,
+    room: Room,
+    lapses_ms: TimeMs,
+}
+
+/// Reservations and queue of one decode engine.
+#[derive(Debug, Default)]
+pub struct EngineBook {
+    capacity: Room,
+    reserved: BTreeMap<HoldId, Reservation>,
+    // Room of holds at the engine that are not in the book.
+    foreign: Room,
+    queue: FairQueue<Place>,
+    mean_hold_ms: u64,
+}
+
+impl EngineBook {
+    /// Returns an empty book of an engine.
+    pub fn new(capacity: Room) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the engine's size.
+    pub fn set_capacity(&mut self, capacity: Room) {
+        self.capacity = capacity;
+    }
+
+    /// Answers a request for a reservation.
+    pub fn ask(&mut self, ask: Ask, now: TimeMs) -> Verdict {
+        if self.reserved.contains_key(&ask.hold) {
+            return Verdict::Reserved;
+        }
+        if !self.capacity.fits(ask.room) {
+            return Verdict::TooLarge;
+        }
+        self.grant(now);
+        if self.reserved.contains_key(&ask.hold) {
+            return Verdict::Reserved;
+        }
+        if self.keep_place(ask.hold, now) {
+            return Verdict::Waiting;
+        }
+        if self.queue.is_empty() && self.free().fits(ask.room) {
+            self.queue
+                .charge(&ask.workspace, ask.weight, ask.cost_tokens);
+            self.reserve(ask.hold, ask.room, now);
+            return Verdict::Reserved;
+        }
+        let wait_ms = self.estimate_wait_ms(&ask.workspace, ask.weight, ask.deadline_ms);
+        if !ask.may_wait || wait_ms > ask.deadline_ms.remaining(now) {
+            return Verdict::Full { wait_ms };
+        }
+        self.queue.push(Waiting {
+            workspace: ask.workspace,
+            weight: ask.weight,
+            cost_tokens: ask.cost_tokens,
+            deadline_ms: ask.deadline_ms,
+            item: Place {
+                hold: ask.hold,
+                room: ask.room,
+                lapses_ms: now.after(PLACE_MS),
+            },
+        });
+        Verdict::Waiting
+    }
+
+    /// Takes a reservation or a place in the queue back.
+    pub fn release(&mut self, hold: HoldId, now: TimeMs) {
+        if let Some(reservation) = self.reserved.remove(&hold) {
+            let held_ms = now.since(reservation.granted_ms);
+            self.mean_hold_ms = if self.mean_hold_ms == 0 {
+                held_ms
+            } else {
+                (self.mean_hold_ms * (MEAN_WEIGHT - 1) + held_ms) / MEAN_WEIGHT
+            };
+        } else {
+            self.queue.remove_where(|waiting| waiting.item.hold == hold);
+        }
+        self.grant(now);
+    }
+
+    /// Moves requests from the queue to reservations while there is room, and drops those that are
+    /// past their deadline or that nobody asks for any more.
+    pub fn grant(&mut self, now: TimeMs) {
+        self.queue
+            .remove_where(|waiting| waiting.deadline_ms <= now || waiting.item.lapses_ms <= now);
+        while let Some(next) = self.queue.peek() {
+            if !self.free().fits(next.item.room) {
+                break;
+            }
+            if let Some(granted) = self.queue.pop() {
+                self.reserve(granted.item.hold, granted.item.room, now);
+            }
+        }
+    }
+
+    /// Takes in what the engine holds, as of some moment before `now`. Reservations that were
+    /// granted well before and are not there have ended without word.
+    pub fn take_audit(&mut self, held: &[Held], now: TimeMs) {
+        self.foreign = held
+            .iter()
+            .filter(|entry| !self.reserved.contains_key(&entry.hold))
+            .fold(Room::default(), |sum, entry| sum.plus(entry.room));
+        self.reserved.retain(|hold, reservation| {
+            now.since(reservation.granted_ms) < UNUSED_MS
+                || held.iter().any(|entry| entry.hold == *hold)
+        });
+        self.grant(now);
+    }
+
+    /// Returns the room that is free by this book.
+    pub fn free(&self) -> Room {
+        let used = self
+            .reserved
+            .values()
+            .fold(self.foreign, |sum, reservation| sum.plus(reservation.room));
+        self.capacity.minus(used)
+    }
+
+    /// Returns the number of reservations and of requests that wait.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.reserved.len(), self.queue.len())
+    }
+
+    /// Returns an estimate of the wait of a request that joins the queue now.
+    pub fn estimate_wait_ms(&self, workspace: &str, weight: u32, deadline_ms: TimeMs) -> u64 {
+        let ahead = self.queue.ahead(workspace, weight, deadline_ms);
+        (ahead + 1) * self.mean_hold_ms / u64::from(self.capacity.sequences.max(1))
+    }
+
+    fn reserve(&mut self, hold: HoldId, room: Room, now: TimeMs) {
+        let reservation = Reservation {
+            room,
+            granted_ms: now,
+        };
+        self.reserved.insert(hold, reservation);
+    }
+
+    fn keep_place(&mut self, hold: HoldId, now: TimeMs) -> bool {
+        let lapses_ms = now.after(PLACE_MS);
+        self.queue.find_mut(|place| {
+            let found = place.hold == hold;
+            if found {
+                place.lapses_ms = lapses_ms;
+            }
+            found
+        })
+    }
+}
