Pipeline: the row of filters from accept to respond, with keepers and holds

Cause: a caller's request had no way through the node. Weighed: waiting for a decode engine at the entry against a queue at each engine's keeper; chosen is the keeper, asked in calls shorter than a peer's timeout, so that a lost answer costs one more ask. A prefill has a hold of its own, since a tag that was cancelled once is refused by engines. Contracts: ReserveRequest.wait_ms, ReserveReply with the room, the verdicts WAITING and TOO_LARGE, the call CheckHolds; Peers::all; settings [routing]. Before: stubs.

--- a/crates/dogwoodpier-node/src/counters.rs
+++ b/crates/dogwoodpier-node/src/counters.rs
@@ -12,3 +12,19 @@
 pub const PEER_CALLS_TOTAL: &str = "dogwoodpier_peer_calls_total";
 /// Calls to the platform by operation and result.
 pub const PLATFORM_CALLS_TOTAL: &str = "dogwoodpier_platform_calls_total";
+/// Cancels of holds sent to engines by result.
+pub const HOLD_CANCELS_TOTAL: &str = "dogwoodpier_hold_cancels_total";
+/// Holds of gone requests that an audit found and cancelled.
+pub const HOLD_ORPHANS_TOTAL: &str = "dogwoodpier_hold_orphans_total";
+/// Requests for a decode reservation by verdict.
+pub const RESERVATIONS_TOTAL: &str = "dogwoodpier_reservations_total";
+/// Prompt tokens sent to prefill engines and computed there.
+pub const PREFILL_TOKENS_TOTAL: &str = "dogwoodpier_prefill_tokens_total";
+/// Prompt tokens whose prefill came to no use.
+pub const PREFILL_WASTED_TOKENS_TOTAL: &str = "dogwoodpier_prefill_wasted_tokens_total";
+/// Decodes that were resumed on another stream.
+pub const DECODE_RESUMES_TOTAL: &str = "dogwoodpier_decode_resumes_total";
+/// Output tokens handed to callers.
+pub const OUTPUT_TOKENS_TOTAL: &str = "dogwoodpier_output_tokens_total";
+/// Events of decode streams that were repeated, late or crossed.
+pub const IGNORED_EVENTS_TOTAL: &str = "dogwoodpier_ignored_events_total";
--- a/crates/dogwoodpier-node/src/peers/mod.rs
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -42,6 +42,11 @@
         self.lock().alive(now)
     }
 
+    /// Returns every peer that there is an address of, also silent and draining ones.
+    pub fn all(&self) -> Vec<NodeInfo> {
+        self.lock().all()
+    }
+
     /// Returns the peer with an instance name, if it is presumed alive.
     pub fn find(&self, instance: &str, now: TimeMs) -> Option<NodeInfo> {
         self.lock().find(instance, now)
--- a/crates/dogwoodpier-node/src/peers/service.rs
+++ b/crates/dogwoodpier-node/src/peers/service.rs
@@ -12,6 +12,8 @@
 
 use dogwoodpier_proto::BorrowReply;
 use dogwoodpier_proto::BorrowRequest;
+use dogwoodpier_proto::CheckHoldsReply;
+use dogwoodpier_proto::CheckHoldsRequest;
 use dogwoodpier_proto::ClaimReply;
 use dogwoodpier_proto::ClaimRequest;
 use dogwoodpier_proto::FetchConfigReply;
@@ -161,6 +163,17 @@
         Ok(Response::new(ReleaseReply {}))
     }
 
+    async fn check_holds(
+        &self,
+        request: Request<CheckHoldsRequest>,
+    ) -> Result<Response<CheckHoldsReply>, Status> {
+        Ok(Response::new(
+            self.node
+                .upstreams
+                .check_holds(self.node.id(), &request.into_inner()),
+        ))
+    }
+
     async fn fetch_config(
         &self,
         request: Request<FetchConfigRequest>,
--- /dev/null
+++ b/crates/dogwoodpier-node/src/pipeline/prefill.rs
@@ -0,0 +1,180 @@
+//! Computes the KV cache of a prompt at a prefill engine.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use metrics::counter;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::selection::PrefillHint;
+use dogwoodpier_core::selection::price_ms;
+use dogwoodpier_core::selection::rank_prefill;
+use dogwoodpier_upstream::engine::EngineError;
+use dogwoodpier_upstream::prefix::count_tokens;
+use dogwoodpier_upstream::wire::PrefillReply;
+use dogwoodpier_upstream::wire::PrefillRequest;
+
+use crate::clock;
+use crate::counters;
+use crate::settings::RoutingPolicy;
+use crate::state::SharedNode;
+use crate::upstreams::Engine;
+use crate::upstreams::Hold;
+
+// A prefill may take this many times its estimate, and a pool's longest silence on top.
+const PATIENCE: u64 = 4;
+
+/// A prompt to compute.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// Pool of prefill engines.
+    pub pool: Arc<str>,
+    /// Model.
+    pub model: Arc<str>,
+    /// Prompt, with the output delivered so far.
+    pub text: Arc<str>,
+    /// Larger goes first.
+    pub priority: i32,
+    /// Time after which the result is useless.
+    pub deadline_ms: TimeMs,
+    /// Longest silence of an engine.
+    pub progress_timeout_ms: u64,
+}
+
+/// The KV cache of a prompt at its prefill engine. Dropping it frees it there; its prefill counts
+/// as wasted unless [`Computed::used`] was called.
+pub struct Computed {
+    /// Engine.
+    pub engine: Engine,
+    /// What the engine said.
+    pub reply: PrefillReply,
+    /// Time until which the engine keeps it.
+    pub expires_ms: TimeMs,
+    is_used: bool,
+    _hold: Hold,
+}
+
+impl Computed {
+    /// Notes that a decode engine has it.
+    pub fn used(&mut self) {
+        self.is_used = true;
+    }
+}
+
+impl Drop for Computed {
+    fn drop(&mut self) {
+        if !self.is_used {
+            let wasted_tokens = self.reply.prompt_tokens - self.reply.cached_tokens;
+            counter!(counters::PREFILL_WASTED_TOKENS_TOTAL).increment(wasted_tokens);
+        }
+    }
+}
+
+/// A prefill that failed.
+#[derive(Debug)]
+pub struct PrefillFailure {
+    /// Engine.
+    pub engine: Arc<str>,
+    /// Cause.
+    pub error: EngineError,
+}
+
+/// Chooses the engine for a prompt among those that are not in `unfit`.
+pub fn choose(
+    node: &SharedNode,
+    prompt: &Prompt,
+    unfit: &BTreeSet<Arc<str>>,
+) -> Option<PrefillHint> {
+    let now = clock::now();
+    let mut hints = node
+        .upstreams
+        .prefill_hints(&prompt.pool, &prompt.model, &prompt.text, now);
+    hints.retain(|hint| !unfit.contains(&hint.engine));
+    if hints.is_empty() {
+        return None;
+    }
+    match node.settings.routing.policy {
+        RoutingPolicy::Reserve => {}
+        RoutingPolicy::RoundRobin => {
+            let turn = node.upstreams.next_turn() as usize % hints.len();
+            return Some(hints.swap_remove(turn));
+        }
+        RoutingPolicy::LeastLoaded => {
+            for hint in &mut hints {
+                hint.cached_tokens = 0;
+                hint.link_wait_ms = 0;
+            }
+        }
+    }
+    rank_prefill(hints, count_tokens(&prompt.text), rand::random)
+        .into_iter()
+        .next()
+}
+
+/// Computes a prompt at the chosen engine.
+pub async fn prefill(
+    node: &SharedNode,
+    prompt: &Prompt,
+    hint: &PrefillHint,
+) -> Result<Computed, PrefillFailure> {
+    let failure = |error| PrefillFailure {
+        engine: hint.engine.clone(),
+        error,
+    };
+    let Some(engine) = node.upstreams.engine(&hint.engine) else {
+        return Err(failure(EngineError::NotSent("no such engine".to_owned())));
+    };
+    let mut hold = Hold::begin(node);
+    hold.touch(&engine.name);
+    let now = clock::now();
+    let prompt_tokens = count_tokens(&prompt.text);
+    let estimate_ms = price_ms(hint, prompt_tokens);
+    let timeout_ms = prompt
+        .deadline_ms
+        .remaining(now)
+        .min(estimate_ms * PATIENCE + prompt.progress_timeout_ms);
+    let request = PrefillRequest {
+        hold: hold.tag().clone(),
+        model: prompt.model.clone(),
+        prompt: prompt.text.clone(),
+        priority: prompt.priority,
+        deadline_in_ms: timeout_ms,
+    };
+    let missing_tokens = prompt_tokens.saturating_sub(hint.cached_tokens);
+    let id = hold.id();
+    node.upstreams
+        .prefill_sent(&engine.name, id, missing_tokens, now);
+    let sent = Sent {
+        node,
+        engine: &engine.name,
+        hold: &hold,
+    };
+    let result = engine.client.prefill(&request, timeout_ms).await;
+    drop(sent);
+    let reply = result.map_err(failure)?;
+    node.upstreams
+        .prefill_computed(&engine.name, &prompt.model, &prompt.text);
+    counter!(counters::PREFILL_TOKENS_TOTAL).increment(reply.prompt_tokens - reply.cached_tokens);
+    Ok(Computed {
+        engine,
+        expires_ms: clock::now().after(reply.expires_in_ms),
+        reply,
+        is_used: false,
+        _hold: hold,
+    })
+}
+
+// Ends the count of a prefill's tokens, also if the request is given up on the way.
+struct Sent<'a> {
+    node: &'a SharedNode,
+    engine: &'a Arc<str>,
+    hold: &'a Hold,
+}
+
+impl Drop for Sent<'_> {
+    fn drop(&mut self) {
+        self.node
+            .upstreams
+            .prefill_ended(self.engine, self.hold.id());
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -0,0 +1,285 @@
+//! Takes one request through the row of filters.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dropshot::Body;
+use http::Response;
+use metrics::counter;
+use tokio::sync::mpsc;
+
+use dogwoodpier_config::Effective;
+use dogwoodpier_config::effective::Pool;
+use dogwoodpier_config::effective::Route;
+use dogwoodpier_core::Execution;
+use dogwoodpier_core::Refusal;
+use dogwoodpier_core::RefusalReason;
+use dogwoodpier_core::TimeMs;
+
+use crate::clock;
+use crate::counters;
+use crate::drain::InFlight;
+use crate::state::SharedNode;
+
+use super::Request;
+use super::accept;
+use super::accept::Head;
+use super::accept::Target;
+use super::admit;
+use super::authenticate;
+use super::authenticate::Authenticated;
+use super::body;
+use super::body::BodyBudget;
+use super::forward;
+use super::model;
+use super::model::Job;
+use super::model::Output;
+use super::model_call;
+use super::model_call::Api;
+use super::request::fingerprint;
+use super::respond;
+use super::respond::WholeAnswer;
+use super::sse;
+
+const DRAIN_RETRY_AFTER_MS: u64 = 1_000;
+
+/// What a request takes of the node until its answer is sent.
+struct Guard {
+    _in_flight: InFlight,
+    _budget: BodyBudget,
+}
+
+/// A request with its body read.
+struct Read {
+    head: Head,
+    body: Bytes,
+    config: Arc<Effective>,
+    guard: Guard,
+}
+
+/// Serves one request.
+pub async fn serve(node: &SharedNode, request: http::Request<Body>) -> Response<Body> {
+    let mut workspace: Arc<str> = "".into();
+    let result = run(node, request, &mut workspace).await;
+    let outcome = if result.is_ok() {
+        "answered"
+    } else {
+        "refused"
+    };
+    counter!(counters::REQUESTS_TOTAL, "outcome" => outcome).increment(1);
+    result.unwrap_or_else(|refusal| respond::refuse(&refusal, &workspace))
+}
+
+async fn run(
+    node: &SharedNode,
+    request: http::Request<Body>,
+    workspace: &mut Arc<str>,
+) -> Result<Response<Body>, Refusal> {
+    let in_flight = node.drain.enter().ok_or_else(|| {
+        Refusal::not_run(
+            RefusalReason::ShuttingDown,
+            "this instance is shutting down",
+        )
+        .retry_after(DRAIN_RETRY_AFTER_MS)
+    })?;
+    let (parts, body) = request.into_parts();
+    let config = node.config.current();
+    let head = accept::accept(&parts, &config, clock::now())?;
+    let authenticated = authenticate::authenticate(node, &head)?;
+    if let Some(authenticated) = &authenticated {
+        *workspace = authenticated.name.clone();
+    }
+    let read = body::read(&parts.headers, body, &node.settings.tuning).await?;
+    if accept::contains_key(&read.bytes, head.key.as_deref()) {
+        return Err(accept::invalid("the body must not contain the key"));
+    }
+    let read = Read {
+        body: read.bytes,
+        config,
+        guard: Guard {
+            _in_flight: in_flight,
+            _budget: read.budget,
+        },
+        head,
+    };
+    match (read.head.target.clone(), authenticated) {
+        (Target::Model(api, route), Some(authenticated)) => {
+            serve_model(node, read, api, route, authenticated).await
+        }
+        (Target::Route(route), authenticated) => {
+            serve_route(node, read, route, authenticated).await
+        }
+        (Target::Model(..), None) => Err(Refusal::not_run(
+            RefusalReason::InvalidKey,
+            "models need a key",
+        )),
+    }
+}
+
+async fn serve_model(
+    node: &SharedNode,
+    read: Read,
+    api: Api,
+    route: Option<Route>,
+    authenticated: Authenticated,
+) -> Result<Response<Body>, Refusal> {
+    let call = model_call::parse(api, &read.body)?;
+    authenticate::authorize(&authenticated, &call.model)?;
+    let Some(model) = read.config.models.get(&call.model) else {
+        return Err(Refusal::not_run(
+            RefusalReason::NoRoute,
+            format!("there is no model {}", call.model),
+        ));
+    };
+    let request_timeout_ms = authenticated.workspace.request_timeout_ms;
+    let mut request = request(&read, Some(&authenticated.name), request_timeout_ms);
+    // The prompt holds all that is needed of it.
+    request.body = Bytes::new();
+    let passage = node
+        .quarantine
+        .enter(request.fingerprint, request.deadline_ms)
+        .await?;
+    let cost_tokens = model::cost_tokens(&call);
+    let admission =
+        admit::admit(node, &authenticated.name, cost_tokens, request.deadline_ms).await?;
+    let job = Job {
+        model: model.clone(),
+        prefill_pool: pool(&read.config, &model.prefill_pool)?,
+        decode_pool: pool(&read.config, &model.decode_pool)?,
+        queue_deadline_ms: queue_deadline(&authenticated, &read.head, &request),
+        may_repeat: route.is_none_or(|route| route.idempotent),
+        call: call.clone(),
+        request,
+        authenticated,
+        passage,
+        admission,
+    };
+    let workspace = job.authenticated.name.clone();
+    let id = read.head.id.clone();
+    let mut outputs = model::start(node, job);
+    let first = outputs.recv().await.unwrap_or_else(|| Err(cut()))?;
+    if call.stream {
+        return Ok(sse::stream(
+            &id, call, &workspace, first, outputs, read.guard,
+        ));
+    }
+    let whole = collect(first, outputs).await?;
+    Ok(respond::answer(&id, &call, &whole))
+}
+
+async fn collect(
+    first: Output,
+    mut outputs: mpsc::Receiver<Result<Output, Refusal>>,
+) -> Result<WholeAnswer, Refusal> {
+    let mut text = String::new();
+    let mut completion_tokens = 0;
+    let mut output = first;
+    loop {
+        match output {
+            Output::Token(token) => {
+                text.push_str(&token);
+                completion_tokens += 1;
+            }
+            Output::Finish(reason) => {
+                return Ok(WholeAnswer {
+                    text,
+                    completion_tokens,
+                    reason: reason.to_string(),
+                });
+            }
+        }
+        output = outputs.recv().await.unwrap_or_else(|| Err(cut()))?;
+    }
+}
+
+async fn serve_route(
+    node: &SharedNode,
+    read: Read,
+    route: Route,
+    authenticated: Option<Authenticated>,
+) -> Result<Response<Body>, Refusal> {
+    if let Some(authenticated) = &authenticated {
+        authenticate::authorize(authenticated, &route.name)?;
+    }
+    let workspace = authenticated.as_ref().map(|known| &known.name);
+    let request = request(&read, workspace, route.timeout_ms);
+    let passage = node
+        .quarantine
+        .enter(request.fingerprint, request.deadline_ms)
+        .await?;
+    let mut admission = match workspace {
+        Some(workspace) if route.cost_tokens.0 > 0 => {
+            Some(admit::admit(node, workspace, route.cost_tokens, request.deadline_ms).await?)
+        }
+        _ => None,
+    };
+    let node = node.clone();
+    let guard = read.guard;
+    // Runs to its end even if the caller leaves, so that its outcome is known.
+    let task = tokio::spawn(async move {
+        let _held = (guard, passage);
+        let result = forward::forward(&node, request, &route).await;
+        let has_run = match &result {
+            Ok(_) => true,
+            Err(refusal) => refusal.execution != Execution::NotRun,
+        };
+        if let (true, Some(admission)) = (has_run, &mut admission) {
+            admission.use_tokens(route.cost_tokens);
+        }
+        result
+    });
+    task.await.unwrap_or_else(|_| {
+        Err(Refusal::new(
+            RefusalReason::Internal,
+            Execution::Unknown,
+            "the node failed while it served the request",
+        ))
+    })
+}
+
+fn request(read: &Read, workspace: Option<&Arc<str>>, timeout_ms: u64) -> Request {
+    let head = &read.head;
+    let given_ms = head.wanted_ms.unwrap_or(timeout_ms).min(timeout_ms);
+    Request {
+        id: head.id.clone(),
+        method: head.method.clone(),
+        path_and_query: head.path_and_query.clone(),
+        headers: head.headers.clone(),
+        workspace: workspace.cloned(),
+        deadline_ms: head.accepted_ms.after(given_ms),
+        fingerprint: fingerprint(
+            workspace.map(|name| &**name),
+            &head.method,
+            &head.path_and_query,
+            &read.body,
+        ),
+        body: read.body.clone(),
+        idempotency_key: head.idempotency_key.clone(),
+    }
+}
+
+// A first token later than its target is of no use, so the queue need not hold on for longer.
+fn queue_deadline(authenticated: &Authenticated, head: &Head, request: &Request) -> TimeMs {
+    let target_ms = authenticated.workspace.first_token_target_ms;
+    if target_ms == 0 {
+        return request.deadline_ms;
+    }
+    request.deadline_ms.min(head.accepted_ms.after(target_ms))
+}
+
+fn pool(config: &Effective, name: &Arc<str>) -> Result<Pool, Refusal> {
+    config.pools.get(name).cloned().ok_or_else(|| {
+        Refusal::not_run(
+            RefusalReason::NoUpstream,
+            format!("there is no pool {name}"),
+        )
+    })
+}
+
+fn cut() -> Refusal {
+    Refusal::new(
+        RefusalReason::Internal,
+        Execution::Unknown,
+        "the node failed while it served the request",
+    )
+}
--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -24,11 +24,37 @@
     /// Intervals, timeouts and bounds.
     #[serde(default)]
     pub tuning: Tuning,
+    /// Choice of engines.
+    #[serde(default)]
+    pub routing: RoutingSettings,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// Choice of engines.
+#[wire]
+#[derive(Copy, Default, Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSettings {
+    /// How engines are chosen.
+    pub policy: RoutingPolicy,
+}
+
+/// How engines are chosen. All but the first serve as baselines for measurements.
+#[wire]
+#[derive(Copy, Default, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutingPolicy {
+    /// A decode reservation from the engine's keeper before the prefill, and engines by price.
+    #[default]
+    Reserve,
+    /// Engines in turn, no reservation before the prefill.
+    RoundRobin,
+    /// The engine with the least load by its last report, no reservation before the prefill.
+    LeastLoaded,
+}
+
 /// Intervals, timeouts and bounds.
 #[wire]
 #[serde(deny_unknown_fields, default)]
--- /dev/null
+++ b/crates/dogwoodpier-node/src/upstreams/directory.rs
@@ -0,0 +1,382 @@
+//! The directory of upstreams: the platform's list joined with what calls and reports tell.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::seq::SliceRandom;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::holds::HoldId;
+use dogwoodpier_core::reservations::Room;
+use dogwoodpier_core::selection::DecodeHint;
+use dogwoodpier_core::selection::PrefillHint;
+use dogwoodpier_platform::wire::Instance;
+use dogwoodpier_platform::wire::InstanceRole;
+use dogwoodpier_platform::wire::InstanceState;
+use dogwoodpier_upstream::engine::EngineClient;
+use dogwoodpier_upstream::engine::EngineOptions;
+use dogwoodpier_upstream::prefix::prefix_hashes;
+use dogwoodpier_upstream::service::ServiceClient;
+use dogwoodpier_upstream::service::ServiceOptions;
+use dogwoodpier_upstream::wire::CacheEvents;
+use dogwoodpier_upstream::wire::LoadReport;
+
+use super::cache::PrefixHints;
+
+const CONNECT_TIMEOUT_MS: u64 = 500;
+const CALL_TIMEOUT_MS: u64 = 1_000;
+// Time for which an upstream that is no longer listed still gets cancels.
+const UNLISTED_MS: u64 = 30_000;
+const DEFAULT_TOKENS_PER_PIECE: u32 = 16;
+
+/// An engine to call.
+#[derive(Clone)]
+pub struct Engine {
+    /// Name.
+    pub name: Arc<str>,
+    /// Address "ip:port" as other engines reach it.
+    pub address: Arc<str>,
+    /// Client.
+    pub client: EngineClient,
+}
+
+/// A plain service to call.
+#[derive(Clone)]
+pub struct Service {
+    /// Name.
+    pub name: Arc<str>,
+    /// Client.
+    pub client: ServiceClient,
+}
+
+/// All upstreams by name.
+#[derive(Default)]
+pub struct Directory {
+    entries: BTreeMap<Arc<str>, Entry>,
+}
+
+struct Entry {
+    instance: Instance,
+    client: EntryClient,
+    // Absent while listed.
+    unlisted_ms: Option<TimeMs>,
+    healthy: bool,
+    failures: u64,
+    report: Option<LoadReport>,
+    // When the room and the prefill queue were as noted.
+    as_of_ms: TimeMs,
+    free: Room,
+    wait_ms: u64,
+    queued_prompt_tokens: u64,
+    prefills: BTreeMap<HoldId, SentPrefill>,
+    prefixes: PrefixHints,
+}
+
+enum EntryClient {
+    Engine(EngineClient),
+    Service(ServiceClient),
+}
+
+struct SentPrefill {
+    tokens: u64,
+    sent_ms: TimeMs,
+}
+
+impl Directory {
+    /// Takes in the platform's list of upstreams.
+    pub fn take_listed(&mut self, instances: Vec<Instance>, now: TimeMs) {
+        for entry in self.entries.values_mut() {
+            entry.unlisted_ms.get_or_insert(now);
+        }
+        for instance in instances {
+            match self.entries.get_mut(&instance.name) {
+                Some(entry) if entry.instance.address == instance.address => {
+                    entry.instance = instance;
+                    entry.unlisted_ms = None;
+                }
+                _ => {
+                    if let Some(entry) = Entry::new(instance) {
+                        self.entries.insert(entry.instance.name.clone(), entry);
+                    }
+                }
+            }
+        }
+        self.entries.retain(|_, entry| {
+            entry
+                .unlisted_ms
+                .is_none_or(|unlisted_ms| now.since(unlisted_ms) < UNLISTED_MS)
+        });
+    }
+
+    /// Returns whether an upstream is known, listed or not.
+    pub fn contains(&self, name: &str) -> bool {
+        self.entries.contains_key(name)
+    }
+
+    /// Returns an engine.
+    pub fn engine(&self, name: &str) -> Option<Engine> {
+        self.entries.get(name)?.engine()
+    }
+
+    /// Returns whether an upstream may get new work.
+    pub fn takes_work(&self, name: &str) -> bool {
+        self.entries.get(name).is_some_and(Entry::takes_work)
+    }
+
+    /// Returns the services of a pool that may get new work, in random order.
+    pub fn services(&self, pool: &str) -> Vec<Service> {
+        let mut services: Vec<Service> = self
+            .working(InstanceRole::Service, pool)
+            .filter_map(|entry| match &entry.client {
+                EntryClient::Service(client) => Some(Service {
+                    name: entry.instance.name.clone(),
+                    client: client.clone(),
+                }),
+                EntryClient::Engine(_) => None,
+            })
+            .collect();
+        services.shuffle(&mut rand::rng());
+        services
+    }
+
+    /// Returns hints of the decode engines of a pool that may get new work.
+    pub fn decode_hints(&self, pool: &str) -> Vec<DecodeHint> {
+        self.working(InstanceRole::DecodeEngine, pool)
+            .map(|entry| DecodeHint {
+                engine: entry.instance.name.clone(),
+                capacity: entry.capacity().unwrap_or_default(),
+                free: entry.free,
+                wait_ms: entry.wait_ms,
+            })
+            .collect()
+    }
+
+    /// Returns hints of the prefill engines of a pool that may get new work.
+    pub fn prefill_hints(&self, pool: &str, model: &str, prompt: &str) -> Vec<PrefillHint> {
+        let tokens_per_piece = self.tokens_per_piece(pool);
+        let hashes = prefix_hashes(model, prompt, tokens_per_piece);
+        self.working(InstanceRole::PrefillEngine, pool)
+            .map(|entry| PrefillHint {
+                engine: entry.instance.name.clone(),
+                queued_tokens: entry.queued_tokens(),
+                cached_tokens: entry.prefixes.leading(&hashes) as u64 * u64::from(tokens_per_piece),
+                tokens_per_s: entry
+                    .report
+                    .as_ref()
+                    .map_or(0, |report| report.prefill_tokens_per_s),
+                link_wait_ms: 0,
+            })
+            .collect()
+    }
+
+    /// Returns whether an upstream is a decode engine.
+    pub fn is_decode(&self, name: &str) -> bool {
+        self.entries
+            .get(name)
+            .is_some_and(|entry| entry.instance.role == InstanceRole::DecodeEngine)
+    }
+
+    /// Returns the names of all engines.
+    pub fn engines(&self) -> Vec<Arc<str>> {
+        self.entries
+            .values()
+            .filter(|entry| matches!(entry.client, EntryClient::Engine(_)))
+            .map(|entry| entry.instance.name.clone())
+            .collect()
+    }
+
+    /// Returns the size of an engine, if known.
+    pub fn capacity(&self, name: &str) -> Option<Room> {
+        self.entries.get(name)?.capacity()
+    }
+
+    /// Returns the tokens in a KV piece of a pool's engines.
+    pub fn tokens_per_piece(&self, pool: &str) -> u32 {
+        self.entries
+            .values()
+            .filter(|entry| *entry.instance.pool == *pool)
+            .find_map(|entry| entry.report.as_ref().map(|report| report.tokens_per_piece))
+            .unwrap_or(DEFAULT_TOKENS_PER_PIECE)
+    }
+
+    /// Takes in news of an engine's room.
+    pub fn note_room(&mut self, name: &str, free: Room, wait_ms: u64, now: TimeMs) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.free = free;
+            entry.wait_ms = wait_ms;
+            entry.as_of_ms = now;
+        }
+    }
+
+    /// Notes that a call failed.
+    pub fn note_failure(&mut self, name: &str) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.failures += u64::from(entry.healthy);
+            // Services publish no reports that could make them healthy again.
+            entry.healthy = entry.instance.role == InstanceRole::Service;
+            // Its cache may be gone as well.
+            entry.prefixes = PrefixHints::default();
+        }
+    }
+
+    /// Returns how often an upstream was found failed.
+    pub fn start_of(&self, name: &str) -> u64 {
+        self.entries.get(name).map_or(0, |entry| entry.failures)
+    }
+
+    /// Takes in a load report that was asked for at `asked_ms`.
+    pub fn note_report(&mut self, name: &str, report: LoadReport, asked_ms: TimeMs) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        entry.healthy = true;
+        let as_of_ms = TimeMs(asked_ms.0.saturating_sub(report.age_ms));
+        // What calls have told since is newer.
+        if as_of_ms > entry.as_of_ms || entry.report.is_none() {
+            entry.as_of_ms = as_of_ms;
+            entry.free = Room {
+                sequences: report.max_sequences.saturating_sub(report.sequences),
+                pieces: report.max_pieces.saturating_sub(report.pieces),
+            };
+            entry.queued_prompt_tokens = report.queued_prompt_tokens;
+        }
+        entry.report = Some(report);
+    }
+
+    /// Returns the number to ask an engine's cache events after.
+    pub fn next_cache_event(&self, name: &str) -> u64 {
+        self.entries
+            .get(name)
+            .map_or(0, |entry| entry.prefixes.next_event())
+    }
+
+    /// Takes in cache events.
+    pub fn note_cache_events(&mut self, name: &str, events: &CacheEvents) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.prefixes.take_events(events);
+        }
+    }
+
+    /// Counts a prefill that was sent.
+    pub fn prefill_sent(&mut self, name: &str, hold: HoldId, tokens: u64, now: TimeMs) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            let sent_ms = now;
+            entry.prefills.insert(hold, SentPrefill { tokens, sent_ms });
+        }
+    }
+
+    /// Ends the count of a prefill.
+    pub fn prefill_ended(&mut self, name: &str, hold: HoldId) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.prefills.remove(&hold);
+        }
+    }
+
+    /// Notes that an engine has computed a prompt.
+    pub fn prefill_computed(&mut self, name: &str, model: &str, prompt: &str) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        if let Some(report) = &entry.report {
+            for prefix_hash in prefix_hashes(model, prompt, report.tokens_per_piece) {
+                entry.prefixes.add(prefix_hash);
+            }
+        }
+    }
+
+    /// Returns the state as JSON.
+    pub fn dump(&self, now: TimeMs) -> serde_json::Value {
+        self.entries
+            .values()
+            .map(|entry| {
+                serde_json::json!({
+                    "name": entry.instance.name,
+                    "role": entry.instance.role,
+                    "pool": entry.instance.pool,
+                    "state": entry.instance.state,
+                    "listed": entry.unlisted_ms.is_none(),
+                    "healthy": entry.healthy,
+                    "hint_age_ms": now.since(entry.as_of_ms),
+                    "free_sequences": entry.free.sequences,
+                    "free_pieces": entry.free.pieces,
+                    "wait_ms": entry.wait_ms,
+                })
+            })
+            .collect()
+    }
+
+    fn working<'a>(&'a self, role: InstanceRole, pool: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.entries.values().filter(move |entry| {
+            entry.instance.role == role && *entry.instance.pool == *pool && entry.takes_work()
+        })
+    }
+}
+
+impl Entry {
+    // Returns `None` for an address that can't be used.
+    fn new(instance: Instance) -> Option<Self> {
+        let address: SocketAddr = instance.address.parse().ok()?;
+        let client = if instance.role == InstanceRole::Service {
+            EntryClient::Service(ServiceClient::new(ServiceOptions {
+                address,
+                connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            }))
+        } else {
+            EntryClient::Engine(EngineClient::new(EngineOptions {
+                address,
+                connect_timeout_ms: CONNECT_TIMEOUT_MS,
+                call_timeout_ms: CALL_TIMEOUT_MS,
+            }))
+        };
+        // An engine takes work once it has answered for the first time.
+        let healthy = instance.role == InstanceRole::Service;
+        Some(Self {
+            instance,
+            client,
+            unlisted_ms: None,
+            healthy,
+            failures: 0,
+            report: None,
+            as_of_ms: TimeMs(0),
+            free: Room::default(),
+            wait_ms: 0,
+            queued_prompt_tokens: 0,
+            prefills: BTreeMap::new(),
+            prefixes: PrefixHints::default(),
+        })
+    }
+
+    fn engine(&self) -> Option<Engine> {
+        match &self.client {
+            EntryClient::Engine(client) => Some(Engine {
+                name: self.instance.name.clone(),
+                address: self.instance.address.clone(),
+                client: client.clone(),
+            }),
+            EntryClient::Service(_) => None,
+        }
+    }
+
+    fn takes_work(&self) -> bool {
+        self.healthy && self.unlisted_ms.is_none() && self.instance.state == InstanceState::Live
+    }
+
+    fn capacity(&self) -> Option<Room> {
+        self.report.as_ref().map(|report| Room {
+            sequences: report.max_sequences,
+            pieces: report.max_pieces,
+        })
+    }
+
+    // The report's queue, and what this node has sent since.
+    fn queued_tokens(&self) -> u64 {
+        let sent: u64 = self
+            .prefills
+            .values()
+            .filter(|prefill| prefill.sent_ms > self.as_of_ms)
+            .map(|prefill| prefill.tokens)
+            .sum();
+        self.queued_prompt_tokens + sent
+    }
+}
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -293,13 +293,23 @@
     pub weight: u32,
     #[prost(uint64, tag = "9")]
     pub cost_tokens: u64,
+    /// Time for which the keeper may hold the call while the request waits in its queue. Zero asks
+    /// for a reservation now or never.
+    #[prost(uint64, tag = "10")]
+    pub wait_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReserveReply {
     #[prost(enumeration = "ReserveVerdict", tag = "1")]
     pub verdict: i32,
+    /// Estimated wait for a reservation.
     #[prost(uint64, tag = "2")]
-    pub retry_after_ms: u64,
+    pub wait_ms: u64,
+    /// Room at the engine by the keeper's book.
+    #[prost(uint32, tag = "3")]
+    pub free_sequences: u32,
+    #[prost(uint32, tag = "4")]
+    pub free_pieces: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ReleaseRequest {
@@ -317,6 +327,24 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReleaseReply {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CheckHoldsRequest {
+    /// The incarnation that is asked; another one doesn't answer for it.
+    #[prost(message, optional, tag = "1")]
+    pub asked: ::core::option::Option<NodeId>,
+    /// Sequences of the incarnation's holds.
+    #[prost(uint64, repeated, tag = "2")]
+    pub sequences: ::prost::alloc::vec::Vec<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CheckHoldsReply {
+    /// Who answers.
+    #[prost(message, optional, tag = "1")]
+    pub answerer: ::core::option::Option<NodeId>,
+    /// Those of the sequences that are in use.
+    #[prost(uint64, repeated, tag = "2")]
+    pub used_sequences: ::prost::alloc::vec::Vec<u64>,
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchConfigRequest {
     /// The reply carries the sender's configuration only if it is newer than this.
@@ -383,6 +411,10 @@
     Overloaded = 2,
     /// The engine is gone or leaving.
     NoEngine = 3,
+    /// The request has a place in the queue, which it keeps by asking again.
+    Waiting = 4,
+    /// The engine could not hold the request even if it were empty.
+    TooLarge = 5,
 }
 impl ReserveVerdict {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -395,6 +427,8 @@
             Self::Reserved => "RESERVE_VERDICT_RESERVED",
             Self::Overloaded => "RESERVE_VERDICT_OVERLOADED",
             Self::NoEngine => "RESERVE_VERDICT_NO_ENGINE",
+            Self::Waiting => "RESERVE_VERDICT_WAITING",
+            Self::TooLarge => "RESERVE_VERDICT_TOO_LARGE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -404,6 +438,8 @@
             "RESERVE_VERDICT_RESERVED" => Some(Self::Reserved),
             "RESERVE_VERDICT_OVERLOADED" => Some(Self::Overloaded),
             "RESERVE_VERDICT_NO_ENGINE" => Some(Self::NoEngine),
+            "RESERVE_VERDICT_WAITING" => Some(Self::Waiting),
+            "RESERVE_VERDICT_TOO_LARGE" => Some(Self::TooLarge),
             _ => None,
         }
     }
@@ -706,6 +742,31 @@
                 .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "Release"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks a node which holds it still uses.
+        pub async fn check_holds(
+            &mut self,
+            request: impl tonic::IntoRequest<super::CheckHoldsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::CheckHoldsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/dogwoodpier.peer.v1.Peer/CheckHolds",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "CheckHolds"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Fetches a configuration by version.
         pub async fn fetch_config(
             &mut self,
@@ -797,6 +858,11 @@
             &self,
             request: tonic::Request<super::ReleaseRequest>,
         ) -> std::result::Result<tonic::Response<super::ReleaseReply>, tonic::Status>;
+        /// Asks a node which holds it still uses.
+        async fn check_holds(
+            &self,
+            request: tonic::Request<super::CheckHoldsRequest>,
+        ) -> std::result::Result<tonic::Response<super::CheckHoldsReply>, tonic::Status>;
         /// Fetches a configuration by version.
         async fn fetch_config(
             &self,
@@ -1271,6 +1337,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/dogwoodpier.peer.v1.Peer/CheckHolds" => {
+                    #[allow(non_camel_case_types)]
+                    struct CheckHoldsSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::CheckHoldsRequest>
+                    for CheckHoldsSvc<T> {
+                        type Response = super::CheckHoldsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::CheckHoldsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::check_holds(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = CheckHoldsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/dogwoodpier.peer.v1.Peer/FetchConfig" => {
                     #[allow(non_camel_case_types)]
                     struct FetchConfigSvc<T: Peer>(pub Arc<T>);
