--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -5,9 +5,15 @@
 
 #![forbid(unsafe_code)]
 
+pub mod delivery;
+pub mod fair_queue;
 pub mod freshness;
+pub mod holds;
+pub mod links;
 pub mod refusal;
 pub mod rendezvous;
+pub mod reservations;
+pub mod selection;
 pub mod units;
 pub mod versions;
 
--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -39,11 +39,48 @@
     /// Intervals, timeouts and bounds.
     #[serde(default)]
     pub tuning: Tuning,
+    /// Choice of engines.
+    #[serde(default)]
+    pub routing: RoutingSettings,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// Choice of engines.
+#[wire]
+#[derive(Copy, Default, Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSettings {
+    /// How engines are chosen.
+    pub policy: RoutingPolicy,
+}
+
+/// How engines are chosen. All but the first serve as baselines for measurements.
+#[wire]
+#[derive(Copy, Default, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutingPolicy {
+    /// A decode reservation from the engine's keeper before the prefill, and engines by price.
+    #[default]
+    Reserve,
+    /// Engines in turn, no reservation before the prefill.
+    RoundRobin,
+    /// The engine with the least load by its last report, no reservation before the prefill.
+    LeastLoaded,
+}
+
+impl RoutingPolicy {
+    fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "reserve" => Some(Self::Reserve),
+            "round-robin" => Some(Self::RoundRobin),
+            "least-loaded" => Some(Self::LeastLoaded),
+            _ => None,
+        }
+    }
+}
+
 /// Intervals, timeouts and bounds.
 #[wire]
 #[serde(deny_unknown_fields, default)]
@@ -191,6 +228,7 @@
     let peer_address = address(&mut root, "peer_address", report);
     let platform_address = address(&mut root, "platform_address", report);
     let tuning = read_tuning(root.table("tuning", report), report);
+    let routing = read_routing(root.table("routing", report), report);
     let log = read_log(root.table("log", report), report);
     root.finish(report);
     Some(Settings {
@@ -201,6 +239,7 @@
         peer_address: peer_address?,
         platform_address: platform_address?,
         tuning,
+        routing,
         log,
     })
 }
@@ -262,6 +301,22 @@
     })
 }
 
+fn read_routing(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> RoutingSettings {
+    let mut routing = RoutingSettings::default();
+    if let Some(policy) = fields.text("policy", report) {
+        match RoutingPolicy::from_name(&policy) {
+            Some(policy) => routing.policy = policy,
+            None => {
+                let message =
+                    format!("{policy:?} is not one of reserve, round-robin, least-loaded");
+                report.add(Finding::new(fields.path_of("policy"), message));
+            }
+        }
+    }
+    fields.finish(report);
+    routing
+}
+
 fn read_log(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> LogSettings {
     let mut log = LogSettings::default();
     if let Some(level) = fields.text("level", report) {
