--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod delivery;
 pub mod fair_queue;
+pub mod freshness;
 pub mod holds;
 pub mod links;
 pub mod refusal;
@@ -14,6 +15,7 @@
 pub mod reservations;
 pub mod selection;
 pub mod units;
+pub mod versions;
 
 pub use refusal::Execution;
 pub use refusal::Refusal;
--- a/crates/dogwoodpier-node/src/counters.rs
+++ b/crates/dogwoodpier-node/src/counters.rs
@@ -28,3 +28,13 @@
 pub const OUTPUT_TOKENS_TOTAL: &str = "dogwoodpier_output_tokens_total";
 /// Events of decode streams that were repeated, late or crossed.
 pub const IGNORED_EVENTS_TOTAL: &str = "dogwoodpier_ignored_events_total";
+/// Version of the configuration in force.
+pub const CONFIG_VERSION: &str = "dogwoodpier_config_version";
+/// Configurations taken by source.
+pub const CONFIGS_TAKEN_TOTAL: &str = "dogwoodpier_configs_taken_total";
+/// Configurations that this node could not take, by reason.
+pub const CONFIGS_REJECTED_TOTAL: &str = "dogwoodpier_configs_rejected_total";
+/// Age of the newest contact with the platform that the node knows of.
+pub const PLATFORM_CONTACT_AGE_MS: &str = "dogwoodpier_platform_contact_age_ms";
+/// 1 while the node takes keyed requests, 0 while it can't tell which keys are withdrawn.
+pub const KEYS_TRUSTED_STATE: &str = "dogwoodpier_keys_trusted_state";
