--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -217,6 +217,7 @@
     let peer_address = address(&mut root, "peer_address", report);
     let platform_address = address(&mut root, "platform_address", report);
     let tuning = read_tuning(root.table("tuning", report), report);
+    let routing = read_routing(root.table("routing", report), report);
     let log = read_log(root.table("log", report), report);
     root.finish(report);
     Some(Settings {
@@ -227,6 +228,7 @@
         peer_address: peer_address?,
         platform_address: platform_address?,
         tuning,
+        routing,
         log,
     })
 }
@@ -288,6 +290,22 @@
     })
 }
 
+fn read_routing(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> RoutingSettings {
+    let mut routing = RoutingSettings::default();
+    if let Some(policy) = fields.text("policy", report) {
+        match serde_json::from_value(Value::from(&*policy)) {
+            Ok(policy) => routing.policy = policy,
+            Err(_) => {
+                let message =
+                    format!("{policy:?} is not one of reserve, round-robin, least-loaded");
+                report.add(Finding::new(fields.path_of("policy"), message));
+            }
+        }
+    }
+    fields.finish(report);
+    routing
+}
+
 fn read_log(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> LogSettings {
     let mut log = LogSettings::default();
     if let Some(level) = fields.text("level", report) {
