--- a/crates/dogwoodpier-node/src/upstreams/mod.rs
+++ b/crates/dogwoodpier-node/src/upstreams/mod.rs
@@ -16,6 +16,7 @@
 
 use tokio::sync::Notify;
 
+use self::directory::Directory;
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::holds::HoldId;
 use dogwoodpier_core::holds::HoldLedger;
@@ -33,8 +34,6 @@
 pub use hold::Hold;
 pub use polling::run;
 
-use directory::Directory;
-
 /// The upstreams of all pools as this node knows them.
 #[derive(Default)]
 pub struct Upstreams {
