Add stand-ins for the platform, engines and plain services

Tests need the three outside systems as processes that misbehave on order. One small hyper server is shared; each stand-in also runs inside a test, where a crash stops only its server.

The output of an engine is a function of the text before it, so that a resumed decode can be checked token by token against expected_answer. A cut stream keeps its hold until it is cancelled, and a prefill whose caller went away runs on: the harder of the behaviours that real engines show. Prefix cache pieces and held pieces are counted apart, which overstates memory a little.

Faults are set as a whole by POST /control/faults; numbers say how many of the next calls they hit.

--- /dev/null
+++ b/crates/dogwoodpier-fakes/src/engine/transfer.rs
@@ -0,0 +1,180 @@
+//! Export and import of KV cache over links of limited rate.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderName;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use dogwoodpier_derive::wire;
+use dogwoodpier_http::Pool;
+use dogwoodpier_http::PoolOptions;
+use dogwoodpier_upstream::wire::ImportRequest;
+
+use crate::engine::api::Engine;
+use crate::engine::state::Imported;
+use crate::engine::text::TextState;
+use crate::respond;
+use crate::respond::Part;
+use crate::server::Answer;
+
+/// Bytes that a link sends before another transfer has its turn.
+const PART_BYTES: u64 = 4_096;
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// An engine leaves it to its callers to give up on a transfer.
+const PROGRESS_TIMEOUT_MS: u64 = 600_000;
+const DESCRIPTION_HEADER: HeaderName = HeaderName::from_static("x-kv-description");
+
+/// What an importing engine learns beside the bytes.
+#[wire]
+struct Description {
+    text: TextState,
+    prompt_tokens: u64,
+    pieces: u32,
+}
+
+/// One way of an engine's link.
+pub struct Link {
+    bytes_per_s: u64,
+    /// Time until which the link is taken.
+    taken_until: Mutex<Instant>,
+}
+
+impl Link {
+    /// Returns an idle link.
+    pub fn new(bytes_per_s: u64) -> Self {
+        Self {
+            bytes_per_s: bytes_per_s.max(1),
+            taken_until: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until the link has carried some bytes, after those that it had taken before.
+    async fn carry(&self, bytes: u64) {
+        let time = Duration::from_micros(bytes.saturating_mul(1_000_000) / self.bytes_per_s);
+        let done = {
+            let mut taken = self
+                .taken_until
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            *taken = (*taken).max(Instant::now()) + time;
+            *taken
+        };
+        tokio::time::sleep_until(done).await;
+    }
+}
+
+/// Sends the result of a prefill.
+pub fn export(engine: &Arc<Engine>, handle: &str) -> Answer {
+    let handle: Arc<str> = handle.into();
+    let description = {
+        let mut state = engine.lock();
+        let Some(result) = state.results.get_mut(&handle) else {
+            return respond::text(StatusCode::NOT_FOUND, "no such prefill result");
+        };
+        result.is_exporting = true;
+        Description {
+            text: result.text,
+            prompt_tokens: result.prompt_tokens,
+            pieces: result.pieces,
+        }
+    };
+    let size_bytes = u64::from(description.pieces) * engine.options.bytes_per_piece;
+    let (parts, receiver) = mpsc::channel(1);
+    tokio::spawn(send_parts(Arc::clone(engine), handle, size_bytes, parts));
+    let mut response = respond::stream("application/octet-stream", receiver)?;
+    let text = serde_json::to_string(&description).map_err(|_| crate::server::Cut)?;
+    let text = text.parse().map_err(|_| crate::server::Cut)?;
+    response.headers_mut().insert(DESCRIPTION_HEADER, text);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, size_bytes.into());
+    Ok(response)
+}
+
+async fn send_parts(
+    engine: Arc<Engine>,
+    handle: Arc<str>,
+    size_bytes: u64,
+    parts: mpsc::Sender<Part>,
+) {
+    let mut left = size_bytes;
+    while left > 0 {
+        let part_bytes = left.min(PART_BYTES);
+        engine.outbound.carry(part_bytes).await;
+        engine.wait_while_stalled().await;
+        let part = Bytes::from(vec![0_u8; usize::try_from(part_bytes).unwrap_or_default()]);
+        if parts.send(Ok(part)).await.is_err() {
+            break;
+        }
+        left -= part_bytes;
+    }
+    let mut state = engine.lock();
+    if left == 0 {
+        state.results.remove(&handle);
+        engine.prefill_wake.notify_one();
+    } else if let Some(result) = state.results.get_mut(&handle) {
+        result.is_exporting = false;
+    }
+}
+
+/// Fetches a KV cache into a reservation.
+pub async fn import(engine: &Engine, request: ImportRequest) -> Answer {
+    let (mut alive, pieces) = {
+        let state = engine.lock();
+        match state.reservations.get(&request.hold) {
+            Some(reservation) => (reservation.alive.subscribe(), reservation.pieces),
+            None => return respond::text(StatusCode::GONE, "no such hold"),
+        }
+    };
+    let fetched = tokio::select! {
+        fetched = fetch(engine, &request) => fetched,
+        // The sender is dropped with the reservation and never sends.
+        _ = alive.changed() => return respond::text(StatusCode::GONE, "hold was cancelled"),
+    };
+    let Some(description) = fetched else {
+        return respond::text(StatusCode::GONE, "source has no such prefill result");
+    };
+    let mut state = engine.lock();
+    if description.pieces > pieces {
+        let free = state.free(&engine.options);
+        return respond::json(StatusCode::CONFLICT, &free);
+    }
+    let Some(reservation) = state.reservations.get_mut(&request.hold) else {
+        return respond::text(StatusCode::GONE, "hold was cancelled");
+    };
+    reservation.imported = Some(Imported {
+        text: description.text,
+        prompt_tokens: description.prompt_tokens,
+    });
+    respond::json(StatusCode::OK, &serde_json::json!({}))
+}
+
+/// Reads a KV cache from its source; `None` if the source has none or its answer isn't whole.
+async fn fetch(engine: &Engine, request: &ImportRequest) -> Option<Description> {
+    let pool = Pool::new(PoolOptions {
+        address: request.source.parse().ok()?,
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+    });
+    let get = Request::get(format!("/v1/kv/{}", request.kv_handle))
+        .body(Bytes::new())
+        .ok()?;
+    let mut answer = pool.send_fresh(get, PROGRESS_TIMEOUT_MS).await.ok()?;
+    if answer.status != StatusCode::OK {
+        return None;
+    }
+    let description = answer.headers.get(DESCRIPTION_HEADER)?.to_str().ok()?;
+    let description: Description = serde_json::from_str(description).ok()?;
+    while let Some(part) = answer.next_part(PROGRESS_TIMEOUT_MS).await.ok()? {
+        engine.inbound.carry(part.len() as u64).await;
+        engine.wait_while_stalled().await;
+    }
+    Some(description)
+}
--- a/crates/dogwoodpier-fakes/src/lib.rs
+++ b/crates/dogwoodpier-fakes/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Stand-ins for the platform, model engines and plain services.
+//!
+//! Each stand-in is an HTTP server that runs inside a test or, as an example program, as a process
+//! of its own. `POST /control/faults` orders faults, and `GET /control/stats` tells what happened.
+
+#![forbid(unsafe_code)]
+
+pub mod control;
+pub mod crash;
+pub mod engine;
+pub mod faults;
+pub mod options;
+pub mod platform;
+pub mod relay;
+pub mod respond;
+pub mod seen;
+pub mod server;
+pub mod service;
--- /dev/null
+++ b/crates/dogwoodpier-fakes/src/respond.rs
@@ -0,0 +1,123 @@
+//! Answers of the stand-ins.
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+
+use dogwoodpier_derive::plain;
+
+use crate::server::Answer;
+use crate::server::Cut;
+
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// One part of a streamed body, or the cut that ends it.
+pub type Part = Result<Bytes, Cut>;
+
+/// Returns an answer with a JSON body.
+pub fn json<T>(status: StatusCode, value: &T) -> Answer
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(value).map_err(|_| Cut)?;
+    with_body(
+        status,
+        "application/json",
+        Full::from(body).boxed_unsync_body(),
+    )
+}
+
+/// Returns an answer with a line of text.
+pub fn text(status: StatusCode, text: &str) -> Answer {
+    let body = Full::from(text.to_owned()).boxed_unsync_body();
+    with_body(status, "text/plain", body)
+}
+
+/// Returns an answer whose body comes from a channel.
+pub fn stream(content_type: &'static str, parts: mpsc::Receiver<Part>) -> Answer {
+    let frames = ReceiverStream::new(parts).map(|part| part.map(Frame::data));
+    let body = StreamBody::new(frames).boxed_unsync();
+    with_body(StatusCode::OK, content_type, body)
+}
+
+/// Why a request is refused.
+#[plain]
+pub struct Refused {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Body of the answer.
+    pub message: String,
+}
+
+impl Refused {
+    /// Returns a refusal.
+    pub fn new(status: StatusCode, message: &str) -> Self {
+        Self {
+            status,
+            message: message.to_owned(),
+        }
+    }
+
+    /// Returns the answer that says so.
+    pub fn answer(&self) -> Answer {
+        text(self.status, &self.message)
+    }
+}
+
+/// Parses the body of a request.
+pub fn parse<T>(request: &Request<Bytes>) -> Result<T, Refused>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(request.body())
+        .map_err(|error| Refused::new(StatusCode::BAD_REQUEST, &error.to_string()))
+}
+
+/// Returns a parameter of a request's query.
+pub fn query<'a>(request: &'a Request<Bytes>, name: &str) -> Option<&'a str> {
+    request
+        .uri()
+        .query()?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+/// Undoes the escapes of a part of a URI.
+pub fn unescape(part: &str) -> String {
+    percent_encoding::percent_decode_str(part)
+        .decode_utf8_lossy()
+        .into_owned()
+}
+
+trait IntoBody {
+    fn boxed_unsync_body(self) -> Body;
+}
+
+impl IntoBody for Full<Bytes> {
+    fn boxed_unsync_body(self) -> Body {
+        self.map_err(|never| match never {}).boxed_unsync()
+    }
+}
+
+fn with_body(status: StatusCode, content_type: &'static str, body: Body) -> Answer {
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, content_type)
+        .body(body)
+        .map_err(|_| Cut)
+}
