--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -5,6 +5,8 @@
 
 use rand::seq::IteratorRandom;
 
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::freshness::NO_CONTACT_AGE_MS;
 use dogwoodpier_proto::HeartbeatReply;
 use dogwoodpier_proto::HeartbeatRequest;
 use dogwoodpier_proto::NodeInfo;
@@ -13,10 +15,11 @@
 use crate::state::Node;
 use crate::state::SharedNode;
 
-// Peers that get a heartbeat in each round besides the heirs. In a fleet no larger than this,
-// everybody hears everybody.
-const FANOUT: usize = 8;
-const KNOWN_SAMPLE: usize = 4;
+// In a fleet with no more peers than this, everybody hears everybody.
+const FULL_MESH_PEERS: usize = 16;
+// Peers that get a heartbeat in each round of a larger fleet, besides the heirs.
+const LARGE_FLEET_FANOUT: usize = 2;
+const KNOWN_SAMPLE: usize = 1;
 
 /// Sends heartbeats until the process ends.
 pub async fn run(node: SharedNode) {
@@ -40,8 +43,9 @@
     let request = HeartbeatRequest {
         sender: Some(node.info()),
         promise_requests: node.slots.promise_requests(&instance, sent_ms),
-        config_version: node.config.current().version,
+        // The age goes before the version, which may rise in between.
         platform_contact_age_ms: node.config.platform_contact_age_ms(sent_ms),
+        config_version: node.config.current().version,
         crashes: node.quarantine.reports_for(&instance, sent_ms),
         known: node.peers.sample(KNOWN_SAMPLE),
     };
@@ -60,15 +64,15 @@
     let Ok(reply) = answer else {
         return false;
     };
-    node.slots
-        .take_promises(&instance, &reply.promises, sent_ms);
     node.quarantine.take_reports(&reply.crashes, now);
     if let Some(sender) = reply.sender {
+        node.slots.take_promises(&sender, &reply.promises, sent_ms);
+        // Counted from the question: the answer may have waited while this process was paused.
         node.config.heard(
             &sender,
             reply.config_version,
             reply.platform_contact_age_ms,
-            now,
+            sent_ms,
         );
         node.peers.take_heard(sender, now);
     }
@@ -81,12 +85,9 @@
     let sender = request.sender.unwrap_or_default();
     let instance = sender.id.clone().unwrap_or_default().instance;
     node.quarantine.take_reports(&request.crashes, now);
-    node.config.heard(
-        &sender,
-        request.config_version,
-        request.platform_contact_age_ms,
-        now,
-    );
+    // Nothing tells how long the request waited for this process, so its age of contact is no news.
+    node.config
+        .heard(&sender, request.config_version, NO_CONTACT_AGE_MS, now);
     let promises = node
         .slots
         .grant_promises(&sender, &request.promise_requests, now);
@@ -97,14 +98,15 @@
             .as_ref()
             .is_some_and(|id| id.instance != *node.settings.instance)
         {
-            node.peers.take_known(info);
+            node.peers.take_known(info, now);
         }
     }
     HeartbeatReply {
         sender: Some(node.info()),
         promises,
-        config_version: node.config.current().version,
+        // The age goes before the version, which may rise in between.
         platform_contact_age_ms: node.config.platform_contact_age_ms(now),
+        config_version: node.config.current().version,
         crashes: node.quarantine.reports_for(&instance, now),
     }
 }
@@ -112,7 +114,12 @@
 // Chooses the peers of one round: the heirs, who must hear of us, and a random sample.
 fn round(node: &Node) -> Vec<NodeInfo> {
     let mut chosen: BTreeMap<String, NodeInfo> = BTreeMap::new();
-    let sample = node.peers.sample(FANOUT);
+    let fanout = if node.peers.count() <= FULL_MESH_PEERS {
+        FULL_MESH_PEERS
+    } else {
+        LARGE_FLEET_FANOUT
+    };
+    let sample = node.peers.sample(fanout);
     for info in node.slots.heirs().into_iter().chain(sample) {
         chosen.insert(info.peer_address.clone(), info);
     }
@@ -128,15 +135,19 @@
             .choose_multiple(&mut rand::rng(), count)
     }
 
-    fn note_call(&self, instance: &str, answered: bool, now: dogwoodpier_core::TimeMs) {
+    fn count(&self) -> usize {
+        self.lock().count()
+    }
+
+    fn note_call(&self, instance: &str, answered: bool, now: TimeMs) {
         self.lock().note_call(instance, answered, now);
     }
 
-    fn take_heard(&self, info: NodeInfo, now: dogwoodpier_core::TimeMs) {
+    fn take_heard(&self, info: NodeInfo, now: TimeMs) {
         self.lock().take_heard(info, now);
     }
 
-    fn take_known(&self, info: NodeInfo) {
-        self.lock().take_known(info);
+    fn take_known(&self, info: NodeInfo, now: TimeMs) {
+        self.lock().take_known(info, now);
     }
 }
--- a/crates/dogwoodpier-node/src/start.rs
+++ b/crates/dogwoodpier-node/src/start.rs
@@ -1,1 +1,155 @@
 //! Starting and stopping a node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use log::info;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::oneshot;
+
+use dogwoodpier_platform::Client;
+use dogwoodpier_platform::ClientOptions;
+
+use crate::claims;
+use crate::config;
+use crate::keeper;
+use crate::limits;
+use crate::peers;
+use crate::servers::callers;
+use crate::servers::operators;
+use crate::settings::Settings;
+use crate::slots;
+use crate::state::Node;
+use crate::state::SharedNode;
+use crate::upstreams;
+
+// Time between the failing readiness and the first refusal, for the balancer to notice.
+const BALANCER_NOTICE: Duration = Duration::from_millis(1_500);
+
+/// Runs a node until it is told to stop by SIGTERM or SIGINT, then drains it.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound; the error says which.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let node = Arc::new(build(settings));
+    // The peer address is bound before anything else: that no other incarnation of this instance
+    // can serve it is what the early claim of its former slots rests on.
+    let listener = TcpListener::bind(node.settings.peer_address)
+        .await
+        .with_context(|| format!("can't bind peer_address {}", node.settings.peer_address))?;
+    let (stop_peers, peers_stopped) = oneshot::channel::<()>();
+    let peer_server = tokio::spawn(peers::serve(node.clone(), listener, async {
+        // A dropped sender means that the process ends, which stops the server as well.
+        let _ = peers_stopped.await;
+    }));
+    spawn_tasks(&node);
+    let operator_server =
+        operators::start(node.clone()).context("can't start the operators' server")?;
+    let caller_server = callers::start(node.clone()).context("can't start the callers' server")?;
+    info!(
+        "node {} started as incarnation {:016x}, callers at {}",
+        node.settings.instance, node.incarnation, node.settings.caller_address
+    );
+
+    wait_for_stop().await?;
+    drain(&node).await;
+    bounded(&node, "closing the callers' server", caller_server.close()).await;
+    let _ = stop_peers.send(());
+    bounded(&node, "closing the peer server", peer_server).await;
+    bounded(
+        &node,
+        "closing the operators' server",
+        operator_server.close(),
+    )
+    .await;
+    info!("node {} stopped", node.settings.instance);
+    Ok(())
+}
+
+fn build(settings: Settings) -> Node {
+    let tuning = &settings.tuning;
+    let platform = Client::new(ClientOptions {
+        address: settings.platform_address,
+        timeout_ms: tuning.platform_timeout_ms,
+    });
+    Node {
+        incarnation: rand::random(),
+        platform,
+        peers: peers::Peers::new(
+            settings.instance.clone(),
+            tuning.member_timeout_ms,
+            tuning.peer_timeout_ms,
+        ),
+        config: config::ConfigStore::new(tuning.freshness_ms),
+        slots: slots::Slots::default(),
+        limits: limits::Limits::default(),
+        claims: claims::Claims::default(),
+        quarantine: crate::quarantine::Quarantine::default(),
+        upstreams: upstreams::Upstreams::default(),
+        keeper: keeper::Keeper::default(),
+        drain: Arc::default(),
+        settings,
+    }
+}
+
+fn spawn_tasks(node: &SharedNode) {
+    tokio::spawn(config::run(node.clone()));
+    tokio::spawn(upstreams::run(node.clone()));
+    tokio::spawn(peers::registry::run(node.clone()));
+    tokio::spawn(peers::run(node.clone()));
+    tokio::spawn(slots::run(node.clone()));
+    tokio::spawn(limits::run(node.clone()));
+    tokio::spawn(claims::run(node.clone()));
+    tokio::spawn(keeper::run(node.clone()));
+}
+
+async fn wait_for_stop() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("can't listen for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("can't listen for SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+// Lets everything in flight end, then gives the rights of this node to others. Each step is
+// bounded; what is still running after `drain_ms` is cut and counted.
+async fn drain(node: &SharedNode) {
+    info!(
+        "node {} drains with {} requests in flight",
+        node.settings.instance,
+        node.drain.in_flight()
+    );
+    node.drain.begin();
+    // Requests that the balancer still sends are served until it has had time to notice.
+    tokio::time::sleep(BALANCER_NOTICE).await;
+    node.drain.refuse_new();
+    if !bounded(node, "requests in flight", node.drain.wait_idle()).await {
+        warn!(
+            "{} requests were cut by the shutdown",
+            node.drain.in_flight()
+        );
+    }
+    bounded(node, "handing over slots", slots::release_all(node)).await;
+}
+
+async fn bounded<F>(node: &Node, what: &str, step: F) -> bool
+where
+    F: Future,
+{
+    let limit = Duration::from_millis(node.settings.tuning.drain_ms);
+    let finished = tokio::time::timeout(limit, step).await.is_ok();
+    if !finished {
+        warn!(
+            "shutdown went on without {what} after {} ms",
+            limit.as_millis()
+        );
+    }
+    finished
+}
