Tell an outage of the platform from a cut by what peers attest

Cause: the first rule (half of the peers answer and none has news) was wrong in two ways. With 3,000 cases the tests found a node back from a pause that took its keys to be good because peers answered that were new processes, or that could not pass on the version they knew. And a peer that has only just gone on has no news either, without any outage. Weighed: now a peer counts only if it attests that it asks the platform in vain, has relied on its keys ever since it had news, and can pass on all it knows. Silence is counted in reviews, not by the clock, so that a pause of the process is no silence of the platform. Calls are noted before they are sent, so that a quick answer isn't taken for all of the peers. Cost: an outage in which a majority of the nodes is replaced or paused at once refuses keyed requests until the platform is back; so does a fleet of one node, which can't tell the cases apart. Wrong case that stays: a majority of the nodes cut off from the platform together while operators still reach it. HeartbeatReply gains attests_outage; generated code renewed.

--- /dev/null
+++ b/crates/dogwoodpier-core/tests/key_freshness.rs
@@ -0,0 +1,134 @@
+//! A withdrawn key stops everywhere within a bound, on nodes that are cut off too, and an outage of the
+//! platform for all stops nobody.
+//!
+//! Each version withdraws a key. The oracle is the time at which each version was accepted. Cuts never
+//! take a majority of the nodes off a platform that is up: that case can't be told from an outage.
+
+mod config_fleet;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::freshness::Freshness;
+use dogwoodpier_core::freshness::News;
+use dogwoodpier_core::freshness::Trust;
+use dogwoodpier_core::versions::Versions;
+
+use self::config_fleet::Fleet;
+use self::config_fleet::LIMIT_MS;
+use self::config_fleet::NODES;
+use self::config_fleet::OPERATORS;
+use self::config_fleet::Step;
+
+const SEED: u64 = 0x66_7265_7368;
+
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let node = || 0..NODES;
+        let operator = || 0..OPERATORS;
+        let wait = || {
+            let waits = prop_oneof![Just(50), Just(300), Just(1_000), Just(3_200), Just(10_000)];
+            waits.prop_map(Step::Wait)
+        };
+        prop_oneof![
+            10 => wait(),
+            6 => operator().prop_map(Step::Read),
+            6 => operator().prop_map(Step::Apply),
+            3 => any::<bool>().prop_map(Step::Outage),
+            1 => any::<bool>().prop_map(Step::OldReads),
+            1 => node().prop_map(Step::Replace),
+            4 => (node(), any::<bool>()).prop_map(|(node, cut)| Step::CutPlatform(node, cut)),
+            2 => node().prop_map(Step::CutAll),
+            2 => node().prop_map(Step::MendAll),
+            2 => (node(), node(), any::<bool>()).prop_map(|(a, b, cut)| Step::CutPeer(a, b, cut)),
+            1 => (node(), 0..1_500_u64).prop_map(|(node, ms)| Step::Slow(node, ms)),
+            1 => node().prop_map(|node| Step::Slow(node, 0)),
+            4 => node().prop_map(|node| Step::Pause(node, true)),
+            6 => node().prop_map(|node| Step::Pause(node, false)),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct KeyFreshness;
+
+impl StateMachineTest for KeyFreshness {
+    type SystemUnderTest = Fleet;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Fleet {
+        Fleet::new()
+    }
+
+    fn apply(mut fleet: Fleet, (): &(), step: Step) -> Fleet {
+        fleet.apply(&step);
+        fleet
+    }
+}
+
+fn config() -> ProptestConfig {
+    let seed = std::env::var("DOGWOODPIER_TEST_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(SEED);
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+    #[test]
+    fn withdrawn_keys_stop(sequential 1..100 => KeyFreshness);
+}
+
+#[test]
+fn known_newer_version_stops_keys_in_an_outage() {
+    let mut versions = Versions::default();
+    let mut freshness = Freshness::new(LIMIT_MS, LIMIT_MS);
+    versions.take(1);
+    let now = TimeMs(100_000);
+    for peer in ["node-1", "node-2"] {
+        freshness.take_witness(peer, true, now);
+    }
+    freshness.review(NODES - 1, now);
+    assert_eq!(freshness.trust(&versions, now), Trust::Outage);
+    versions.see(2);
+    assert_eq!(freshness.trust(&versions, now), Trust::Stale);
+}
+
+#[test]
+fn single_node_stops_in_an_outage() {
+    let mut versions = Versions::default();
+    let mut freshness = Freshness::new(LIMIT_MS, LIMIT_MS);
+    versions.take(1);
+    let now = TimeMs(100_000);
+    let news = News {
+        version: 1,
+        contact_ms: now,
+    };
+    freshness.take_news(news, &mut versions);
+    freshness.review(0, now);
+    assert_eq!(freshness.trust(&versions, now), Trust::Fresh);
+    let later = now.after(LIMIT_MS + 1);
+    freshness.review(0, later);
+    assert_eq!(freshness.trust(&versions, later), Trust::Stale);
+}
--- a/crates/dogwoodpier-node/src/config/mod.rs
+++ b/crates/dogwoodpier-node/src/config/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use log::error;
@@ -20,6 +21,7 @@
 use metrics::counter;
 use metrics::gauge;
 use tokio::sync::Notify;
+use tokio::time::MissedTickBehavior;
 
 use dogwoodpier_config::Effective;
 use dogwoodpier_config::keys;
@@ -32,19 +34,19 @@
 use dogwoodpier_core::freshness::Freshness;
 use dogwoodpier_core::freshness::NO_CONTACT_AGE_MS;
 use dogwoodpier_core::freshness::News;
+use dogwoodpier_core::freshness::REVIEWS_PER_PERIOD;
 use dogwoodpier_core::freshness::Trust;
 use dogwoodpier_core::versions::Versions;
 use dogwoodpier_derive::plain;
 use dogwoodpier_proto::FetchConfigReply;
 use dogwoodpier_proto::NodeInfo;
 
+use crate::clock;
 use crate::counters;
 use crate::state::SharedNode;
 
 const RETRY_AFTER_STALE_MS: u64 = 2_000;
 const RETRY_AFTER_START_MS: u64 = 1_000;
-// A look at the reach of the peers counts for this long.
-const REACH_VALID_MS: u64 = 1_000;
 // Former roots, kept to tell which parts a peer has already.
 const RECENT_ROOTS: usize = 8;
 
@@ -83,13 +85,13 @@
 
 impl ConfigStore {
     /// Returns the store of a node without a configuration. Keys are relied on for `freshness_ms`
-    /// after the last news of the platform.
+    /// after the last news of the platform, and what peers say about it as long.
     pub fn new(freshness_ms: u64) -> Self {
         Self {
             current: ArcSwap::default(),
             knowledge: Mutex::new(Knowledge {
                 versions: Versions::default(),
-                freshness: Freshness::new(freshness_ms, REACH_VALID_MS),
+                freshness: Freshness::new(freshness_ms, freshness_ms),
                 root: None,
                 recent: VecDeque::new(),
                 parts: Parts::new(),
@@ -288,10 +290,23 @@
         }
     }
 
-    // Takes in the reach of the peers, and tells operators of a change of trust.
-    fn review(&self, reach: Option<f64>, now: TimeMs) {
+    /// Returns whether this node attests to its peers that the platform is out for everybody.
+    pub fn attests_outage(&self, now: TimeMs) -> bool {
+        let knowledge = self.lock();
+        knowledge.freshness.attests_outage(&knowledge.versions, now)
+    }
+
+    /// Takes in whether a peer attested an outage when it was asked at `asked_ms`.
+    pub fn take_witness(&self, instance: &str, attests_outage: bool, asked_ms: TimeMs) {
+        self.lock()
+            .freshness
+            .take_witness(instance, attests_outage, asked_ms);
+    }
+
+    // Reviews the trust in the keys, and tells operators of a change.
+    fn review(&self, tried_peers: usize, now: TimeMs) {
         let mut knowledge = self.lock();
-        knowledge.freshness.take_reach(reach, now);
+        knowledge.freshness.review(tried_peers, now);
         let trust = knowledge.freshness.trust(&knowledge.versions, now);
         let age_ms = knowledge.freshness.contact_age_ms(now);
         let former = std::mem::replace(&mut knowledge.trust, trust);
@@ -359,14 +374,13 @@
     );
 }
 
-// Reviews often enough that a look at the reach is still valid at the next one.
 async fn review(node: SharedNode) {
-    const INTERVAL: std::time::Duration = std::time::Duration::from_millis(REACH_VALID_MS / 4);
-    let mut interval = tokio::time::interval(INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let interval_ms = node.settings.tuning.freshness_ms / REVIEWS_PER_PERIOD;
+    let mut interval = tokio::time::interval(Duration::from_millis(interval_ms));
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        let now = crate::clock::now();
-        node.config.review(node.peers.reach(now), now);
+        let now = clock::now();
+        node.config.review(node.peers.tried(now), now);
     }
 }
--- a/crates/dogwoodpier-node/src/config/source.rs
+++ b/crates/dogwoodpier-node/src/config/source.rs
@@ -23,6 +23,8 @@
 const WATCHES_PER_PERIOD: u64 = 6;
 // Nodes of the fleet that watch at once. The others hear from their peers.
 const WATCHERS: usize = 64;
+// Waits of a watch without news after which a node of a large fleet asks out of turn.
+const OWN_QUESTION_WAITS: u64 = 3;
 const RETRY_MIN_MS: u64 = 100;
 const RETRY_MAX_MS: u64 = 500;
 
@@ -39,10 +41,12 @@
 
 async fn follow(node: &SharedNode) -> dogwoodpier_platform::Result<()> {
     let mut sent_ms = clock::now();
+    node.config.lock().freshness.note_asked();
     let listing = node
         .platform
         .list(storage::ROOT_KIND, storage::ROOT_NAME)
         .await?;
+    node.config.lock().freshness.note_answered();
     let mut revision = listing.revision;
     let mut version = 0;
     for object in &listing.items {
@@ -52,10 +56,12 @@
     loop {
         skip_turns(node, wait_ms).await;
         sent_ms = clock::now();
+        node.config.lock().freshness.note_asked();
         let outcome = node
             .platform
             .watch(&[storage::ROOT_KIND], revision, wait_ms)
             .await?;
+        node.config.lock().freshness.note_answered();
         let WatchOutcome::Changes(changes) = outcome else {
             return Ok(());
         };
@@ -67,11 +73,15 @@
     }
 }
 
-// Lets only some nodes of a large fleet watch at a time, since the platform counts each watch.
+// Lets only some nodes of a large fleet watch at a time, since the platform counts each watch. A
+// node that hears no news of the others asks itself.
 async fn skip_turns(node: &SharedNode, wait_ms: u64) {
     let nodes = node.peers.alive(clock::now()).len() + 1;
     while rand::rng().random_range(0..nodes) >= WATCHERS {
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        if node.config.platform_contact_age_ms(clock::now()) > OWN_QUESTION_WAITS * wait_ms {
+            return;
+        }
     }
 }
 
--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -29,7 +29,12 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        for peer in round(&node) {
+        let peers = round(&node);
+        // All before the first answer, so that answers are seen as a share of the whole round.
+        for peer in &peers {
+            node.peers.note_tried(peer, clock::now());
+        }
+        for peer in peers {
             // Each call has a timeout, so a silent peer delays nobody and nothing piles up.
             tokio::spawn(beat(node.clone(), peer));
         }
@@ -74,6 +79,8 @@
             reply.platform_contact_age_ms,
             sent_ms,
         );
+        node.config
+            .take_witness(&instance, reply.attests_outage, sent_ms);
         node.peers.take_heard(sender, now);
     }
     true
@@ -108,6 +115,7 @@
         platform_contact_age_ms: node.config.platform_contact_age_ms(now),
         config_version: node.config.current().version,
         crashes: node.quarantine.reports_for(&instance, now),
+        attests_outage: node.config.attests_outage(now),
     }
 }
 
@@ -139,6 +147,11 @@
         self.lock().count()
     }
 
+    fn note_tried(&self, peer: &NodeInfo, now: TimeMs) {
+        let instance = peer.id.as_ref().map_or("", |id| id.instance.as_str());
+        self.lock().note_tried(instance, now);
+    }
+
     fn note_call(&self, instance: &str, answered: bool, now: TimeMs) {
         self.lock().note_call(instance, answered, now);
     }
--- a/crates/dogwoodpier-node/src/peers/members.rs
+++ b/crates/dogwoodpier-node/src/peers/members.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Notes that a call to the member is about to be made.
+    pub fn note_tried(&mut self, instance: &str, now: TimeMs) {
+        if let Some(member) = self.by_instance.get_mut(instance) {
+            member.tried_ms = Some(now);
+        }
+    }
+
     /// Notes that a call to the member was made, and whether it was answered.
     pub fn note_call(&mut self, instance: &str, answered: bool, now: TimeMs) {
         if let Some(member) = self.by_instance.get_mut(instance) {
@@ -155,6 +162,15 @@
         })
     }
 
+    /// Returns how many members were tried lately.
+    pub fn tried(&self, now: TimeMs) -> usize {
+        let tried_lately = |time_ms: TimeMs| now.since(time_ms) <= self.member_timeout_ms;
+        self.by_instance
+            .values()
+            .filter(|member| member.tried_ms.is_some_and(tried_lately))
+            .count()
+    }
+
     /// Returns the share of the members tried lately that answered.
     pub fn reach(&self, now: TimeMs) -> Option<f64> {
         let window_ms = self.member_timeout_ms;
--- a/crates/dogwoodpier-node/src/peers/mod.rs
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -60,6 +60,11 @@
         self.lock().may_live(incarnation, silence_ms, now)
     }
 
+    /// Returns how many peers were tried lately, whether they answered or not.
+    pub fn tried(&self, now: TimeMs) -> usize {
+        self.lock().tried(now)
+    }
+
     /// Returns the share of the peers tried lately that answered, from 0 to 1, or `None` if there
     /// are no peers.
     pub fn reach(&self, now: TimeMs) -> Option<f64> {
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -52,6 +52,9 @@
     pub platform_contact_age_ms: u64,
     #[prost(message, repeated, tag = "5")]
     pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
+    /// The sender asks the platform in vain, and has relied on its keys ever since it had news.
+    #[prost(bool, tag = "6")]
+    pub attests_outage: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SlotRef {
