--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -70,6 +70,17 @@
     LeastLoaded,
 }
 
+impl RoutingPolicy {
+    fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "reserve" => Some(Self::Reserve),
+            "round-robin" => Some(Self::RoundRobin),
+            "least-loaded" => Some(Self::LeastLoaded),
+            _ => None,
+        }
+    }
+}
+
 /// Intervals, timeouts and bounds.
 #[wire]
 #[serde(deny_unknown_fields, default)]
@@ -293,9 +304,9 @@
 fn read_routing(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> RoutingSettings {
     let mut routing = RoutingSettings::default();
     if let Some(policy) = fields.text("policy", report) {
-        match serde_json::from_value(Value::from(&*policy)) {
-            Ok(policy) => routing.policy = policy,
-            Err(_) => {
+        match RoutingPolicy::from_name(&policy) {
+            Some(policy) => routing.policy = policy,
+            None => {
                 let message =
                     format!("{policy:?} is not one of reserve, round-robin, least-loaded");
                 report.add(Finding::new(fields.path_of("policy"), message));
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -28,8 +28,8 @@
     pub tenure_version: u64,
     /// Version that the write of `tenure_version` replaced, zero if it created the slot's object.
     pub superseded_version: u64,
-    /// The heir that promises not to claim it.
-    pub heir: NodeInfo,
+    /// The heir that promises not to claim it, absent while this node knows no other member.
+    pub heir: Option<NodeInfo>,
     /// Time until which this node may act on the slot, by its own clock.
     pub act_deadline_ms: TimeMs,
 }
@@ -66,8 +66,9 @@
         Vec::new()
     }
 
-    /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`.
-    pub fn take_promises(&self, _heir: &str, _promises: &[SlotPromise], _sent_ms: TimeMs) {}
+    /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`. `heir` is who
+    /// answered, since a promise of another incarnation than the heir's is none.
+    pub fn take_promises(&self, _heir: &NodeInfo, _promises: &[SlotPromise], _sent_ms: TimeMs) {}
 
     /// Hands slots over to a joining node. Before the write that names the successor of a slot,
     /// `Claims::prepare_hand_over` passes the slot's claims on.
