Prove that engines keep no memory for requests that are gone

Cause: cancels are lost, nodes die, and an audit must not strike the living. Oracle: the set of requests alive; 12 s after the network healed an engine holds nothing else, and 1.1 s after it a node's own cancels are through without any audit. Seen failing first: the keeper repeated the cancel of a silent node's hold from its ledger, after the node had come back ('a request alive lost its memory, its node was silent for 0 ms'); now each audit gives a fresh verdict and cancels once. Naive versions seen failing: cancels sent once ('which its node ended'), silence counted as an orphan at once, silence never counted.

--- a/crates/dogwoodpier-core/src/holds.rs
+++ b/crates/dogwoodpier-core/src/holds.rs
@@ -160,6 +160,9 @@
     /// Takes in the holds that an engine keeps with what is known of their owners, and returns the
     /// orphans. A silent owner's hold counts as an orphan after `grace_ms` of silence at each
     /// audit, since the owner may be slow to become known.
+    ///
+    /// Each orphan is to be cancelled once. It comes again with the next audit if it is still
+    /// there, under a new verdict: an owner that was cut off may be back by then.
     pub fn orphans<I>(&mut self, holds: I, grace_ms: u64, now: TimeMs) -> Vec<HoldId>
     where
         I: IntoIterator<Item = (HoldId, Owner)>,
--- a/crates/dogwoodpier-node/src/keeper/audit.rs
+++ b/crates/dogwoodpier-node/src/keeper/audit.rs
@@ -18,6 +18,7 @@
 use dogwoodpier_core::reservations::Room;
 use dogwoodpier_proto::CheckHoldsRequest;
 use dogwoodpier_proto::NodeInfo;
+use dogwoodpier_upstream::wire::CancelRequest;
 
 use crate::clock;
 use crate::counters;
@@ -84,7 +85,11 @@
         .orphans(owners, GRACE_MS, now);
     for hold in orphans {
         counter!(counters::HOLD_ORPHANS_TOTAL).increment(1);
-        node.upstreams.cancel(name, hold, now);
+        let request = CancelRequest {
+            hold: hold.to_string().into(),
+        };
+        // One that is lost is followed by the next audit's, if the hold is an orphan still.
+        let _ = engine.client.cancel(&request).await;
     }
 }
 
