--- a/crates/dogwoodpier-node/src/config/mod.rs
+++ b/crates/dogwoodpier-node/src/config/mod.rs
@@ -1,6 +1,6 @@
 //! The configuration in force at this node.
 //!
-//! Versions come from the platform's watch ([`source`]) and from peers ([`relay`]). Each is checked
+//! Versions come from the platform's watch (`source`) and from peers (`relay`). Each is checked
 //! against its hashes and resolved before it is taken, and only a higher version is taken.
 
 mod relay;
