Log no line for each request

Cause: dropshot writes two lines a request at level info, seen in the first run of three nodes as processes. Change: its server's lines are written from level warn on.

--- a/crates/dogwoodpier-node/src/telemetry.rs
+++ b/crates/dogwoodpier-node/src/telemetry.rs
@@ -24,6 +24,8 @@
     let instance = instance.to_owned();
     fern::Dispatch::new()
         .level(level)
+        // Requests are counted by metrics; a line each would be noise.
+        .level_for("dropshot::server", level.min(LevelFilter::Warn))
         .format(move |out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
             let target = record.target();
