Add fleets of real nodes with stand-ins, and a caller, for tests and measurements

Tests across processes need nodes as processes with everything around them. A fleet writes settings, starts the processes, lists them on the platform, waits on /ready and on what the nodes' dumps show, and kills its children when dropped. Ports are taken below the range of outgoing connections; a port of that range could be taken by a connection between the choice and the start of the node. Stand-ins run in the test's process or, for measurements, as the example programs.

whole_path: three nodes, one prefill and two decode engines; each node's answer is compared with the expected text, and no engine holds anything afterwards. Forwarding to plain services is not in it yet, since that filter is still a stub.

--- a/crates/dogwoodpier-fakes/src/control.rs
+++ b/crates/dogwoodpier-fakes/src/control.rs
@@ -75,6 +75,12 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Reads a text body.
+pub async fn get_text(address: SocketAddr, path: &str) -> Result<String, ControlError> {
+    let body = call(address, Method::GET, path, Bytes::new()).await?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
 async fn call(
     address: SocketAddr,
     method: Method,
--- /dev/null
+++ b/crates/dogwoodpier-fakes/src/fleet/mod.rs
@@ -0,0 +1,16 @@
+//! A whole fleet on this host: real nodes as processes, with stand-ins for the rest.
+
+pub mod node;
+pub mod plan;
+pub mod ports;
+pub mod process;
+pub mod running;
+pub mod upstream;
+
+pub use node::NodeProcess;
+pub use plan::FleetPlan;
+pub use plan::NodePlan;
+pub use plan::Placement;
+pub use plan::UpstreamKind;
+pub use plan::UpstreamPlan;
+pub use running::Fleet;
--- /dev/null
+++ b/crates/dogwoodpier-fakes/src/fleet/node.rs
@@ -0,0 +1,179 @@
+//! A node as a child process.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitStatus;
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use rustix::process::Signal;
+use serde_json::Value;
+
+use dogwoodpier_http::Pool;
+use dogwoodpier_http::PoolOptions;
+
+use crate::control;
+use crate::fleet::plan::NodePlan;
+use crate::fleet::ports;
+use crate::fleet::process::Process;
+use crate::wait;
+
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// A node.
+pub struct NodeProcess {
+    /// Name of the instance.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for operators.
+    pub operator_address: SocketAddr,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+    program: PathBuf,
+    settings_file: PathBuf,
+    log: PathBuf,
+    process: Process,
+}
+
+impl NodeProcess {
+    /// Writes a node's settings and starts it.
+    pub fn start(
+        plan: &NodePlan,
+        program: &Path,
+        directory: &Path,
+        platform_address: SocketAddr,
+        more_settings: &str,
+    ) -> anyhow::Result<Self> {
+        let caller_address = ports::free_address()?;
+        let operator_address = ports::free_address()?;
+        let peer_address = ports::free_address()?;
+        let settings = format!(
+            "instance = \"{}\"\n\
+             data_centre = \"{}\"\n\
+             caller_address = \"{caller_address}\"\n\
+             operator_address = \"{operator_address}\"\n\
+             peer_address = \"{peer_address}\"\n\
+             platform_address = \"{platform_address}\"\n\
+             {more_settings}\n",
+            plan.name, plan.data_centre,
+        );
+        let settings_file = directory.join(format!("{}.toml", plan.name));
+        std::fs::write(&settings_file, settings)?;
+        let log = directory.join(format!("{}.log", plan.name));
+        let process = run(program, &settings_file, &log)?;
+        Ok(Self {
+            name: plan.name.clone(),
+            data_centre: plan.data_centre.clone(),
+            caller_address,
+            operator_address,
+            peer_address,
+            program: program.to_owned(),
+            settings_file,
+            log,
+            process,
+        })
+    }
+
+    /// Waits until the node says that it is ready.
+    pub async fn wait_ready(&self) -> anyhow::Result<()> {
+        wait::until("the node is ready", || async {
+            self.operator_status("/ready").await == Some(StatusCode::OK)
+        })
+        .await
+        .with_context(|| format!("{}; its log ends: {}", self.name, self.log_tail()))
+    }
+
+    /// Waits until the node's state, as its dump shows it, is what `holds` asks for.
+    pub async fn wait_for<H>(&self, awaited: &str, holds: H) -> anyhow::Result<()>
+    where
+        H: Fn(&Value) -> bool,
+    {
+        wait::until(awaited, || async {
+            self.dump().await.is_ok_and(|dump| holds(&dump))
+        })
+        .await
+        .with_context(|| format!("{}; its log ends: {}", self.name, self.log_tail()))
+    }
+
+    /// Returns the status of a read at the operators' address, `None` if there is no answer.
+    pub async fn operator_status(&self, path: &str) -> Option<StatusCode> {
+        let pool = Pool::new(PoolOptions {
+            address: self.operator_address,
+            connect_timeout_ms: CALL_TIMEOUT_MS,
+        });
+        let request = Request::get(path).body(Bytes::new()).ok()?;
+        let answer = pool.send_fresh(request, CALL_TIMEOUT_MS).await.ok()?;
+        Some(answer.status)
+    }
+
+    /// Returns the node's state.
+    pub async fn dump(&self) -> anyhow::Result<Value> {
+        Ok(control::get(self.operator_address, "/dump").await?)
+    }
+
+    /// Returns the node's metrics, with labels as in the text format, by name.
+    pub async fn metrics(&self) -> anyhow::Result<Vec<(String, f64)>> {
+        let text = control::get_text(self.operator_address, "/metrics").await?;
+        Ok(text
+            .lines()
+            .filter(|line| !line.starts_with('#'))
+            .filter_map(|line| {
+                let (name, value) = line.rsplit_once(' ')?;
+                Some((name.to_owned(), value.parse().ok()?))
+            })
+            .collect())
+    }
+
+    /// Returns the process id, `None` once the process has ended.
+    pub fn id(&self) -> Option<u32> {
+        self.process.id()
+    }
+
+    /// Kills the process by SIGKILL and waits for its end.
+    pub async fn kill(&mut self) -> anyhow::Result<()> {
+        self.process.kill().await
+    }
+
+    /// Stops the process by SIGSTOP, as a pause of its host would.
+    pub fn pause(&self) -> anyhow::Result<()> {
+        self.process.signal(Signal::STOP)
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) -> anyhow::Result<()> {
+        self.process.signal(Signal::CONT)
+    }
+
+    /// Asks the process to shut down gracefully.
+    pub fn terminate(&self) -> anyhow::Result<()> {
+        self.process.signal(Signal::TERM)
+    }
+
+    /// Waits for the process to end.
+    pub async fn wait_end(&mut self) -> anyhow::Result<ExitStatus> {
+        self.process.wait().await
+    }
+
+    /// Starts the process again with the same settings, after it has ended.
+    pub fn restart(&mut self) -> anyhow::Result<()> {
+        self.process = run(&self.program, &self.settings_file, &self.log)?;
+        Ok(())
+    }
+
+    /// Returns the end of the node's log.
+    pub fn log_tail(&self) -> String {
+        self.process.log_tail()
+    }
+}
+
+fn run(program: &Path, settings_file: &Path, log: &Path) -> anyhow::Result<Process> {
+    let settings_file = settings_file.to_str().context("path is not UTF-8")?;
+    let arguments = ["run", "--settings", settings_file].map(str::to_owned);
+    Process::start(program, &arguments, log.to_owned())
+}
--- /dev/null
+++ b/crates/dogwoodpier-fakes/src/fleet/plan.rs
@@ -0,0 +1,117 @@
+//! What a fleet is made of.
+
+use std::path::PathBuf;
+
+use dogwoodpier_derive::plain;
+
+use crate::engine::EngineOptions;
+
+/// What a fleet is made of.
+#[plain]
+pub struct FleetPlan {
+    /// The `dogwoodpier` program.
+    pub node_program: PathBuf,
+    /// Where the stand-ins run.
+    pub placement: Placement,
+    /// Nodes.
+    pub nodes: Vec<NodePlan>,
+    /// Engines and plain services.
+    pub upstreams: Vec<UpstreamPlan>,
+    /// Time until a change of the instance list is published.
+    pub instances_lag_ms: u64,
+    /// Declarations in TOML.
+    pub declarations: String,
+    /// TOML that each node's settings get besides the addresses, for example a `[tuning]` table.
+    pub node_settings: String,
+}
+
+/// Where stand-ins run.
+#[plain]
+pub enum Placement {
+    /// In the process of the test.
+    InProcess,
+    /// As processes; the directory has the example programs.
+    Processes {
+        /// Directory of the programs.
+        directory: PathBuf,
+    },
+}
+
+/// A node of a fleet.
+#[plain]
+pub struct NodePlan {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+}
+
+/// An upstream of a fleet.
+#[plain]
+pub struct UpstreamPlan {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Pool.
+    pub pool: String,
+    /// What it is.
+    pub kind: UpstreamKind,
+}
+
+/// What an upstream is.
+#[plain]
+pub enum UpstreamKind {
+    /// A model engine. Its address is chosen by the fleet.
+    Engine(EngineOptions),
+    /// A plain service.
+    Service {
+        /// Time that each call takes.
+        work_ms: u64,
+    },
+}
+
+impl FleetPlan {
+    /// Returns a plan of some nodes named `node-1` and on, spread over data centres, without
+    /// upstreams.
+    pub fn new<P>(node_program: P, nodes: usize, data_centres: usize) -> Self
+    where
+        P: Into<PathBuf>,
+    {
+        let nodes = (0..nodes)
+            .map(|number| NodePlan {
+                name: format!("node-{}", number + 1),
+                data_centre: format!("dc-{}", number % data_centres.max(1) + 1),
+            })
+            .collect();
+        Self {
+            node_program: node_program.into(),
+            placement: Placement::InProcess,
+            nodes,
+            upstreams: Vec::new(),
+            instances_lag_ms: 200,
+            declarations: String::new(),
+            node_settings: String::new(),
+        }
+    }
+
+    /// Adds an engine in the first data centre.
+    pub fn engine(self, name: &str, pool: &str, options: EngineOptions) -> Self {
+        self.upstream(name, pool, UpstreamKind::Engine(options))
+    }
+
+    /// Adds a plain service in the first data centre.
+    pub fn service(self, name: &str, pool: &str) -> Self {
+        self.upstream(name, pool, UpstreamKind::Service { work_ms: 0 })
+    }
+
+    fn upstream(mut self, name: &str, pool: &str, kind: UpstreamKind) -> Self {
+        self.upstreams.push(UpstreamPlan {
+            name: name.to_owned(),
+            data_centre: "dc-1".to_owned(),
+            pool: pool.to_owned(),
+            kind,
+        });
+        self
+    }
+}
--- a/crates/dogwoodpier-fakes/src/lib.rs
+++ b/crates/dogwoodpier-fakes/src/lib.rs
@@ -5,10 +5,12 @@
 
 #![forbid(unsafe_code)]
 
+pub mod caller;
 pub mod control;
 pub mod crash;
 pub mod engine;
 pub mod faults;
+pub mod fleet;
 pub mod options;
 pub mod platform;
 pub mod relay;
@@ -16,3 +18,4 @@
 pub mod seen;
 pub mod server;
 pub mod service;
+pub mod wait;
--- /dev/null
+++ b/crates/dogwoodpier-node/tests/whole_path.rs
@@ -0,0 +1,61 @@
+//! Requests go from caller to upstream and back over several nodes.
+
+use dogwoodpier_fakes::caller::Caller;
+use dogwoodpier_fakes::caller::Completion;
+use dogwoodpier_fakes::engine::EngineOptions;
+use dogwoodpier_fakes::engine::EngineRole;
+use dogwoodpier_fakes::engine::EngineStats;
+use dogwoodpier_fakes::engine::text::expected_answer;
+use dogwoodpier_fakes::fleet::Fleet;
+use dogwoodpier_fakes::fleet::FleetPlan;
+
+const KEY: &str = "sales-key";
+const MAX_TOKENS: u64 = 20;
+
+fn plan() -> FleetPlan {
+    let mut plan = FleetPlan::new(env!("CARGO_BIN_EXE_dogwoodpier"), 3, 2)
+        .engine(
+            "prefill-1",
+            "quotes-prefill",
+            EngineOptions::new(EngineRole::Prefill),
+        )
+        .engine(
+            "decode-1",
+            "quotes-decode",
+            EngineOptions::new(EngineRole::Decode),
+        )
+        .engine(
+            "decode-2",
+            "quotes-decode",
+            EngineOptions::new(EngineRole::Decode),
+        )
+        .service("orders-1", "order-service");
+    plan.declarations = include_str!("../../../examples/declarations.toml").to_owned();
+    plan
+}
+
+#[tokio::test]
+async fn each_node_serves() {
+    let fleet = Fleet::start(plan()).await.expect("the fleet starts");
+    for (number, node) in fleet.nodes().values().enumerate() {
+        let caller = Caller::new(node.caller_address, Some(KEY));
+        let prompt = format!("tender number {number}");
+        let answer = caller
+            .complete(&Completion {
+                model: "quotes".to_owned(),
+                prompt: prompt.clone(),
+                max_tokens: MAX_TOKENS,
+                deadline_ms: None,
+            })
+            .await;
+        assert!(answer.is_whole(), "{answer:?}");
+        assert_eq!(answer.text(), expected_answer(&prompt, MAX_TOKENS));
+    }
+
+    let mut held = Vec::new();
+    for engine in ["prefill-1", "decode-1", "decode-2"] {
+        let stats: EngineStats = fleet.stats(engine).await.expect("the engine answers");
+        held.push(stats.holds);
+    }
+    assert_eq!(held, [0, 0, 0]);
+}
