--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -6,9 +6,17 @@
 #![forbid(unsafe_code)]
 
 pub mod claims;
+pub mod delivery;
+pub mod fair_queue;
+pub mod freshness;
+pub mod holds;
+pub mod links;
 pub mod refusal;
 pub mod rendezvous;
+pub mod reservations;
+pub mod selection;
 pub mod units;
+pub mod versions;
 
 pub use refusal::Execution;
 pub use refusal::Refusal;
