--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod claims;
 pub mod delivery;
 pub mod fair_queue;
 pub mod freshness;
