Forward calls to plain services, once where they may not be repeated

Cause: the whole path needs orders to reach a plain service. Before: forward was a stub that refused everything. An answer with another x-request-id is not delivered, and one that nothing tells whole is an error. An answer without the id is accepted: services that don't repeat it could not be used for orders otherwise. Contracts: forward takes the quarantine's passage; ClaimResult.never_dispatched, RecordedOutcome.body_dropped, the fields of KeepClaims and the call FetchClaims, by which a new holder gets the claims of its predecessor from whoever has them. Claims themselves are still granted by a stub. No test with processes yet.

--- a/crates/dogwoodpier-core/src/claims/record.rs
+++ b/crates/dogwoodpier-core/src/claims/record.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use dogwoodpier_derive::wire;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use dogwoodpier_derive::wire;
+
 /// An idempotency key within its workspace.
 #[wire]
 #[derive(Eq, PartialOrd, Ord, Hash)]
--- a/crates/dogwoodpier-node/src/claims/mod.rs
+++ b/crates/dogwoodpier-node/src/claims/mod.rs
@@ -6,6 +6,8 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_proto::ClaimReply;
 use dogwoodpier_proto::ClaimRequest;
+use dogwoodpier_proto::FetchClaimsReply;
+use dogwoodpier_proto::FetchClaimsRequest;
 use dogwoodpier_proto::KeepClaimsReply;
 use dogwoodpier_proto::KeepClaimsRequest;
 use dogwoodpier_proto::NodeInfo;
@@ -30,6 +32,15 @@
     pub attempt_id: u64,
     /// Slot that the key belongs to.
     pub slot: u32,
+    /// Time after which the grant may not be used.
+    pub dispatch_deadline_ms: TimeMs,
+}
+
+impl Grant {
+    /// Returns whether the grant may still be used. Must be asked right before the dispatch.
+    pub fn may_dispatch(&self, now: TimeMs) -> bool {
+        now < self.dispatch_deadline_ms
+    }
 }
 
 /// Answer to a claim.
@@ -57,6 +68,7 @@
             idempotency_key: idempotency_key.into(),
             attempt_id: rand::random(),
             slot: 0,
+            dispatch_deadline_ms: _deadline_ms,
         }))
     }
 
@@ -87,6 +99,16 @@
         KeepClaimsReply::default()
     }
 
+    /// Returns what this node knows of the claims that a former holder of a slot granted.
+    pub fn copies_for(
+        &self,
+        _node: &SharedNode,
+        _request: &FetchClaimsRequest,
+        _now: TimeMs,
+    ) -> FetchClaimsReply {
+        FetchClaimsReply::default()
+    }
+
     /// Stops granting on a held slot and gives its successor the claims that the platform lacks. To
     /// be called before the conditional write that hands the slot over. A slot handed over without
     /// it grants nothing for a claim window.
--- a/crates/dogwoodpier-node/src/peers/service.rs
+++ b/crates/dogwoodpier-node/src/peers/service.rs
@@ -16,6 +16,8 @@
 use dogwoodpier_proto::CheckHoldsRequest;
 use dogwoodpier_proto::ClaimReply;
 use dogwoodpier_proto::ClaimRequest;
+use dogwoodpier_proto::FetchClaimsReply;
+use dogwoodpier_proto::FetchClaimsRequest;
 use dogwoodpier_proto::FetchConfigReply;
 use dogwoodpier_proto::FetchConfigRequest;
 use dogwoodpier_proto::HandOverReply;
@@ -143,6 +145,17 @@
         )))
     }
 
+    async fn fetch_claims(
+        &self,
+        request: Request<FetchClaimsRequest>,
+    ) -> Result<Response<FetchClaimsReply>, Status> {
+        Ok(Response::new(self.node.claims.copies_for(
+            &self.node,
+            &request.into_inner(),
+            clock::now(),
+        )))
+    }
+
     async fn reserve(
         &self,
         request: Request<ReserveRequest>,
--- /dev/null
+++ b/crates/dogwoodpier-node/src/pipeline/dispatch.rs
@@ -0,0 +1,221 @@
+//! Calls of plain services: once where a call may not be repeated, else until one is answered.
+
+use std::sync::Arc;
+
+use http::HeaderName;
+use http::HeaderValue;
+use http::Uri;
+
+use dogwoodpier_config::effective::Route;
+use dogwoodpier_core::Execution;
+use dogwoodpier_core::Refusal;
+use dogwoodpier_core::RefusalReason;
+use dogwoodpier_http::SendError;
+use dogwoodpier_upstream::service::ServiceCall;
+use dogwoodpier_upstream::service::ServiceError;
+use dogwoodpier_upstream::service::ServiceReply;
+
+use crate::clock;
+use crate::quarantine::Passage;
+use crate::state::SharedNode;
+use crate::upstreams::Service;
+
+use super::request::Request;
+
+/// Header that carries the id of a dispatch to the upstream and back.
+const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+const RETRY_AFTER_MS: u64 = 1_000;
+// Upstreams that an idempotent call is tried at.
+const MAX_TRIES: usize = 3;
+/// Largest body of an upstream's answer, which is held until it is whole.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+const DEFAULT_PROGRESS_TIMEOUT_MS: u64 = 10_000;
+
+/// Why a request has no answer, and what is known of its execution.
+#[derive(Debug)]
+pub struct Failure {
+    /// The cause.
+    pub reason: RefusalReason,
+    /// What is known of the execution.
+    pub execution: Execution,
+    /// A sentence for the caller.
+    pub message: Arc<str>,
+}
+
+impl From<Failure> for Refusal {
+    fn from(failure: Failure) -> Self {
+        Self::new(failure.reason, failure.execution, failure.message).retry_after(RETRY_AFTER_MS)
+    }
+}
+
+/// Dispatches a request that may not run twice. Another upstream is tried only while nothing was
+/// sent to any.
+pub async fn once(
+    node: &SharedNode,
+    request: &Request,
+    route: &Route,
+    id: &str,
+    passage: &mut Passage,
+) -> Result<ServiceReply, Failure> {
+    let mut last = no_upstream(route);
+    for service in node.upstreams.services(&route.pool) {
+        match call(node, &service, request, route, id, passage).await {
+            Err(failure) if failure.execution == Execution::NotRun => last = failure,
+            result => return result,
+        }
+    }
+    Err(last)
+}
+
+/// Dispatches a request that may run again, at up to three upstreams within its deadline.
+pub async fn repeatable(
+    node: &SharedNode,
+    request: &Request,
+    route: &Route,
+    passage: &mut Passage,
+) -> Result<ServiceReply, Failure> {
+    let mut last = no_upstream(route);
+    let services = node.upstreams.services(&route.pool);
+    let count = services.len();
+    for (index, service) in services.into_iter().take(MAX_TRIES).enumerate() {
+        // Each try has its own id, so that a late answer of an earlier one is told apart.
+        let id = format!("{}-{index}", request.id);
+        match call(node, &service, request, route, &id, passage).await {
+            Err(failure) if failure.reason == RefusalReason::Quarantined => return Err(failure),
+            Err(failure) => last = worse(last, failure),
+            Ok(reply) if reply.status.is_server_error() && index + 1 < count.min(MAX_TRIES) => {
+                last.execution = Execution::Ran;
+            }
+            Ok(reply) => return Ok(reply),
+        }
+        if clock::now() >= request.deadline_ms {
+            break;
+        }
+    }
+    Err(last)
+}
+
+async fn call(
+    node: &SharedNode,
+    service: &Service,
+    request: &Request,
+    route: &Route,
+    id: &str,
+    passage: &mut Passage,
+) -> Result<ServiceReply, Failure> {
+    let call = service_call(node, request, route, id)?;
+    let start = node.upstreams.start_of(&service.name);
+    let result = service.client.call(call).await;
+    if result.is_err() {
+        node.upstreams.note_failure(&service.name);
+    }
+    if let Err(ServiceError::NoAnswer(SendError::Cut(_))) = &result {
+        passage.crashed(node, &service.name, start, clock::now());
+    }
+    let reply = result.map_err(failed)?;
+    check(&reply, id)?;
+    Ok(reply)
+}
+
+fn service_call(
+    node: &SharedNode,
+    request: &Request,
+    route: &Route,
+    id: &str,
+) -> Result<ServiceCall, Failure> {
+    let timeout_ms = request.deadline_ms.remaining(clock::now());
+    if timeout_ms == 0 {
+        return Err(Failure {
+            reason: RefusalReason::DeadlineExceeded,
+            execution: Execution::NotRun,
+            message: "the deadline passed before the request was sent".into(),
+        });
+    }
+    let invalid = || Failure {
+        reason: RefusalReason::InvalidRequest,
+        execution: Execution::NotRun,
+        message: "the path can't be forwarded".into(),
+    };
+    let uri: Uri = request.path_and_query.parse().map_err(|_| invalid())?;
+    let mut headers = request.headers.clone();
+    let id = HeaderValue::from_str(id).map_err(|_| invalid())?;
+    headers.insert(REQUEST_ID_HEADER, id);
+    let config = node.config.current();
+    let pool = config.pools.get(&route.pool);
+    Ok(ServiceCall {
+        method: request.method.clone(),
+        uri,
+        headers,
+        body: request.body.clone(),
+        is_idempotent: route.idempotent,
+        timeout_ms,
+        progress_timeout_ms: pool
+            .map_or(DEFAULT_PROGRESS_TIMEOUT_MS, |pool| pool.progress_timeout_ms),
+        max_body_bytes: MAX_ANSWER_BYTES,
+    })
+}
+
+// An answer with another id belongs to another request; one that may be cut is not delivered.
+fn check(reply: &ServiceReply, id: &str) -> Result<(), Failure> {
+    let answered = reply.headers.get(&REQUEST_ID_HEADER);
+    if answered.is_some_and(|answered| answered.as_bytes() != id.as_bytes()) {
+        return Err(Failure {
+            reason: RefusalReason::UpstreamFailed,
+            execution: Execution::Unknown,
+            message: "the upstream's answer belongs to another request".into(),
+        });
+    }
+    if !reply.is_whole {
+        return Err(Failure {
+            reason: RefusalReason::UpstreamFailed,
+            execution: Execution::Ran,
+            message: "nothing tells whether the upstream's answer is whole".into(),
+        });
+    }
+    Ok(())
+}
+
+fn failed(error: ServiceError) -> Failure {
+    let execution = match error {
+        ServiceError::NotSent(_) => Execution::NotRun,
+        ServiceError::NoAnswer(_) => Execution::Unknown,
+        ServiceError::Truncated { .. } => Execution::Ran,
+    };
+    let reason = match error {
+        ServiceError::NotSent(_) => RefusalReason::NoUpstream,
+        ServiceError::NoAnswer(SendError::Timeout { .. }) => RefusalReason::DeadlineExceeded,
+        ServiceError::NoAnswer(_) | ServiceError::Truncated { .. } => RefusalReason::UpstreamFailed,
+    };
+    Failure {
+        reason,
+        execution,
+        message: match execution {
+            Execution::NotRun => "the upstream can't be reached",
+            Execution::Unknown => "the upstream gave no answer; the request may have run",
+            Execution::Ran => "the request ran, but the upstream's answer is not whole",
+        }
+        .into(),
+    }
+}
+
+fn no_upstream(route: &Route) -> Failure {
+    Failure {
+        reason: RefusalReason::NoUpstream,
+        execution: Execution::NotRun,
+        message: format!("no upstream of pool {} takes requests", route.pool).into(),
+    }
+}
+
+// Keeps the later cause and the strongest knowledge of an execution.
+fn worse(earlier: Failure, later: Failure) -> Failure {
+    let rank = |execution| match execution {
+        Execution::NotRun => 0,
+        Execution::Unknown => 1,
+        Execution::Ran => 2,
+    };
+    let execution = match rank(earlier.execution) > rank(later.execution) {
+        true => earlier.execution,
+        false => later.execution,
+    };
+    Failure { execution, ..later }
+}
--- a/crates/dogwoodpier-node/src/pipeline/forward.rs
+++ b/crates/dogwoodpier-node/src/pipeline/forward.rs
@@ -1,24 +1,161 @@
 //! Forwards a request to a plain service.
 
+use dropshot::Body;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+
 use dogwoodpier_config::effective::Route;
 use dogwoodpier_core::Execution;
 use dogwoodpier_core::Refusal;
 use dogwoodpier_core::RefusalReason;
+use dogwoodpier_proto::Header;
+use dogwoodpier_proto::RecordedOutcome;
+use dogwoodpier_upstream::service::ServiceReply;
 
+use crate::claims::Claimed;
+use crate::claims::Grant;
+use crate::clock;
+use crate::quarantine::Passage;
 use crate::state::SharedNode;
 
+use super::dispatch;
+use super::dispatch::Failure;
 use super::request::Request;
 
+/// Header of an answer that was recorded for an earlier request with the same idempotency key.
+const REPLAYED_HEADER: HeaderName = HeaderName::from_static("idempotency-replayed");
+/// Largest body that is recorded for a repeated request.
+const MAX_RECORDED_BYTES: usize = 4 * 1024;
+
 /// Sends the request to an upstream of the route's pool and returns the answer. The caller lets it
 /// run to its end even if the client has left.
 pub async fn forward(
-    _node: &SharedNode,
-    _request: Request,
-    _route: &Route,
-) -> Result<http::Response<dropshot::Body>, Refusal> {
-    Err(Refusal::new(
-        RefusalReason::NoUpstream,
-        Execution::NotRun,
-        "no upstream",
-    ))
+    node: &SharedNode,
+    request: Request,
+    route: &Route,
+    passage: &mut Passage,
+) -> Result<Response<Body>, Refusal> {
+    if route.idempotent {
+        let result = dispatch::repeatable(node, &request, route, passage).await;
+        return result.map(respond).map_err(Refusal::from);
+    }
+    let Some(key) = request.idempotency_key.clone() else {
+        let id = request.id.clone();
+        let result = dispatch::once(node, &request, route, &id, passage).await;
+        return result.map(respond).map_err(Refusal::from);
+    };
+    let workspace = request.workspace.clone().unwrap_or_default();
+    let claimed = node
+        .claims
+        .claim(
+            node,
+            &workspace,
+            &key,
+            request.fingerprint,
+            request.deadline_ms,
+        )
+        .await?;
+    match claimed {
+        Claimed::Granted(grant) => dispatch_granted(node, request, route, grant, passage).await,
+        Claimed::Recorded(outcome) => replay(outcome),
+    }
+}
+
+async fn dispatch_granted(
+    node: &SharedNode,
+    request: Request,
+    route: &Route,
+    grant: Grant,
+    passage: &mut Passage,
+) -> Result<Response<Body>, Refusal> {
+    // The process may have been paused since the claim was granted.
+    if !grant.may_dispatch(clock::now()) {
+        node.claims.record(node, grant, not_run());
+        return Err(Refusal::not_run(
+            RefusalReason::DeadlineExceeded,
+            "the claim of the idempotency key came too late to be used",
+        ));
+    }
+    let id = format!("{:016x}", grant.attempt_id);
+    let result = dispatch::once(node, &request, route, &id, passage).await;
+    if let Some(outcome) = outcome(&result) {
+        node.claims.record(node, grant, outcome);
+    }
+    result.map(respond).map_err(Refusal::from)
+}
+
+// Returns what is certain of a dispatch, or `None` if it may or may not have run.
+fn outcome(result: &Result<ServiceReply, Failure>) -> Option<RecordedOutcome> {
+    match result {
+        Ok(reply) => Some(recorded(reply)),
+        Err(failure) => match failure.execution {
+            Execution::NotRun => Some(not_run()),
+            Execution::Ran => Some(RecordedOutcome {
+                body_dropped: true,
+                ..RecordedOutcome::default()
+            }),
+            Execution::Unknown => None,
+        },
+    }
+}
+
+fn not_run() -> RecordedOutcome {
+    RecordedOutcome {
+        not_run: true,
+        ..RecordedOutcome::default()
+    }
+}
+
+fn recorded(reply: &ServiceReply) -> RecordedOutcome {
+    let body_dropped = reply.body.len() > MAX_RECORDED_BYTES;
+    let headers = reply.headers.iter().map(|(name, value)| Header {
+        name: name.to_string(),
+        value: value.as_bytes().to_vec(),
+    });
+    RecordedOutcome {
+        status: reply.status.as_u16().into(),
+        headers: headers.collect(),
+        body: match body_dropped {
+            true => Vec::new(),
+            false => reply.body.to_vec(),
+        },
+        not_run: false,
+        body_dropped,
+    }
+}
+
+fn replay(outcome: RecordedOutcome) -> Result<Response<Body>, Refusal> {
+    if outcome.body_dropped {
+        return Err(Refusal::new(
+            RefusalReason::UpstreamFailed,
+            Execution::Ran,
+            "an earlier request with this idempotency key ran; its answer is not kept",
+        ));
+    }
+    let mut response = Response::new(Body::from(outcome.body));
+    let unreadable = || {
+        Refusal::new(
+            RefusalReason::Internal,
+            Execution::Ran,
+            "the recorded answer can't be read",
+        )
+    };
+    let status = u16::try_from(outcome.status).map_err(|_| unreadable())?;
+    *response.status_mut() = status.try_into().map_err(|_| unreadable())?;
+    for header in outcome.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(|_| unreadable())?;
+        let value = HeaderValue::from_bytes(&header.value).map_err(|_| unreadable())?;
+        response.headers_mut().append(name, value);
+    }
+    let replayed = HeaderValue::from_static("true");
+    response.headers_mut().insert(REPLAYED_HEADER, replayed);
+    Ok(response)
+}
+
+fn respond(reply: ServiceReply) -> Response<Body> {
+    let mut response = Response::new(Body::from(reply.body.to_vec()));
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    response
 }
--- a/crates/dogwoodpier-node/src/pipeline/mod.rs
+++ b/crates/dogwoodpier-node/src/pipeline/mod.rs
@@ -11,6 +11,7 @@
 pub mod authenticate;
 pub mod body;
 pub mod decode;
+pub mod dispatch;
 pub mod forward;
 pub mod model;
 pub mod model_call;
--- a/crates/dogwoodpier-node/src/pipeline/serve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -217,8 +217,9 @@
     let guard = read.guard;
     // Runs to its end even if the caller leaves, so that its outcome is known.
     let task = tokio::spawn(async move {
-        let _held = (guard, passage);
-        let result = forward::forward(&node, request, &route).await;
+        let _held = guard;
+        let mut passage = passage;
+        let result = forward::forward(&node, request, &route, &mut passage).await;
         let has_run = match &result {
             Ok(_) => true,
             Err(refusal) => refusal.execution != Execution::NotRun,
--- a/crates/dogwoodpier-node/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-node/src/quarantine/mod.rs
@@ -4,6 +4,8 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_proto::CrashReport;
 
+use crate::state::SharedNode;
+
 /// Crash reports of the fleet, and suspects that run alone.
 #[derive(Default)]
 pub struct Quarantine {}
@@ -15,6 +17,11 @@
     pub suspect: bool,
 }
 
+impl Passage {
+    /// Records that an upstream crashed while it ran the request.
+    pub fn crashed(&mut self, _node: &SharedNode, _upstream: &str, _start: u64, _now: TimeMs) {}
+}
+
 impl Quarantine {
     /// Lets a request pass, waits for its turn if it is a suspect, or refuses it.
     pub async fn enter(&self, _fingerprint: u64, _deadline_ms: TimeMs) -> Result<Passage, Refusal> {
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -195,6 +195,9 @@
     pub outcome: ::core::option::Option<RecordedOutcome>,
     #[prost(uint64, tag = "4")]
     pub retry_after_ms: u64,
+    /// True if no earlier attempt with the key was ever dispatched.
+    #[prost(bool, tag = "5")]
+    pub never_dispatched: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RecordedOutcome {
@@ -207,6 +210,9 @@
     /// True if the dispatch certainly never reached the upstream: the key may be claimed again.
     #[prost(bool, tag = "4")]
     pub not_run: bool,
+    /// True if it ran, but its answer is not kept or was not whole.
+    #[prost(bool, tag = "5")]
+    pub body_dropped: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Header {
@@ -248,6 +254,23 @@
     pub slot: ::core::option::Option<SlotRef>,
     #[prost(message, repeated, tag = "3")]
     pub claims: ::prost::alloc::vec::Vec<KeptClaim>,
+    /// First version of the holder's tenure.
+    #[prost(uint64, tag = "4")]
+    pub tenure_version: u64,
+    /// True if the claims are all that the platform lacks.
+    #[prost(bool, tag = "5")]
+    pub baseline: bool,
+    /// The receiver must have every record up to this revision already.
+    #[prost(uint64, tag = "6")]
+    pub after_revision: u64,
+    #[prost(uint64, tag = "7")]
+    pub through_revision: u64,
+    /// The platform has every record up to this revision.
+    #[prost(uint64, tag = "8")]
+    pub platform_revision: u64,
+    /// Time for which the holder itself may lack claims.
+    #[prost(uint64, tag = "9")]
+    pub blocked_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct KeptClaim {
@@ -259,19 +282,40 @@
     pub fingerprint: u64,
     #[prost(fixed64, tag = "4")]
     pub attempt_id: u64,
-    /// Remaining life of the claim.
     #[prost(uint64, tag = "5")]
-    pub expires_in_ms: u64,
-    #[prost(message, optional, tag = "6")]
+    pub tenure_version: u64,
+    #[prost(uint64, tag = "6")]
+    pub revision: u64,
+    /// Absent while the attempt may run.
+    #[prost(message, optional, tag = "7")]
     pub outcome: ::core::option::Option<RecordedOutcome>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct KeepClaimsReply {
-    /// False if the receiver is not the heir at this version of the slot.
+    /// False if the receiver lacks copies before these.
     #[prost(bool, tag = "1")]
     pub kept: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchClaimsRequest {
+    #[prost(message, optional, tag = "1")]
+    pub sender: ::core::option::Option<NodeId>,
+    /// The version that the sender's claim of the slot replaced.
+    #[prost(message, optional, tag = "2")]
+    pub slot: ::core::option::Option<SlotRef>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct FetchClaimsReply {
+    /// True if the claims are all that the platform may lack of what was granted up to the version.
+    #[prost(bool, tag = "1")]
+    pub complete: bool,
+    #[prost(message, repeated, tag = "2")]
+    pub claims: ::prost::alloc::vec::Vec<KeptClaim>,
+    /// Time for which claims of still earlier holders may be missing.
+    #[prost(uint64, tag = "3")]
+    pub blocked_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReserveRequest {
     #[prost(message, optional, tag = "1")]
     pub sender: ::core::option::Option<NodeInfo>,
@@ -698,6 +742,31 @@
                 .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "KeepClaims"));
             self.inner.unary(req, path, codec).await
         }
+        /// Fetches the claims that a former holder granted, for the new holder of its slot.
+        pub async fn fetch_claims(
+            &mut self,
+            request: impl tonic::IntoRequest<super::FetchClaimsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::FetchClaimsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/dogwoodpier.peer.v1.Peer/FetchClaims",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "FetchClaims"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Asks the keeper of a decode engine for a reservation.
         pub async fn reserve(
             &mut self,
@@ -848,6 +917,14 @@
             &self,
             request: tonic::Request<super::KeepClaimsRequest>,
         ) -> std::result::Result<tonic::Response<super::KeepClaimsReply>, tonic::Status>;
+        /// Fetches the claims that a former holder granted, for the new holder of its slot.
+        async fn fetch_claims(
+            &self,
+            request: tonic::Request<super::FetchClaimsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::FetchClaimsReply>,
+            tonic::Status,
+        >;
         /// Asks the keeper of a decode engine for a reservation.
         async fn reserve(
             &self,
@@ -1251,6 +1328,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/dogwoodpier.peer.v1.Peer/FetchClaims" => {
+                    #[allow(non_camel_case_types)]
+                    struct FetchClaimsSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::FetchClaimsRequest>
+                    for FetchClaimsSvc<T> {
+                        type Response = super::FetchClaimsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::FetchClaimsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::fetch_claims(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FetchClaimsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/dogwoodpier.peer.v1.Peer/Reserve" => {
                     #[allow(non_camel_case_types)]
                     struct ReserveSvc<T: Peer>(pub Arc<T>);
