--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -5,6 +5,10 @@
 
 #![forbid(unsafe_code)]
 
+pub mod escrow;
+pub mod refusal;
+pub mod rendezvous;
+pub mod slots;
 pub mod claims;
 pub mod delivery;
 pub mod fair_queue;
