--- a/crates/dogwoodpier-node/examples/demo/main.rs
+++ b/crates/dogwoodpier-node/examples/demo/main.rs
@@ -27,9 +27,9 @@
 use dogwoodpier_fakes::fleet::FleetPlan;
 use dogwoodpier_fakes::fleet::Placement;
 
-use report::Report;
-use work::Addresses;
-use work::Job;
+use crate::report::Report;
+use crate::work::Addresses;
+use crate::work::Job;
 
 const SEED: u64 = 7;
 const NODES: usize = 4;
--- a/crates/dogwoodpier-node/examples/demo/report.rs
+++ b/crates/dogwoodpier-node/examples/demo/report.rs
@@ -4,8 +4,8 @@
 
 use dogwoodpier_fakes::service::ServiceStats;
 
-use super::work::Job;
-use super::work::Outcome;
+use crate::work::Job;
+use crate::work::Outcome;
 
 /// Counts of what became of the requests.
 #[derive(Debug, Default)]
