--- a/crates/dogwoodpier-node/examples/demo/main.rs
+++ b/crates/dogwoodpier-node/examples/demo/main.rs
@@ -26,6 +26,8 @@
 use dogwoodpier_fakes::fleet::Fleet;
 use dogwoodpier_fakes::fleet::FleetPlan;
 use dogwoodpier_fakes::fleet::Placement;
+use dogwoodpier_fakes::fleet::UpstreamKind;
+use dogwoodpier_fakes::fleet::UpstreamPlan;
 
 use crate::report::Report;
 use crate::work::Addresses;
@@ -37,6 +39,8 @@
 const JOBS: usize = 400;
 const CALLERS: usize = 24;
 const KILL_AFTER_JOBS: usize = JOBS / 3;
+// Long enough that the killed node has orders in flight.
+const ORDER_MS: u64 = 50;
 const KILLED_NODE: &str = "node-2";
 const DUMPED_NODE: &str = "node-1";
 const SERVICE: &str = "orders-1";
@@ -111,8 +115,13 @@
         .engine("prefill-2", "quotes-prefill", engine(EngineRole::Prefill))
         .engine("decode-1", "quotes-decode", engine(EngineRole::Decode))
         .engine("decode-2", "quotes-decode", engine(EngineRole::Decode))
-        .engine("decode-3", "quotes-decode", engine(EngineRole::Decode))
-        .service(SERVICE, "order-service");
+        .engine("decode-3", "quotes-decode", engine(EngineRole::Decode));
+    plan.upstreams.push(UpstreamPlan {
+        name: SERVICE.to_owned(),
+        data_centre: "dc-1".to_owned(),
+        pool: "order-service".to_owned(),
+        kind: UpstreamKind::Service { work_ms: ORDER_MS },
+    });
     plan.placement = Placement::Processes {
         directory: directory.join("examples"),
     };
--- a/crates/dogwoodpier-node/examples/demo/report.rs
+++ b/crates/dogwoodpier-node/examples/demo/report.rs
@@ -31,8 +31,8 @@
             let Job::Order(number) = job else {
                 continue;
             };
-            let body = Job::order_body(*number);
-            let runs = service.runs_by_body.get(&body).copied().unwrap_or_default();
+            let call = format!("POST /orders {}", Job::order_body(*number));
+            let runs = service.runs_by_body.get(&call).copied().unwrap_or_default();
             if runs > 1 || (runs > 0 && *outcome == Outcome::Refused) {
                 self.doubled += 1;
             }
