--- a/crates/dogwoodpier-fakes/src/fleet/mod.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/mod.rs
@@ -8,6 +8,9 @@
 pub mod upstream;
 
 pub use node::NodeProcess;
+pub use plan::EXAMPLE_DECLARATIONS;
+pub use plan::EXAMPLE_MODEL_KEY;
+pub use plan::EXAMPLE_ORDER_KEY;
 pub use plan::FleetPlan;
 pub use plan::NodePlan;
 pub use plan::Placement;
--- a/crates/dogwoodpier-fakes/src/fleet/plan.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/plan.rs
@@ -5,6 +5,7 @@
 use dogwoodpier_derive::plain;
 
 use crate::engine::EngineOptions;
+use crate::engine::EngineRole;
 
 /// What a fleet is made of.
 #[plain]
@@ -115,3 +116,39 @@
         self
     }
 }
+
+/// Declarations that go with [`FleetPlan::example`].
+pub const EXAMPLE_DECLARATIONS: &str = include_str!("../../../../examples/declarations.toml");
+/// A key of the example's workspace that may use the model.
+pub const EXAMPLE_MODEL_KEY: &str = "sales-key";
+/// A key of the example's workspace that may use the order service.
+pub const EXAMPLE_ORDER_KEY: &str = "order-desk-key";
+
+impl FleetPlan {
+    /// Returns the fleet of the example declarations: two data centres, a prefill engine, two
+    /// decode engines and a plain service.
+    pub fn example<P>(node_program: P, nodes: usize) -> Self
+    where
+        P: Into<PathBuf>,
+    {
+        let mut plan = Self::new(node_program, nodes, 2)
+            .engine(
+                "prefill-1",
+                "quotes-prefill",
+                EngineOptions::new(EngineRole::Prefill),
+            )
+            .engine(
+                "decode-1",
+                "quotes-decode",
+                EngineOptions::new(EngineRole::Decode),
+            )
+            .engine(
+                "decode-2",
+                "quotes-decode",
+                EngineOptions::new(EngineRole::Decode),
+            )
+            .service("orders-1", "order-service");
+        plan.declarations = EXAMPLE_DECLARATIONS.to_owned();
+        plan
+    }
+}
