Lease slots by heirs' promises and long leases

Cause: limits and claims need rights that one node at a time holds, through outages of the platform and without a consensus group. Weighed: short leases on the platform (die with each outage) and long ones alone (a dead node's share idles for all of it); see docs/LIMITS.md.

The table is a state machine without I/O. Every change of holder is a conditional write by somebody who knows that the holder has stopped.

--- a/crates/dogwoodpier-core/src/escrow/account.rs
+++ b/crates/dogwoodpier-core/src/escrow/account.rs
@@ -175,7 +175,8 @@
         self.advance(backings, now);
         let burst = self.bucket.limit().burst_tokens;
         let expected = self.demand.expect(AHEAD_MS, now).min(burst);
-        expected.saturating_sub(self.spendable().whole())
+        let at_hand = self.spendable() + self.bucket.accrual(AHEAD_MS, backings, now);
+        expected.saturating_sub(at_hand.whole())
     }
 
     /// Returns whether a slot could leave now: what stays must cover the outstanding loans.
--- a/crates/dogwoodpier-core/src/escrow/bucket.rs
+++ b/crates/dogwoodpier-core/src/escrow/bucket.rs
@@ -95,6 +95,15 @@
         self.step(&backings, now);
     }
 
+    /// Returns what the slots in force accrue in `duration_ms`.
+    pub fn accrual(&self, duration_ms: u64, backings: &[Backing], now: TimeMs) -> MicroTokens {
+        let rate: u64 = in_force(backings, now)
+            .map(|backing| self.limit.rate_floor(backing.slot))
+            .sum();
+        let accrued = rate.saturating_mul(duration_ms);
+        MicroTokens(accrued.saturating_mul(ACCRUAL_MICRO_PER_TOKEN_MS))
+    }
+
     /// Changes the limit. The caller has advanced the bucket.
     pub fn set_limit(&mut self, limit: Limit, backings: &[Backing], now: TimeMs) {
         self.limit = limit;
--- /dev/null
+++ b/crates/dogwoodpier-core/src/slots/plan.rs
@@ -0,0 +1,246 @@
+//! What a node writes to the platform about its slots, and when.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dogwoodpier_derive::plain;
+
+use crate::TimeMs;
+use crate::rendezvous;
+
+use super::lease;
+use super::record::PeerId;
+use super::record::SlotRecord;
+use super::slot::Candidate;
+use super::slot::Slot;
+use super::table::SlotTable;
+
+// Time for which a slot that nobody ever held is left to the node that rendezvous hashing picks.
+const FIRST_CLAIM_WAIT_MS: u64 = 1_000;
+// Time between two tries of a write whose answer was lost.
+const RETRY_MS: u64 = 1_000;
+// Writes of different content that may be open on one version.
+const MAX_ATTEMPTS: usize = 4;
+
+/// A node that is alive, or this node itself.
+#[plain]
+pub struct Member {
+    /// The node.
+    pub peer: PeerId,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+}
+
+/// What a node sees of the fleet when it plans.
+#[plain]
+pub struct Outlook {
+    /// The other nodes alive.
+    pub members: Vec<Member>,
+    /// True once this node shuts down: it claims nothing.
+    pub draining: bool,
+    /// Time of the plan.
+    pub now: TimeMs,
+}
+
+/// Chooses whom to ask for a promise besides the heir: another heir, once the heir's promise is more
+/// than half over or the heir is no longer alive.
+pub(super) fn choose_candidate(table: &mut SlotTable, slot: u32, outlook: &Outlook) {
+    let promise_ms = table.timing.promise_ms;
+    let now = outlook.now;
+    let entry = &table.slots[slot as usize];
+    let Some(record) = entry.own_record(&table.me) else {
+        return;
+    };
+    let heir = record.heir.clone();
+    let failed = entry.candidate.as_ref().filter(|candidate| {
+        let promise_left_ms = promise_left_ms(entry, &candidate.peer, now);
+        now.since(candidate.chosen_ms) > promise_ms / 3 && promise_left_ms < promise_ms / 4
+    });
+    let keep = entry.candidate.is_some() && failed.is_none();
+    let healthy = heir.as_ref().is_some_and(|heir| {
+        let alive = outlook.members.iter().any(|m| m.peer.is_same_life_as(heir));
+        alive && promise_left_ms(entry, heir, now) > promise_ms / 2
+    });
+    let candidate = if healthy {
+        None
+    } else if keep {
+        entry.candidate.clone()
+    } else {
+        let failed = failed.map(|candidate| &candidate.peer);
+        let excluded = [heir.as_ref(), failed];
+        pick_heir(table, slot, &outlook.members, &excluded).map(|peer| Candidate {
+            peer,
+            chosen_ms: now,
+        })
+    };
+    table.slots[slot as usize].candidate = candidate;
+}
+
+/// Returns an heir for a slot, rather one in another data centre.
+pub(super) fn pick_heir(
+    table: &SlotTable,
+    slot: u32,
+    members: &[Member],
+    excluded: &[Option<&PeerId>],
+) -> Option<PeerId> {
+    let allowed = |member: &&Member| {
+        let mut excluded = excluded.iter().flatten();
+        !excluded.any(|peer| member.peer.is_same_life_as(peer))
+    };
+    let pick = |far: bool| {
+        let choice = members
+            .iter()
+            .filter(allowed)
+            .filter(|member| !far || member.data_centre != table.data_centre);
+        choice
+            .max_by_key(|member| rendezvous::weight(&slot_name(slot), &member.peer.instance))
+            .map(|member| member.peer.clone())
+    };
+    pick(true).or_else(|| pick(false))
+}
+
+/// Returns the record to write to a slot now, if any.
+pub(super) fn next_record<F>(
+    table: &SlotTable,
+    slot: u32,
+    outlook: &Outlook,
+    new_id: F,
+) -> Option<SlotRecord>
+where
+    F: FnMut() -> u64,
+{
+    let entry = &table.slots[slot as usize];
+    if entry.awaits_answer() {
+        return None;
+    }
+    let wanted = match entry.own_record(&table.me) {
+        Some(record) => own_change(table, entry, record, outlook)?,
+        None if may_claim(table, slot, outlook) => claim(&table.me),
+        None => return None,
+    };
+    open_or_retry(entry, wanted, outlook.now, new_id)
+}
+
+// A write that is open is sent again as it is, so that its effect is the same however often it is
+// sent. Only a change of mind makes another one.
+fn open_or_retry<F>(
+    entry: &Slot,
+    mut wanted: SlotRecord,
+    now: TimeMs,
+    mut new_id: F,
+) -> Option<SlotRecord>
+where
+    F: FnMut() -> u64,
+{
+    for attempt in &entry.attempts {
+        wanted.write_id = attempt.record.write_id;
+        if attempt.record == wanted {
+            let due = now.since(attempt.last_sent_ms) >= RETRY_MS;
+            return due.then_some(wanted);
+        }
+    }
+    wanted.write_id = new_id();
+    (entry.attempts.len() < MAX_ATTEMPTS).then_some(wanted)
+}
+
+fn claim(me: &PeerId) -> SlotRecord {
+    SlotRecord {
+        holder: me.clone(),
+        heir: None,
+        levels: BTreeMap::new(),
+        write_id: 0,
+        renewals: 0,
+    }
+}
+
+// What the holder changes: nothing, its lease, its heir, or that it is the holder after all.
+fn own_change(
+    table: &SlotTable,
+    entry: &Slot,
+    record: &SlotRecord,
+    outlook: &Outlook,
+) -> Option<SlotRecord> {
+    let timing = &table.timing;
+    let now = outlook.now;
+    let with_heir = |heir: Option<PeerId>| SlotRecord {
+        heir,
+        renewals: record.renewals + 1,
+        levels: BTreeMap::new(),
+        ..record.clone()
+    };
+    if entry.stopped {
+        return Some(SlotRecord {
+            levels: entry.parked_levels.clone(),
+            ..with_heir(record.heir.clone())
+        });
+    }
+    if let Some(candidate) = &entry.candidate
+        && promise_left_ms(entry, &candidate.peer, now) > timing.promise_ms / 4
+    {
+        return Some(with_heir(Some(candidate.peer.clone())));
+    }
+    let heir_left_ms = |heir| promise_left_ms(entry, heir, now);
+    let heir_weak = record
+        .heir
+        .as_ref()
+        .is_some_and(|heir| heir_left_ms(heir) < timing.promise_ms / 3);
+    if heir_weak && outlook.members.is_empty() {
+        return Some(with_heir(None));
+    }
+    let renewal_due = entry
+        .lease_deadline_ms
+        .is_none_or(|deadline_ms| deadline_ms <= now.after(timing.long_lease_ms - timing.renew_ms));
+    // An open write is closed by another one, so that it no longer binds this node.
+    (renewal_due || !entry.attempts.is_empty()).then(|| with_heir(record.heir.clone()))
+}
+
+fn may_claim(table: &SlotTable, slot: u32, outlook: &Outlook) -> bool {
+    let now = outlook.now;
+    let me = &table.me;
+    let entry = &table.slots[slot as usize];
+    if outlook.draining {
+        return false;
+    }
+    let Some(seen) = &entry.seen else {
+        return may_claim_first(table, slot, outlook);
+    };
+    if me.is_other_life_of(&seen.record.holder) {
+        return true;
+    }
+    if entry.promised.in_force(now) {
+        return false;
+    }
+    // A holder that has just been named must have the time to ask for its first promise.
+    let settled = now >= seen.first_ms.after(table.timing.promise_ms);
+    let heir = seen.record.heir.as_ref();
+    if heir.is_some_and(|heir| me.is_same_life_as(heir)) && settled {
+        return true;
+    }
+    let promises_over_ms = table
+        .bound_ms
+        .after(lease::outlasting(lease::MAX_PROMISE_MS));
+    if heir.is_some_and(|heir| me.is_other_life_of(heir)) && settled && now >= promises_over_ms {
+        return true;
+    }
+    now >= seen.still_since_ms.after(table.timing.long_lease_ms)
+}
+
+fn may_claim_first(table: &SlotTable, slot: u32, outlook: &Outlook) -> bool {
+    let Some(missing_since_ms) = table.slots[slot as usize].missing_since_ms else {
+        return false;
+    };
+    let others = outlook.members.iter().map(|m| &*m.peer.instance);
+    let everybody = others.chain([&*table.me.instance]);
+    let chosen = rendezvous::pick(&slot_name(slot), everybody) == Some(&*table.me.instance);
+    chosen || outlook.now.since(missing_since_ms) >= FIRST_CLAIM_WAIT_MS
+}
+
+fn promise_left_ms(entry: &Slot, peer: &PeerId, now: TimeMs) -> u64 {
+    entry
+        .promise_deadline_ms(peer)
+        .map_or(0, |deadline_ms| deadline_ms.remaining(now))
+}
+
+fn slot_name(slot: u32) -> String {
+    format!("{slot:05}")
+}
