Hold slots and keep limits in the node

Cause: the node's slots and limits were stubs that admitted everything. Now tasks follow the slots on the platform, send what the table plans and move slots to joining nodes and away from leaving ones; and requests take their tokens from accounts, borrowing through the workspace's broker, then from the other members directly, and ahead of demand.

Weighed: one lock for all accounts (a hand-over must see them all) against shards; shards, with a hand-over taking all of them in order, since it is rare. A borrow call for each request against one for all that wait; one at a time for a workspace, which batches by itself.

Contract changes: LoanSettlement names its workspace, so that the lender finds the account; Limits::settle and Limits::settle_loans take the node.

--- a/crates/dogwoodpier-core/src/slots/table.rs
+++ b/crates/dogwoodpier-core/src/slots/table.rs
@@ -167,6 +167,11 @@
             .collect()
     }
 
+    /// Returns the newest version of a slot that was seen, zero if there is none.
+    pub fn version(&self, slot: u32) -> u64 {
+        self.slots.get(slot as usize).map_or(0, Slot::version)
+    }
+
     /// Returns the newest record of a slot that was seen.
     pub fn record(&self, slot: u32) -> Option<&SlotRecord> {
         let seen = self.slots.get(slot as usize)?.seen.as_ref()?;
--- a/crates/dogwoodpier-node/src/counters.rs
+++ b/crates/dogwoodpier-node/src/counters.rs
@@ -38,3 +38,13 @@
 pub const PLATFORM_CONTACT_AGE_MS: &str = "dogwoodpier_platform_contact_age_ms";
 /// 1 while the node takes keyed requests, 0 while it can't tell which keys are withdrawn.
 pub const KEYS_TRUSTED_STATE: &str = "dogwoodpier_keys_trusted_state";
+/// Slots that this node may act on.
+pub const SLOTS_HELD_COUNT: &str = "dogwoodpier_slots_held_count";
+/// Writes of slots to the platform by result.
+pub const SLOT_WRITES_TOTAL: &str = "dogwoodpier_slot_writes_total";
+/// Tokens lent to peers.
+pub const LENT_TOKENS_TOTAL: &str = "dogwoodpier_lent_tokens_total";
+/// Tokens borrowed from peers.
+pub const BORROWED_TOKENS_TOTAL: &str = "dogwoodpier_borrowed_tokens_total";
+/// Tokens that requests asked for, by whether they were admitted.
+pub const LIMIT_TOKENS_TOTAL: &str = "dogwoodpier_limit_tokens_total";
--- a/crates/dogwoodpier-node/src/peers/service.rs
+++ b/crates/dogwoodpier-node/src/peers/service.rs
@@ -95,7 +95,7 @@
     ) -> Result<Response<SettleLoansReply>, Status> {
         self.node
             .limits
-            .settle_loans(request.into_inner(), clock::now());
+            .settle_loans(&self.node, request.into_inner(), clock::now());
         Ok(Response::new(SettleLoansReply {}))
     }
 
--- a/crates/dogwoodpier-node/src/pipeline/admit.rs
+++ b/crates/dogwoodpier-node/src/pipeline/admit.rs
@@ -47,7 +47,7 @@
         if let Some(permit) = self.permit.take() {
             self.node
                 .limits
-                .settle(permit, self.used_tokens, clock::now());
+                .settle(&self.node, permit, self.used_tokens, clock::now());
         }
     }
 }
--- /dev/null
+++ b/crates/dogwoodpier-node/src/slots/claim.rs
@@ -0,0 +1,121 @@
+//! The writes that the table plans: claims, renewals, changes of heir.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use metrics::counter;
+use metrics::gauge;
+use rand::Rng;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::slots::Acquired;
+use dogwoodpier_core::slots::Write;
+use dogwoodpier_platform::Error;
+use dogwoodpier_platform::Expect;
+use dogwoodpier_platform::PutOutcome;
+
+use crate::clock;
+use crate::counters;
+use crate::peers;
+use crate::state::SharedNode;
+
+use super::SLOTS_KIND;
+use super::follow;
+use super::slot_name;
+
+const TICK_MS: u64 = 100;
+// Writes in one round, so that a restart of the whole fleet stays within the platform's rate.
+const MAX_WRITES: usize = 8;
+const PAUSE_MIN_MS: u64 = 300;
+const PAUSE_MAX_MS: u64 = 900;
+
+/// Sends the writes that the table plans until the process ends.
+pub(super) async fn run(node: SharedNode) {
+    let mut asked = BTreeSet::new();
+    loop {
+        let tick = Duration::from_millis(TICK_MS);
+        // Either way there is something to look at.
+        let _ = tokio::time::timeout(tick, node.slots.wake.notified()).await;
+        let now = clock::now();
+        let outlook = super::outlook(&node, now);
+        let writes = node
+            .slots
+            .write(|table| table.plan(&outlook, MAX_WRITES, rand::random));
+        let held = node.slots.read(|table| table.all_held(now).len());
+        gauge!(counters::SLOTS_HELD_COUNT).set(held.unwrap_or(0) as f64);
+        ask_new_heirs(&node, &mut asked);
+        let results: Vec<bool> =
+            futures_util::future::join_all(writes.into_iter().flatten().map(|w| send(&node, w)))
+                .await;
+        if results.contains(&false) {
+            let pause_ms = rand::rng().random_range(PAUSE_MIN_MS..PAUSE_MAX_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+}
+
+/// Sends one write and takes in what becomes of it. Returns false if the platform didn't answer.
+pub(super) async fn send(node: &SharedNode, write: Write) -> bool {
+    let name = slot_name(write.slot);
+    let expect = match write.if_version {
+        0 => Expect::Absent,
+        version => Expect::Version(version),
+    };
+    let asked_ms = clock::now();
+    let result = match serde_json::to_value(&write.record) {
+        Ok(value) => node.platform.put(SLOTS_KIND, &name, &value, expect).await,
+        Err(error) => Err(Error::NotDone(error.to_string())),
+    };
+    let now = clock::now();
+    let (outcome, answered) = match result {
+        Ok(PutOutcome::Written { version }) => {
+            let acquired = node
+                .slots
+                .write(|table| table.take_written(write, version, now));
+            take_acquired(node, acquired.flatten(), now);
+            ("written", true)
+        }
+        Ok(PutOutcome::Conflict { current }) => {
+            node.slots.write(|table| table.take_refused(&write));
+            if let Some(object) = current {
+                follow::take(node, &object, asked_ms);
+            }
+            ("conflict", true)
+        }
+        Err(Error::NotDone(_)) => {
+            node.slots.write(|table| table.take_refused(&write));
+            ("not_done", false)
+        }
+        Err(error) => {
+            warn!("write of slot {} has no answer: {error}", write.slot);
+            node.slots.write(|table| table.take_doubt(&write));
+            ("unknown", false)
+        }
+    };
+    counter!(counters::SLOT_WRITES_TOTAL, "result" => outcome).increment(1);
+    node.slots.wake.notify_one();
+    answered
+}
+
+/// Gives the buckets the levels that came with a slot.
+pub(super) fn take_acquired(node: &SharedNode, acquired: Option<Acquired>, now: TimeMs) {
+    if let Some(acquired) = acquired {
+        info!("slot {} came to this node", acquired.slot);
+        node.limits.take_slot(node, acquired, now);
+    }
+}
+
+// Asks for the first promise at once, since the slot can't be used without.
+fn ask_new_heirs(node: &SharedNode, asked: &mut BTreeSet<u64>) {
+    let heirs = node.slots.heirs();
+    let incarnation =
+        |heir: &dogwoodpier_proto::NodeInfo| heir.id.as_ref().map_or(0, |id| id.incarnation);
+    for heir in &heirs {
+        if !asked.contains(&incarnation(heir)) {
+            tokio::spawn(peers::beat(node.clone(), heir.clone()));
+        }
+    }
+    *asked = heirs.iter().map(incarnation).collect();
+}
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -1,20 +1,55 @@
 //! Slots: numbered rights to act, held by one node at a time.
+//!
+//! The decisions are in [`dogwoodpier_core::slots`]. Here are the tasks that follow the slots on the
+//! platform (`follow`), send the writes that the table plans (`claim`), and move slots between nodes
+//! (`balance`).
+
+mod balance;
+mod claim;
+mod follow;
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::Notify;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::escrow::Backing;
+use dogwoodpier_core::slots::Grant;
+use dogwoodpier_core::slots::Held;
+use dogwoodpier_core::slots::Member;
+use dogwoodpier_core::slots::Outlook;
+use dogwoodpier_core::slots::PeerId;
+use dogwoodpier_core::slots::SlotTable;
+use dogwoodpier_core::slots::Timing;
 use dogwoodpier_proto::HandOverReply;
 use dogwoodpier_proto::HandOverRequest;
+use dogwoodpier_proto::NodeId;
 use dogwoodpier_proto::NodeInfo;
 use dogwoodpier_proto::SlotPromise;
 use dogwoodpier_proto::SlotRef;
 
+use crate::clock;
 use crate::state::Node;
 use crate::state::SharedNode;
 
+pub use balance::release_all;
+
+/// Kind of the slots' objects on the platform.
+pub const SLOTS_KIND: &str = "slots";
+
+// Renewals in one long lease: an outage of nearly the whole lease leaves slots in force.
+const RENEWALS_PER_LEASE: u64 = 15;
+
 /// The slots of the fleet as this node knows them.
 #[derive(Default)]
-pub struct Slots {}
+pub struct Slots {
+    // Absent until the node has bound its peer address.
+    table: Mutex<Option<SlotTable>>,
+    wake: Notify,
+}
 
 /// A slot that this node may act on now.
 #[derive(Clone, Debug)]
@@ -23,11 +58,6 @@
     pub slot: u32,
     /// Version of the slot's object, its fencing number.
     pub version: u64,
-    /// Version of the write by which this incarnation became holder; renewals and changes of heir
-    /// leave it as it is.
-    pub tenure_version: u64,
-    /// Version that the write of `tenure_version` replaced, zero if it created the slot's object.
-    pub superseded_version: u64,
     /// The heir that promises not to claim it, absent while this node knows no other member.
     pub heir: Option<NodeInfo>,
     /// Time until which this node may act on the slot, by its own clock.
@@ -36,54 +66,194 @@
 
 impl Slots {
     /// Returns the slot if this node may act on it now. Callers ask at each use and keep no copy.
-    pub fn held(&self, _slot: u32, _now: TimeMs) -> Option<HeldSlot> {
-        None
+    pub fn held(&self, slot: u32, now: TimeMs) -> Option<HeldSlot> {
+        let held = self.read(|table| table.held(slot, now))??;
+        Some(HeldSlot {
+            slot: held.slot,
+            version: held.version,
+            heir: held.heir.as_ref().map(node_info),
+            act_deadline_ms: held.act_deadline_ms,
+        })
     }
 
     /// Returns the presumed holder of a slot, a hint for where to send a claim.
-    pub fn holder(&self, _slot: u32) -> Option<NodeInfo> {
-        None
+    pub fn holder(&self, slot: u32) -> Option<NodeInfo> {
+        self.read(|table| table.record(slot).map(|record| node_info(&record.holder)))?
+    }
+
+    /// Returns the slots that back this node's buckets now.
+    pub fn backings(&self, now: TimeMs) -> Vec<Backing> {
+        let held = self.read(|table| table.all_held(now)).unwrap_or_default();
+        held.iter().map(backing).collect()
     }
 
     /// Returns the heirs of the slots that this node holds, with the promises it needs from each;
     /// the heartbeat asks for them.
-    pub fn promise_requests(&self, _heir: &str, _now: TimeMs) -> Vec<SlotRef> {
-        Vec::new()
+    pub fn promise_requests(&self, heir: &str, _now: TimeMs) -> Vec<SlotRef> {
+        let requests = self.read(|table| table.promise_requests(heir));
+        let slot_ref = |(slot, version)| SlotRef { slot, version };
+        requests.into_iter().flatten().map(slot_ref).collect()
     }
 
-    /// Returns the instances of the heirs that this node must send heartbeats to.
+    /// Returns the heirs, present and to be, that this node must send heartbeats to.
     pub fn heirs(&self) -> Vec<NodeInfo> {
-        Vec::new()
+        let peers = self.read(SlotTable::asked_peers).unwrap_or_default();
+        peers.iter().map(node_info).collect()
     }
 
     /// Decides, as heir, on promises that a holder asks for.
     pub fn grant_promises(
         &self,
-        _holder: &NodeInfo,
-        _requests: &[SlotRef],
-        _now: TimeMs,
+        holder: &NodeInfo,
+        requests: &[SlotRef],
+        now: TimeMs,
     ) -> Vec<SlotPromise> {
-        Vec::new()
+        let holder = peer_id(holder);
+        let granted = self.write(|table| {
+            let grant =
+                |request: &SlotRef| table.grant(&holder, request.slot, request.version, now);
+            requests.iter().filter_map(grant).collect::<Vec<Grant>>()
+        });
+        let promise = |grant: Grant| SlotPromise {
+            slot: Some(SlotRef {
+                slot: grant.slot,
+                version: grant.version,
+            }),
+            promise_ms: grant.promise_ms,
+        };
+        granted.into_iter().flatten().map(promise).collect()
     }
 
     /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`. `heir` is who
     /// answered, since a promise of another incarnation than the heir's is none.
-    pub fn take_promises(&self, _heir: &NodeInfo, _promises: &[SlotPromise], _sent_ms: TimeMs) {}
+    pub fn take_promises(&self, heir: &NodeInfo, promises: &[SlotPromise], sent_ms: TimeMs) {
+        let heir = peer_id(heir);
+        self.write(|table| {
+            for promise in promises {
+                let Some(slot) = &promise.slot else {
+                    continue;
+                };
+                let grant = Grant {
+                    slot: slot.slot,
+                    version: slot.version,
+                    promise_ms: promise.promise_ms,
+                };
+                table.take_grant(&heir, grant, sent_ms);
+            }
+        });
+        self.wake.notify_one();
+    }
 
-    /// Hands slots over to a joining node. Before the write that names the successor of a slot,
-    /// `Claims::prepare_hand_over` passes the slot's claims on.
-    pub async fn hand_over(&self, _node: &Arc<Node>, _request: HandOverRequest) -> HandOverReply {
-        HandOverReply::default()
+    /// Hands slots over to a joining node.
+    pub async fn hand_over(&self, node: &Arc<Node>, request: HandOverRequest) -> HandOverReply {
+        balance::hand_over(node, request).await
     }
 
     /// Returns the state as JSON.
-    pub fn dump(&self, _now: TimeMs) -> serde_json::Value {
-        serde_json::Value::Null
+    pub fn dump(&self, now: TimeMs) -> serde_json::Value {
+        let slots = self.read(|table| {
+            (0..table.count())
+                .map(|slot| {
+                    let record = table.record(slot);
+                    let held = table.held(slot, now);
+                    serde_json::json!({
+                        "slot": slot,
+                        "holder": record.map(|record| record.holder.instance.clone()),
+                        "heir": record.and_then(|record| Some(record.heir.as_ref()?.instance.clone())),
+                        "fencing_number": held.as_ref().map(|held| held.version),
+                        "act_remaining_ms": held.map(|held| held.act_deadline_ms.remaining(now)),
+                    })
+                })
+                .collect::<Vec<serde_json::Value>>()
+        });
+        serde_json::json!(slots)
+    }
+
+    // Runs `look` on the table, if there is one yet.
+    pub(crate) fn read<F, R>(&self, look: F) -> Option<R>
+    where
+        F: FnOnce(&SlotTable) -> R,
+    {
+        self.lock().as_ref().map(look)
+    }
+
+    // Runs `change` on the table, if there is one yet.
+    pub(crate) fn write<F, R>(&self, change: F) -> Option<R>
+    where
+        F: FnOnce(&mut SlotTable) -> R,
+    {
+        self.lock().as_mut().map(change)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<SlotTable>> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Follows the slots on the platform, claims free ones, asks for hand-overs and renews.
-pub async fn run(_node: SharedNode) {}
+///
+/// Starts after the peer address is bound: the early claim of an earlier incarnation's slots rests
+/// on that.
+pub async fn run(node: SharedNode) {
+    let tuning = &node.settings.tuning;
+    let timing = Timing {
+        promise_ms: tuning.promise_ms,
+        long_lease_ms: tuning.long_lease_ms,
+        renew_ms: tuning.long_lease_ms / RENEWALS_PER_LEASE,
+    };
+    let me = member(&node.info());
+    *node.slots.lock() = Some(SlotTable::new(me, timing, clock::now()));
+    tokio::join!(
+        follow::run(node.clone()),
+        claim::run(node.clone()),
+        balance::run(node.clone()),
+    );
+}
 
-/// Hands over every slot that this node holds; part of a graceful shutdown.
-pub async fn release_all(_node: &SharedNode) {}
+fn outlook(node: &Node, now: TimeMs) -> Outlook {
+    Outlook {
+        members: node.peers.alive(now).iter().map(member).collect(),
+        draining: node.drain.is_draining(),
+        now,
+    }
+}
+
+fn backing(held: &Held) -> Backing {
+    Backing {
+        slot: held.slot,
+        since_ms: held.since_ms,
+        act_deadline_ms: held.act_deadline_ms,
+    }
+}
+
+fn member(info: &NodeInfo) -> Member {
+    Member {
+        peer: peer_id(info),
+        data_centre: info.data_centre.as_str().into(),
+    }
+}
+
+fn peer_id(info: &NodeInfo) -> PeerId {
+    let id = info.id.clone().unwrap_or_default();
+    PeerId {
+        instance: id.instance.into(),
+        incarnation: id.incarnation,
+        peer_address: info.peer_address.as_str().into(),
+    }
+}
+
+fn node_info(peer: &PeerId) -> NodeInfo {
+    NodeInfo {
+        id: Some(NodeId {
+            instance: peer.instance.to_string(),
+            incarnation: peer.incarnation,
+        }),
+        peer_address: peer.peer_address.to_string(),
+        data_centre: String::new(),
+        draining: false,
+    }
+}
+
+fn slot_name(slot: u32) -> String {
+    format!("{slot:05}")
+}
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -135,12 +135,14 @@
     #[prost(message, repeated, tag = "2")]
     pub settlements: ::prost::alloc::vec::Vec<LoanSettlement>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LoanSettlement {
     #[prost(fixed64, tag = "1")]
     pub loan_id: u64,
     #[prost(uint64, tag = "2")]
     pub returned_tokens: u64,
+    #[prost(string, tag = "3")]
+    pub workspace: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SettleLoansReply {}
