--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -1,7 +1,8 @@
 //! A model of three nodes that share one slot, around the real decisions on claims.
 
+mod parts;
+
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::claims::Ask;
@@ -10,20 +11,24 @@
 use dogwoodpier_core::claims::ClaimKey;
 use dogwoodpier_core::claims::ClaimSettings;
 use dogwoodpier_core::claims::ClaimTable;
-use dogwoodpier_core::claims::Copies;
-use dogwoodpier_core::claims::GroupContent;
 use dogwoodpier_core::claims::GroupWrite;
 use dogwoodpier_core::claims::Groups;
 use dogwoodpier_core::claims::Handover;
-use dogwoodpier_core::claims::KeepMessage;
 use dogwoodpier_core::claims::Outcome;
 use dogwoodpier_core::claims::RecordState;
 use dogwoodpier_core::claims::Verdict;
 
+use self::parts::Life;
+use self::parts::Message;
+use self::parts::Node;
+use self::parts::Platform;
+use self::parts::Tenure;
+use self::parts::Tried;
+
 /// Nodes.
 pub const NODES: usize = 3;
 /// Keys that orders come with.
-pub const KEYS: usize = 3;
+pub const KEYS: usize = 2;
 const FINGERPRINT: u64 = 7;
 /// Length of the heir's promise.
 pub const PROMISE_MS: u64 = 3_000;
@@ -58,61 +63,12 @@
     Outage(bool),
     CutOff(usize, bool),
     Wait(u64),
-}
-
-/// One life of a node.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Life(usize, u64);
-
-#[derive(Clone, Debug)]
-enum Message {
-    Ask(usize, usize),
-    Answer(usize, Verdict),
-    Ended(usize, usize, RecordState),
-    Keep(Life, usize, KeepMessage),
-    Kept(Life, KeepMessage, bool),
-    Write(Life, GroupWrite),
-    Written(Life, GroupWrite, Result<u64, u64>),
-}
-
-struct Platform {
-    down: bool,
-    revision: u64,
-    version: u64,
-    changed_ms: TimeMs,
-    holder: Life,
-    heir: Life,
-    groups: BTreeMap<Arc<str>, (u64, GroupContent)>,
-}
-
-#[derive(Default)]
-struct Node {
-    incarnation: u64,
-    paused: bool,
-    cut_off: bool,
-    tenure: Option<Tenure>,
-    copies: Copies,
-    promise_deadline_ms: TimeMs,
-}
-
-struct Tenure {
-    version: u64,
-    heir: Life,
-    act_deadline_ms: TimeMs,
-    table: ClaimTable,
-    groups: Groups,
-    waiting: Vec<usize>,
-    keep_sent_ms: Option<TimeMs>,
-    write_sent_ms: Option<TimeMs>,
-}
-
-struct Tried {
-    key: usize,
-    from: Life,
-    attempt: Attempt,
-    asked_ms: TimeMs,
-    given_up: bool,
-    dispatched: bool,
+    /// The holder dies or is paused, and its heir takes over once its promise has run out.
+    FailOver(bool),
+    /// Every copy of claims that is on its way to the heir is lost, or to the platform.
+    LoseCopies(bool),
+    /// Every ask and answer arrives, but no copy of claims.
+    DeliverAnswers,
 }
 
 /// The nodes, the platform and what is on its way between them.
@@ -141,12 +97,6 @@
     }
 }
 
-impl Tenure {
-    fn held_version(&self, now: TimeMs) -> Option<u64> {
-        (now < self.act_deadline_ms).then_some(self.version)
-    }
-}
-
 impl Fleet {
     pub fn new() -> Self {
         let now = TimeMs(1_000_000);
@@ -547,6 +497,35 @@
         }
     }
 
+    fn fail_over(&mut self, dies: bool) {
+        let (holder, heir) = (self.platform.holder.0, self.platform.heir.0);
+        if dies {
+            self.crash(holder);
+        } else {
+            self.nodes[holder].paused = true;
+        }
+        self.now = self.now.after(PROMISE_MS + 100);
+        self.take_over(heir);
+    }
+
+    fn deliver_answers(&mut self) {
+        for message in std::mem::take(&mut self.messages) {
+            if matches!(message, Message::Ask(..) | Message::Answer(..)) {
+                self.deliver(message);
+            } else {
+                self.messages.push(message);
+            }
+        }
+    }
+
+    fn lose_copies(&mut self, to_heir: bool) {
+        self.messages.retain(|message| match message {
+            Message::Keep(..) => !to_heir,
+            Message::Write(..) => to_heir,
+            _ => true,
+        });
+    }
+
     pub fn apply(&mut self, step: &Step) {
         let attempts = self.attempts.len().max(1);
         let messages = self.messages.len().max(1);
@@ -562,6 +541,9 @@
             Step::Crash(node) => self.crash(node),
             Step::Pause(node) => self.nodes[node].paused = true,
             Step::Resume(node) => self.nodes[node].paused = false,
+            Step::FailOver(dies) => self.fail_over(dies),
+            Step::LoseCopies(to_heir) => self.lose_copies(to_heir),
+            Step::DeliverAnswers => self.deliver_answers(),
             Step::CutOff(node, cut) => self.nodes[node].cut_off = cut,
             Step::Work(node) if !self.nodes[node].paused => self.work(node),
             _ if attempts > self.attempts.len() => {}
--- a/crates/dogwoodpier-core/tests/order_claims.rs
+++ b/crates/dogwoodpier-core/tests/order_claims.rs
@@ -33,12 +33,15 @@
         let index = || 0..1_000_usize;
         prop_oneof![
             8 => Just(Step::Run),
+            4 => any::<bool>().prop_map(Step::FailOver),
+            3 => any::<bool>().prop_map(Step::LoseCopies),
+            8 => Just(Step::DeliverAnswers),
             8 => (0..KEYS, node()).prop_map(|(key, at)| Step::Ask(key, at)),
             4 => (index(), node()).prop_map(|(attempt, to)| Step::AskAgain(attempt, to)),
             2 => index().prop_map(Step::GiveUp),
             2 => index().prop_map(Step::Finish),
             6 => node().prop_map(Step::Work),
-            12 => index().prop_map(Step::Deliver),
+            8 => index().prop_map(Step::Deliver),
             2 => index().prop_map(Step::Double),
             2 => index().prop_map(Step::Lose),
             4 => node().prop_map(Step::Renew),
