Claims: grant keys at their slot's holder, with copies at heir and platform

Cause: the node granted every key by a stub. After: the holder decides in its table, copies go to the heir and to grouped objects of the platform at the same time, a new holder loads both and asks the other nodes for what is missing, and the requester asks again until its grant would be too late. A refusal says not-run only if the holder knows that no earlier attempt with the key was dispatched: a caller that got a plain not-run for a repeated order could send it with another key. Slots are still a stub, so nothing is granted by a real node yet; no test with processes.

--- a/crates/dogwoodpier-core/src/claims/groups.rs
+++ b/crates/dogwoodpier-core/src/claims/groups.rs
@@ -26,6 +26,8 @@
 /// A conditional write of a group.
 #[plain]
 pub struct GroupWrite {
+    /// First version of the tenure that writes.
+    pub tenure_version: u64,
     /// Name of the object.
     pub name: Arc<str>,
     /// Version that the object must have, zero if it must not exist.
@@ -112,6 +114,7 @@
         self.in_flight = true;
         self.next_write_ms = now.after(self.write_interval_ms);
         Some(GroupWrite {
+            tenure_version: table.tenure_version(),
             name: self.name(table.tenure_version()),
             expected_version: self.current.version,
             content: GroupContent {
--- a/crates/dogwoodpier-core/src/claims/table.rs
+++ b/crates/dogwoodpier-core/src/claims/table.rs
@@ -81,7 +81,8 @@
     // Attempts that were given up before their ask arrived.
     released: BTreeMap<u64, TimeMs>,
     blocked_deadline_ms: TimeMs,
-    frozen_version: Option<u64>,
+    // Nothing is granted at this version of the slot or an earlier one.
+    frozen_version: u64,
 }
 
 #[plain]
@@ -123,7 +124,7 @@
             heir: HeirProgress::default(),
             released: BTreeMap::new(),
             blocked_deadline_ms: now.after(retention_ms),
-            frozen_version: None,
+            frozen_version: 0,
         };
         for record in loaded {
             if table.is_newer(&record) {
@@ -152,12 +153,12 @@
         now < self.blocked_deadline_ms
     }
 
-    /// Stops granting at a version of the slot, and returns what the successor must keep before it
+    /// Stops granting up to a version of the slot, and returns what the successor must keep before it
     /// takes the slot over at that version. If the hand-over does not come about, grants go on
     /// with the slot's next version: at this one the successor may still take over with these
     /// copies.
     pub fn freeze(&mut self, version: u64, now: TimeMs) -> KeepMessage {
-        self.frozen_version = Some(version);
+        self.frozen_version = self.frozen_version.max(version);
         KeepMessage {
             version,
             tenure_version: self.tenure_version,
@@ -182,7 +183,7 @@
         let complete = !self.is_blocked(now);
         let full = self.entries.len() >= self.settings.max_keys;
         let released = self.released.contains_key(&ask.attempt_id);
-        let frozen = self.frozen_version == Some(held_version);
+        let frozen = held_version <= self.frozen_version;
         if !complete || full || released || frozen {
             return Asked::Answer(Verdict::Unavailable {
                 never_dispatched: complete,
@@ -210,7 +211,7 @@
         self.entries.get(key).is_some_and(|entry| {
             entry.record.attempt_id == attempt_id
                 && entry.record.state == RecordState::Pending
-                && self.frozen_version != Some(held_version)
+                && held_version > self.frozen_version
                 && self.is_kept(&entry.record.stamp, held_version)
         })
     }
--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -5,12 +5,9 @@
 
 #![forbid(unsafe_code)]
 
-pub mod escrow;
-pub mod refusal;
-pub mod rendezvous;
-pub mod slots;
 pub mod claims;
 pub mod delivery;
+pub mod escrow;
 pub mod fair_queue;
 pub mod freshness;
 pub mod holds;
@@ -19,6 +16,7 @@
 pub mod rendezvous;
 pub mod reservations;
 pub mod selection;
+pub mod slots;
 pub mod units;
 pub mod versions;
 
--- /dev/null
+++ b/crates/dogwoodpier-node/src/claims/convert.rs
@@ -0,0 +1,173 @@
+//! Conversions between messages and the core's types.
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::claims::ClaimKey;
+use dogwoodpier_core::claims::Handover;
+use dogwoodpier_core::claims::KeepMessage;
+use dogwoodpier_core::claims::Outcome;
+use dogwoodpier_core::claims::OutcomeHeader;
+use dogwoodpier_core::claims::Record;
+use dogwoodpier_core::claims::RecordState;
+use dogwoodpier_core::claims::Stamp;
+use dogwoodpier_core::claims::Verdict;
+use dogwoodpier_proto::ClaimResult;
+use dogwoodpier_proto::ClaimVerdict;
+use dogwoodpier_proto::FetchClaimsReply;
+use dogwoodpier_proto::Header;
+use dogwoodpier_proto::KeepClaimsRequest;
+use dogwoodpier_proto::KeptClaim;
+use dogwoodpier_proto::NodeId;
+use dogwoodpier_proto::RecordedOutcome;
+use dogwoodpier_proto::SlotRef;
+
+/// Returns the message for the heir.
+pub fn keep_request(holder: NodeId, slot: u32, message: &KeepMessage) -> KeepClaimsRequest {
+    KeepClaimsRequest {
+        holder: Some(holder),
+        slot: Some(SlotRef {
+            slot,
+            version: message.version,
+        }),
+        claims: message.records.iter().map(kept_claim).collect(),
+        tenure_version: message.tenure_version,
+        baseline: message.baseline,
+        after_revision: message.after_revision,
+        through_revision: message.through_revision,
+        platform_revision: message.platform_revision,
+        blocked_ms: message.blocked_ms,
+    }
+}
+
+/// Returns the slot and what its holder asks to keep.
+pub fn keep_message(request: KeepClaimsRequest) -> (u32, KeepMessage) {
+    let slot = request.slot.unwrap_or_default();
+    let message = KeepMessage {
+        version: slot.version,
+        tenure_version: request.tenure_version,
+        baseline: request.baseline,
+        after_revision: request.after_revision,
+        through_revision: request.through_revision,
+        platform_revision: request.platform_revision,
+        blocked_ms: request.blocked_ms,
+        records: request.claims.into_iter().map(record).collect(),
+    };
+    (slot.slot, message)
+}
+
+/// Returns the answer to a new holder that asks for copies.
+pub fn fetch_reply(handover: Option<Handover>, now: TimeMs) -> FetchClaimsReply {
+    let Some(handover) = handover else {
+        return FetchClaimsReply::default();
+    };
+    FetchClaimsReply {
+        complete: true,
+        claims: handover.records.iter().map(kept_claim).collect(),
+        blocked_ms: handover.blocked_deadline_ms.remaining(now),
+    }
+}
+
+/// Returns what a peer knows, or `None` if it doesn't know all.
+pub fn handover(reply: FetchClaimsReply, now: TimeMs) -> Option<Handover> {
+    reply.complete.then(|| Handover {
+        records: reply.claims.into_iter().map(record).collect(),
+        blocked_deadline_ms: now.after(reply.blocked_ms),
+    })
+}
+
+/// Returns how an attempt ended.
+pub fn state(outcome: RecordedOutcome) -> RecordState {
+    if outcome.not_run {
+        return RecordState::NotRun;
+    }
+    RecordState::Finished(Outcome {
+        status: u16::try_from(outcome.status).unwrap_or_default(),
+        headers: outcome
+            .headers
+            .into_iter()
+            .map(|header| OutcomeHeader {
+                name: header.name.into(),
+                value: header.value,
+            })
+            .collect(),
+        body: (!outcome.body_dropped).then_some(outcome.body),
+    })
+}
+
+/// Returns the answer to an attempt.
+pub fn result(attempt_id: u64, verdict: &Verdict) -> ClaimResult {
+    let mut result = ClaimResult {
+        attempt_id,
+        ..ClaimResult::default()
+    };
+    let code = match verdict {
+        Verdict::Granted => ClaimVerdict::Granted,
+        Verdict::Recorded(outcome) => {
+            result.outcome = Some(recorded_outcome(outcome));
+            ClaimVerdict::Recorded
+        }
+        Verdict::Pending => ClaimVerdict::Pending,
+        Verdict::Mismatch => ClaimVerdict::Mismatch,
+        Verdict::Unavailable {
+            never_dispatched,
+            retry_after_ms,
+        } => {
+            result.never_dispatched = *never_dispatched;
+            result.retry_after_ms = *retry_after_ms;
+            ClaimVerdict::Unavailable
+        }
+    };
+    result.verdict = code.into();
+    result
+}
+
+fn kept_claim(record: &Record) -> KeptClaim {
+    KeptClaim {
+        workspace: record.key.workspace.to_string(),
+        idempotency_key: record.key.idempotency_key.to_string(),
+        fingerprint: record.fingerprint,
+        attempt_id: record.attempt_id,
+        tenure_version: record.stamp.tenure_version,
+        revision: record.stamp.revision,
+        outcome: match &record.state {
+            RecordState::Pending => None,
+            RecordState::NotRun => Some(RecordedOutcome {
+                not_run: true,
+                ..RecordedOutcome::default()
+            }),
+            RecordState::Finished(outcome) => Some(recorded_outcome(outcome)),
+        },
+    }
+}
+
+fn record(claim: KeptClaim) -> Record {
+    Record {
+        key: ClaimKey {
+            workspace: claim.workspace.into(),
+            idempotency_key: claim.idempotency_key.into(),
+        },
+        fingerprint: claim.fingerprint,
+        attempt_id: claim.attempt_id,
+        stamp: Stamp {
+            tenure_version: claim.tenure_version,
+            revision: claim.revision,
+        },
+        state: claim.outcome.map_or(RecordState::Pending, state),
+    }
+}
+
+fn recorded_outcome(outcome: &Outcome) -> RecordedOutcome {
+    RecordedOutcome {
+        status: outcome.status.into(),
+        headers: outcome
+            .headers
+            .iter()
+            .map(|header| Header {
+                name: header.name.to_string(),
+                value: header.value.clone(),
+            })
+            .collect(),
+        body: outcome.body.clone().unwrap_or_default(),
+        not_run: false,
+        body_dropped: outcome.body.is_none(),
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-node/src/claims/heir.rs
@@ -0,0 +1,99 @@
+//! Copies of other holders' claims, and what a new holder may have of them.
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::claims::Handover;
+use dogwoodpier_proto::FetchClaimsReply;
+use dogwoodpier_proto::FetchClaimsRequest;
+use dogwoodpier_proto::KeepClaimsReply;
+use dogwoodpier_proto::KeepClaimsRequest;
+use dogwoodpier_proto::NodeInfo;
+
+use crate::clock;
+use crate::state::SharedNode;
+
+use super::Claims;
+use super::convert;
+use super::lock;
+
+impl Claims {
+    /// Keeps copies as heir, or as the designated successor of a hand-over.
+    pub fn keep(
+        &self,
+        _node: &SharedNode,
+        request: KeepClaimsRequest,
+        now: TimeMs,
+    ) -> KeepClaimsReply {
+        let (slot, message) = convert::keep_message(request);
+        let kept = lock(&self.copies)
+            .entry(slot)
+            .or_default()
+            .keep(&message, now);
+        KeepClaimsReply { kept }
+    }
+
+    /// Returns what this node knows of the claims that a former holder of a slot granted, this
+    /// node itself included.
+    pub fn copies_for(
+        &self,
+        node: &SharedNode,
+        request: &FetchClaimsRequest,
+        now: TimeMs,
+    ) -> FetchClaimsReply {
+        let slot = request.slot.unwrap_or_default();
+        let known = self
+            .copies_at(slot.slot, slot.version)
+            .or_else(|| self.own_at(node, slot.slot, slot.version, now));
+        convert::fetch_reply(known, now)
+    }
+
+    /// Stops granting on a held slot and gives its successor the claims that the platform lacks. To
+    /// be called before the conditional write that hands the slot over. A successor that got
+    /// nothing has to fetch the claims from this node, which must still run then.
+    pub async fn prepare_hand_over(&self, node: &SharedNode, slot: u32, successor: &NodeInfo) {
+        let Some(claims) = self.find(slot) else {
+            return;
+        };
+        let message = claims.with_held(node, |tenure, held, now| {
+            tenure.table.freeze(held.version, now)
+        });
+        let Some(message) = message else {
+            return;
+        };
+        let request = convert::keep_request(node.id(), slot, &message);
+        // Without an answer the successor fetches the claims itself.
+        let _ = node
+            .peers
+            .transport()
+            .call(
+                "keep_claims",
+                &successor.peer_address,
+                request,
+                |mut client, request| async move { client.keep_claims(request).await },
+            )
+            .await;
+    }
+
+    /// Returns the copies of a slot if they are complete at a version.
+    pub fn copies_at(&self, slot: u32, version: u64) -> Option<Handover> {
+        lock(&self.copies).get(&slot)?.complete_at(version)
+    }
+
+    // What this node granted itself, if it was the holder up to that version and no longer is.
+    fn own_at(&self, node: &SharedNode, slot: u32, version: u64, now: TimeMs) -> Option<Handover> {
+        let claims = self.find(slot)?;
+        let mut tenure = lock(&claims.tenure);
+        let tenure = tenure.as_mut()?;
+        let holds_later = node
+            .slots
+            .held(slot, clock::now())
+            .is_some_and(|held| held.version > version);
+        if tenure.version != version || holds_later {
+            return None;
+        }
+        let message = tenure.table.freeze(version, now);
+        Some(Handover {
+            records: message.records,
+            blocked_deadline_ms: now.after(message.blocked_ms),
+        })
+    }
+}
--- a/crates/dogwoodpier-node/src/claims/mod.rs
+++ b/crates/dogwoodpier-node/src/claims/mod.rs
@@ -1,25 +1,43 @@
 //! Claims of idempotency keys: at most one dispatch for each key of a workspace.
-
+//!
+//! `requester` asks for claims and reports outcomes, `holder` decides on the slots that this node
+//! holds, `copying` keeps its records in a second place, `heir` keeps those of other holders, and
+//! `loading` brings a new holder's table up to date.
+
+mod convert;
+mod copying;
+mod heir;
+mod holder;
+mod loading;
+mod requester;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
-use dogwoodpier_core::Refusal;
 use dogwoodpier_core::TimeMs;
-use dogwoodpier_proto::ClaimReply;
-use dogwoodpier_proto::ClaimRequest;
-use dogwoodpier_proto::FetchClaimsReply;
-use dogwoodpier_proto::FetchClaimsRequest;
-use dogwoodpier_proto::KeepClaimsReply;
-use dogwoodpier_proto::KeepClaimsRequest;
-use dogwoodpier_proto::NodeInfo;
-use dogwoodpier_proto::RecordOutcomesReply;
-use dogwoodpier_proto::RecordOutcomesRequest;
+use dogwoodpier_core::claims::Copies;
 use dogwoodpier_proto::RecordedOutcome;
 
-use crate::state::SharedNode;
+use self::holder::SlotClaims;
+
+pub use self::copying::run;
 
-/// Claims of the slots that this node holds, and copies for slots of which it is heir.
+/// Longest time from a claim to its dispatch.
+const DISPATCH_MS: u64 = 10_000;
+
+/// Claims of the slots that this node holds, and copies for other holders.
 #[derive(Default)]
-pub struct Claims {}
+pub struct Claims {
+    slots: Mutex<BTreeMap<u32, Arc<SlotClaims>>>,
+    copies: Mutex<BTreeMap<u32, Copies>>,
+    // Outcomes that no holder has confirmed yet.
+    unrecorded: AtomicUsize,
+}
 
 /// The right to dispatch one request once.
 #[derive(Debug)]
@@ -36,13 +54,6 @@
     pub dispatch_deadline_ms: TimeMs,
 }
 
-impl Grant {
-    /// Returns whether the grant may still be used. Must be asked right before the dispatch.
-    pub fn may_dispatch(&self, now: TimeMs) -> bool {
-        now < self.dispatch_deadline_ms
-    }
-}
-
 /// Answer to a claim.
 #[derive(Debug)]
 pub enum Claimed {
@@ -52,73 +63,46 @@
     Recorded(RecordedOutcome),
 }
 
-impl Claims {
-    /// Claims a key before its request is dispatched. A refusal is true to its execution: `not-run`
-    /// where this key was certainly never dispatched, `unknown` where an earlier attempt may run.
-    pub async fn claim(
-        &self,
-        _node: &SharedNode,
-        workspace: &Arc<str>,
-        idempotency_key: &str,
-        _fingerprint: u64,
-        _deadline_ms: TimeMs,
-    ) -> Result<Claimed, Refusal> {
-        Ok(Claimed::Granted(Grant {
-            workspace: workspace.clone(),
-            idempotency_key: idempotency_key.into(),
-            attempt_id: rand::random(),
-            slot: 0,
-            dispatch_deadline_ms: _deadline_ms,
-        }))
-    }
-
-    /// Records the outcome of a granted claim, in the background and until it is kept.
-    pub fn record(&self, _node: &SharedNode, _grant: Grant, _outcome: RecordedOutcome) {}
-
-    /// Decides on claims as the holder of their slots.
-    pub async fn grant(&self, _node: &SharedNode, _request: ClaimRequest) -> ClaimReply {
-        ClaimReply::default()
+impl Grant {
+    /// Returns whether the grant may still be used. Must be asked right before the dispatch.
+    pub fn may_dispatch(&self, now: TimeMs) -> bool {
+        now < self.dispatch_deadline_ms
     }
+}
 
-    /// Takes in outcomes as the holder of their slots.
-    pub async fn take_outcomes(
-        &self,
-        _node: &SharedNode,
-        _request: RecordOutcomesRequest,
-    ) -> RecordOutcomesReply {
-        RecordOutcomesReply::default()
+impl Claims {
+    /// Returns the number of outcomes that no holder has confirmed yet.
+    pub fn unrecorded(&self) -> usize {
+        self.unrecorded.load(Ordering::SeqCst)
     }
 
-    /// Keeps copies as heir.
-    pub fn keep(
-        &self,
-        _node: &SharedNode,
-        _request: KeepClaimsRequest,
-        _now: TimeMs,
-    ) -> KeepClaimsReply {
-        KeepClaimsReply::default()
+    /// Returns the state as JSON.
+    pub fn dump(&self, now: TimeMs) -> serde_json::Value {
+        let slots: Vec<serde_json::Value> = self
+            .all()
+            .into_iter()
+            .filter_map(|slot| slot.dump(now))
+            .collect();
+        let copies: BTreeMap<u32, usize> = lock(&self.copies)
+            .iter()
+            .map(|(slot, copies)| (*slot, copies.len()))
+            .collect();
+        serde_json::json!({
+            "slots": slots,
+            "copies": copies,
+            "unrecorded": self.unrecorded(),
+        })
     }
 
-    /// Returns what this node knows of the claims that a former holder of a slot granted.
-    pub fn copies_for(
-        &self,
-        _node: &SharedNode,
-        _request: &FetchClaimsRequest,
-        _now: TimeMs,
-    ) -> FetchClaimsReply {
-        FetchClaimsReply::default()
+    fn all(&self) -> Vec<Arc<SlotClaims>> {
+        lock(&self.slots).values().cloned().collect()
     }
 
-    /// Stops granting on a held slot and gives its successor the claims that the platform lacks. To
-    /// be called before the conditional write that hands the slot over. A slot handed over without
-    /// it grants nothing for a claim window.
-    pub async fn prepare_hand_over(&self, _node: &SharedNode, _slot: u32, _successor: &NodeInfo) {}
-
-    /// Returns the state as JSON.
-    pub fn dump(&self, _now: TimeMs) -> serde_json::Value {
-        serde_json::Value::Null
+    fn find(&self, slot: u32) -> Option<Arc<SlotClaims>> {
+        lock(&self.slots).get(&slot).cloned()
     }
 }
 
-/// Writes claims to the platform in groups, and drops those past their window.
-pub async fn run(_node: SharedNode) {}
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/dogwoodpier-node/src/counters.rs
+++ b/crates/dogwoodpier-node/src/counters.rs
@@ -38,3 +38,7 @@
 pub const PLATFORM_CONTACT_AGE_MS: &str = "dogwoodpier_platform_contact_age_ms";
 /// 1 while the node takes keyed requests, 0 while it can't tell which keys are withdrawn.
 pub const KEYS_TRUSTED_STATE: &str = "dogwoodpier_keys_trusted_state";
+/// Claims of idempotency keys by verdict.
+pub const CLAIMS_TOTAL: &str = "dogwoodpier_claims_total";
+/// Writes of claims to the platform by whether they were answered.
+pub const CLAIM_WRITES_TOTAL: &str = "dogwoodpier_claim_writes_total";
