Claims' test: shorter windows and healing, so that most steps meet a fleet that grants

Cause: after one takeover without copies the slot granted nothing for 70 s, so most steps ran on a fleet that refused, and broken versions passed.

--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -33,9 +33,9 @@
 /// Length of the heir's promise.
 pub const PROMISE_MS: u64 = 3_000;
 const CALL_TIMEOUT_MS: u64 = 1_000;
-const WINDOW_MS: u64 = 60_000;
-const DISPATCH_MS: u64 = 10_000;
-const LONG_LEASE_MS: u64 = 20_000;
+const WINDOW_MS: u64 = 20_000;
+const DISPATCH_MS: u64 = 5_000;
+const LONG_LEASE_MS: u64 = 12_000;
 const GROUP_BYTES: usize = 400;
 const WRITE_INTERVAL_MS: u64 = 200;
 
@@ -65,6 +65,8 @@
     Wait(u64),
     /// The holder dies or is paused, and its heir takes over once its promise has run out.
     FailOver(bool),
+    /// The platform answers, every node runs, and everything that is due happens.
+    Heal,
     /// Every copy of claims that is on its way to the heir is lost, or to the platform.
     LoseCopies(bool),
     /// Every ask and answer arrives, but no copy of claims.
@@ -508,6 +510,15 @@
         self.take_over(heir);
     }
 
+    fn heal(&mut self) {
+        self.platform.down = false;
+        for node in &mut self.nodes {
+            node.paused = false;
+            node.cut_off = false;
+        }
+        self.run();
+    }
+
     fn deliver_answers(&mut self) {
         for message in std::mem::take(&mut self.messages) {
             if matches!(message, Message::Ask(..) | Message::Answer(..)) {
@@ -541,6 +552,7 @@
             Step::Crash(node) => self.crash(node),
             Step::Pause(node) => self.nodes[node].paused = true,
             Step::Resume(node) => self.nodes[node].paused = false,
+            Step::Heal => self.heal(),
             Step::FailOver(dies) => self.fail_over(dies),
             Step::LoseCopies(to_heir) => self.lose_copies(to_heir),
             Step::DeliverAnswers => self.deliver_answers(),
--- a/crates/dogwoodpier-core/tests/order_claims.rs
+++ b/crates/dogwoodpier-core/tests/order_claims.rs
@@ -33,28 +33,29 @@
         let index = || 0..1_000_usize;
         prop_oneof![
             8 => Just(Step::Run),
+            6 => Just(Step::Heal),
             4 => any::<bool>().prop_map(Step::FailOver),
             3 => any::<bool>().prop_map(Step::LoseCopies),
-            8 => Just(Step::DeliverAnswers),
-            8 => (0..KEYS, node()).prop_map(|(key, at)| Step::Ask(key, at)),
+            12 => Just(Step::DeliverAnswers),
+            12 => (0..KEYS, node()).prop_map(|(key, at)| Step::Ask(key, at)),
             4 => (index(), node()).prop_map(|(attempt, to)| Step::AskAgain(attempt, to)),
             2 => index().prop_map(Step::GiveUp),
-            2 => index().prop_map(Step::Finish),
-            6 => node().prop_map(Step::Work),
-            8 => index().prop_map(Step::Deliver),
-            2 => index().prop_map(Step::Double),
-            2 => index().prop_map(Step::Lose),
-            4 => node().prop_map(Step::Renew),
+            1 => index().prop_map(Step::Finish),
+            10 => node().prop_map(Step::Work),
+            6 => index().prop_map(Step::Deliver),
+            1 => index().prop_map(Step::Double),
+            1 => index().prop_map(Step::Lose),
+            2 => node().prop_map(Step::Renew),
             2 => (node(), node()).prop_map(|(node, heir)| Step::ReplaceHeir(node, heir)),
-            6 => node().prop_map(Step::TakeOver),
-            2 => (node(), any::<bool>(), any::<bool>())
+            3 => node().prop_map(Step::TakeOver),
+            2 => (node(), prop::bool::weighted(0.8), any::<bool>())
                 .prop_map(|(node, told, written)| Step::HandOver(node, told, written)),
-            2 => node().prop_map(Step::Crash),
-            2 => node().prop_map(Step::Pause),
-            3 => node().prop_map(Step::Resume),
-            2 => any::<bool>().prop_map(Step::Outage),
-            2 => (node(), any::<bool>()).prop_map(|(node, cut)| Step::CutOff(node, cut)),
-            4 => prop_oneof![Just(300), Just(1_100), Just(3_100), Just(11_000), Just(21_000)]
+            1 => node().prop_map(Step::Crash),
+            1 => node().prop_map(Step::Pause),
+            1 => node().prop_map(Step::Resume),
+            1 => any::<bool>().prop_map(Step::Outage),
+            1 => (node(), any::<bool>()).prop_map(|(node, cut)| Step::CutOff(node, cut)),
+            4 => prop_oneof![Just(300), Just(1_100), Just(3_100), Just(6_000), Just(26_000)]
                 .prop_map(Step::Wait),
         ]
         .boxed()
