--- /dev/null
+++ b/crates/dogwoodpier-node/tests/stream_faults.rs
@@ -0,0 +1,113 @@
+//! Callers get whole answers, each token once, while engines cut, cross and repeat, and die.
+
+#[allow(dead_code)]
+mod models;
+
+use futures_util::future::join_all;
+
+use dogwoodpier_fakes::caller::StreamedAnswer;
+use dogwoodpier_fakes::engine::EngineFaults;
+use dogwoodpier_fakes::engine::EngineStats;
+use dogwoodpier_fakes::engine::text::expected_answer;
+use dogwoodpier_fakes::fleet::Fleet;
+
+use models::DECODES;
+use models::completion;
+
+const CALLERS: usize = 12;
+const MAX_TOKENS: u64 = 60;
+
+async fn ask_all(fleet: &Fleet) -> Vec<(String, StreamedAnswer)> {
+    let calls = (0..CALLERS).map(|number| async move {
+        let prompt = format!("tender {number}: a fence of {number} km");
+        let caller = models::caller(fleet, number);
+        let answer = caller.complete(&completion(&prompt, MAX_TOKENS)).await;
+        (prompt, answer)
+    });
+    join_all(calls).await
+}
+
+fn assert_whole(answers: &[(String, StreamedAnswer)]) {
+    for (prompt, answer) in answers {
+        assert!(answer.is_whole(), "{prompt}: {answer:?}");
+        assert_eq!(answer.text(), expected_answer(prompt, MAX_TOKENS));
+    }
+}
+
+#[tokio::test]
+async fn cut_and_crossed_streams_are_resumed() {
+    let fleet = Fleet::start(models::plan(2)).await.expect("it starts");
+    for engine in DECODES {
+        let faults = EngineFaults {
+            cross_tokens: 7,
+            duplicate_tokens: 40,
+            cut_after_tokens: 11,
+            cut_streams: 8,
+            ..EngineFaults::default()
+        };
+        fleet.set_faults(engine, &faults).await.expect("it answers");
+    }
+    let answers = ask_all(&fleet).await;
+    assert_whole(&answers);
+    let mut started = 0;
+    for engine in DECODES {
+        let stats: EngineStats = fleet.stats(engine).await.expect("it answers");
+        started += stats.started_decodes;
+    }
+    assert!(started > CALLERS as u64, "no stream was cut");
+    models::wait_nothing_held(&fleet).await;
+}
+
+#[tokio::test]
+async fn a_killed_engine_loses_no_answer() {
+    let mut fleet = Fleet::start(models::plan(2)).await.expect("it starts");
+    let prompts: Vec<String> = (0..CALLERS)
+        .map(|number| format!("season {number}"))
+        .collect();
+    let calls: Vec<_> = prompts
+        .iter()
+        .enumerate()
+        .map(|(number, prompt)| {
+            let caller = models::caller(&fleet, number);
+            let completion = completion(prompt, MAX_TOKENS);
+            tokio::spawn(async move { caller.complete(&completion).await })
+        })
+        .collect();
+    models::wait_decoding(&fleet, CALLERS as u64).await;
+    fleet.kill_upstream(DECODES[0]).await.expect("it dies");
+    for (prompt, call) in prompts.iter().zip(calls) {
+        let answer = call.await.expect("the caller ends");
+        assert!(answer.is_whole(), "{prompt}: {answer:?}");
+        assert_eq!(answer.text(), expected_answer(prompt, MAX_TOKENS));
+    }
+    fleet
+        .restart_upstream(DECODES[0])
+        .await
+        .expect("it is back");
+    models::wait_nothing_held(&fleet).await;
+}
+
+#[tokio::test]
+async fn an_answer_that_cannot_be_whole_ends_as_an_error() {
+    let fleet = Fleet::start(models::plan(1)).await.expect("it starts");
+    for engine in DECODES {
+        let faults = EngineFaults {
+            cut_after_tokens: 2,
+            cut_streams: u32::MAX,
+            ..EngineFaults::default()
+        };
+        fleet.set_faults(engine, &faults).await.expect("it answers");
+    }
+    let answer = models::caller(&fleet, 0)
+        .complete(&completion("tender", MAX_TOKENS))
+        .await;
+    assert!(!answer.is_whole());
+    let expected = expected_answer("tender", MAX_TOKENS);
+    assert!(expected.starts_with(&answer.text()), "not a prefix");
+    let refused = answer.refused.expect("the end is an error");
+    assert_eq!(
+        (&*refused.code, &*refused.execution),
+        ("upstream_failed", "ran")
+    );
+    models::wait_nothing_held(&fleet).await;
+}
