Slots: carry the tenure from the record, pass claims on before a hand-over

Weighed: noting the replaced version where the write is sent (lost with a lost answer, and unknown to a successor), against writing it into the record; the latter was taken. Change: SlotRecord.superseded_version, set by claim and hand-over and kept by renewals; the first version seen of a tenure is kept beside it. `balance::give` calls Claims::prepare_hand_over first. Demo: a try without an answer no longer hides what an earlier try came to (seen once: an order refused as unknown was counted as lost).

--- a/crates/dogwoodpier-core/src/slots/record.rs
+++ b/crates/dogwoodpier-core/src/slots/record.rs
@@ -45,6 +45,10 @@
     pub levels: BTreeMap<Arc<str>, MicroTokens>,
     /// Random id of the write, by which its author knows it again.
     pub write_id: u64,
+    /// Version that the write replaced by which the holder became holder, zero if it created the
+    /// object. Later writes of the same holder leave it as it is.
+    #[serde(default)]
+    pub superseded_version: u64,
     /// Number of times that the holder has renewed its lease.
     #[serde(default)]
     pub renewals: u64,
--- a/crates/dogwoodpier-core/src/slots/slot.rs
+++ b/crates/dogwoodpier-core/src/slots/slot.rs
@@ -37,6 +37,16 @@
     pub(super) in_doubt: bool,
 }
 
+/// The time from when a node became holder until another one does.
+#[plain]
+#[derive(Copy, Eq)]
+pub(super) struct Tenure {
+    // Version that its first write replaced; no two tenures of a slot share it.
+    pub(super) superseded_version: u64,
+    // First version of the tenure that was seen.
+    pub(super) first_version: u64,
+}
+
 /// A peer that is asked for a promise before it is named heir.
 #[plain]
 pub(super) struct Candidate {
@@ -58,6 +68,7 @@
     pub(super) parked_levels: BTreeMap<Arc<str>, MicroTokens>,
     pub(super) lease_deadline_ms: Option<TimeMs>,
     pub(super) since_ms: TimeMs,
+    pub(super) tenure: Option<Tenure>,
     pub(super) candidate: Option<Candidate>,
     pub(super) promise_deadlines_ms: BTreeMap<u64, TimeMs>,
 }
@@ -127,11 +138,29 @@
         *known = deadline_ms.max(*known);
     }
 
+    /// Notes the tenure that the newest record belongs to, which is this node's.
+    pub(super) fn note_tenure(&mut self) {
+        let Some(seen) = &self.seen else {
+            return;
+        };
+        let superseded_version = seen.record.superseded_version;
+        if self
+            .tenure
+            .is_none_or(|tenure| tenure.superseded_version != superseded_version)
+        {
+            self.tenure = Some(Tenure {
+                superseded_version,
+                first_version: seen.version,
+            });
+        }
+    }
+
     /// Forgets what only a holder needs.
     pub(super) fn lose(&mut self) {
         self.stopped = false;
         self.parked_levels.clear();
         self.lease_deadline_ms = None;
+        self.tenure = None;
         self.candidate = None;
         self.promise_deadlines_ms.clear();
     }
--- a/crates/dogwoodpier-core/src/slots/table.rs
+++ b/crates/dogwoodpier-core/src/slots/table.rs
@@ -37,6 +37,10 @@
     pub slot: u32,
     /// Version of its object, the fencing number.
     pub version: u64,
+    /// First version of this node's tenure that it saw.
+    pub tenure_version: u64,
+    /// Version that the first write of the tenure replaced, zero if it created the object.
+    pub superseded_version: u64,
     /// Heir that promised not to claim it, if there is one.
     pub heir: Option<PeerId>,
     /// Time from which its floors count for this node.
@@ -143,9 +147,12 @@
         let entry = self.slots.get(slot as usize)?;
         let act_deadline_ms = entry.act_deadline_ms(&self.me)?;
         let seen = entry.seen.as_ref()?;
+        let tenure = entry.tenure?;
         (now < act_deadline_ms).then(|| Held {
             slot,
             version: seen.version,
+            tenure_version: tenure.first_version,
+            superseded_version: tenure.superseded_version,
             heir: seen.record.heir.clone(),
             since_ms: entry.since_ms,
             act_deadline_ms,
@@ -219,6 +226,7 @@
             entry.lose();
             return None;
         }
+        entry.note_tenure();
         let long_lease_ms = self.timing.long_lease_ms;
         let lease_ms = |since_ms| lease::asker_deadline(since_ms, long_lease_ms);
         entry.lease_deadline_ms = match &own {
@@ -395,6 +403,7 @@
             heir: hand_over.heir,
             levels: hand_over.levels,
             write_id: hand_over.write_id,
+            superseded_version: entry.version(),
             renewals: 0,
         };
         Some(self.send(hand_over.slot, record, now))
--- a/crates/dogwoodpier-node/examples/demo/work.rs
+++ b/crates/dogwoodpier-node/examples/demo/work.rs
@@ -54,7 +54,11 @@
 // What one try came to.
 enum Try {
     Ended(Outcome),
-    Again { pause_ms: u64, last: Outcome },
+    // Without an answer, what an earlier try came to still holds.
+    Again {
+        pause_ms: u64,
+        answer: Option<Outcome>,
+    },
 }
 
 impl Job {
@@ -79,8 +83,8 @@
             let address = addresses[(first_node + attempt) % addresses.len()];
             match self.send(address).await {
                 Try::Ended(outcome) => return outcome,
-                Try::Again { pause_ms, last } => {
-                    outcome = last;
+                Try::Again { pause_ms, answer } => {
+                    outcome = answer.unwrap_or(outcome);
                     tokio::time::sleep(Duration::from_millis(pause_ms.min(MAX_PAUSE_MS))).await;
                 }
             }
@@ -129,11 +133,7 @@
         pause_ms: refused
             .and_then(|refused| refused.retry_after_ms)
             .unwrap_or_default(),
-        last: if refused.is_some() {
-            Outcome::Refused
-        } else {
-            Outcome::Lost
-        },
+        answer: refused.map(|_| Outcome::Refused),
     }
 }
 
@@ -148,7 +148,7 @@
     let Ok(answer) = caller.call(method, path, headers, Bytes::from(body)).await else {
         return Try::Again {
             pause_ms: 0,
-            last: Outcome::Lost,
+            answer: None,
         };
     };
     if answer.status == StatusCode::OK {
@@ -164,6 +164,6 @@
     };
     Try::Again {
         pause_ms: refused.retry_after_ms.unwrap_or_default(),
-        last,
+        answer: Some(last),
     }
 }
--- a/crates/dogwoodpier-node/src/slots/balance.rs
+++ b/crates/dogwoodpier-node/src/slots/balance.rs
@@ -115,6 +115,16 @@
 
 // Returns the slot's new version if it certainly went to the successor.
 async fn give(node: &SharedNode, slot: u32, successor: &PeerId) -> Option<u64> {
+    if !node
+        .slots
+        .read(|table| table.may_hand_over(slot, clock::now()))?
+    {
+        return None;
+    }
+    let successor_info = super::node_info(successor);
+    node.claims
+        .prepare_hand_over(node, slot, &successor_info)
+        .await;
     let now = clock::now();
     let outlook = super::outlook(node, now);
     let write = node.limits.release_slot(node, slot, now, |table, levels| {
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -58,6 +58,11 @@
     pub slot: u32,
     /// Version of the slot's object, its fencing number.
     pub version: u64,
+    /// First version of this incarnation's tenure that it saw; renewals and changes of heir leave it
+    /// as it is.
+    pub tenure_version: u64,
+    /// Version that the first write of the tenure replaced, zero if it created the slot's object.
+    pub superseded_version: u64,
     /// The heir that promises not to claim it, absent while this node knows no other member.
     pub heir: Option<NodeInfo>,
     /// Time until which this node may act on the slot, by its own clock.
@@ -71,6 +76,8 @@
         Some(HeldSlot {
             slot: held.slot,
             version: held.version,
+            tenure_version: held.tenure_version,
+            superseded_version: held.superseded_version,
             heir: held.heir.as_ref().map(node_info),
             act_deadline_ms: held.act_deadline_ms,
         })
