--- a/crates/dogwoodpier-node/src/limits/mod.rs
+++ b/crates/dogwoodpier-node/src/limits/mod.rs
@@ -32,8 +32,8 @@
 use crate::state::Node;
 use crate::state::SharedNode;
 
-use accounts::Accounts;
-use borrow::Gathers;
+use self::accounts::Accounts;
+use self::borrow::Gathers;
 
 // Tries to gather tokens for one request: one more after others were quicker.
 const MAX_GATHERS: usize = 2;
