--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod freshness;
 pub mod holds;
 pub mod links;
+pub mod quarantine;
 pub mod refusal;
 pub mod rendezvous;
 pub mod reservations;
--- /dev/null
+++ b/crates/dogwoodpier-core/src/quarantine/suspects.rs
@@ -0,0 +1,203 @@
+//! Crash reports by request, and what follows from them.
+
+use std::collections::BTreeMap;
+
+use dogwoodpier_derive::plain;
+
+use crate::TimeMs;
+
+/// Lifetimes and bounds of crash reports.
+#[plain]
+pub struct SuspectSettings {
+    /// Time for which a crash counts against a request.
+    pub crash_ms: u64,
+    /// Time for which a request is quarantined after its last crash.
+    pub quarantine_ms: u64,
+    /// Time for which two reports of one upstream's crash by different nodes count as one.
+    pub same_crash_ms: u64,
+    /// Time for which a new report goes out with every heartbeat.
+    pub spread_ms: u64,
+    /// Most requests that reports are kept of.
+    pub max_requests: usize,
+}
+
+/// A crash that a request was in flight in.
+#[plain]
+#[derive(Copy)]
+pub struct Crash {
+    /// Hash of workspace, route or model, and body.
+    pub fingerprint: u64,
+    /// Hash of the upstream in the upper half, of observer and crash in the lower.
+    pub crash_id: u64,
+    /// True if no other suspect ran alone or was allowed to.
+    pub alone: bool,
+    /// Time after which the report no longer counts.
+    pub expires_ms: TimeMs,
+}
+
+/// What a request may do.
+#[plain]
+#[derive(Copy, Eq)]
+pub enum Standing {
+    /// Run.
+    Clear,
+    /// Run while no other copy of it runs.
+    OneCopy,
+    /// Run while no other suspect runs that needs this.
+    Alone,
+    /// Not run.
+    Quarantined {
+        /// Time until it may be sent again.
+        retry_after_ms: u64,
+    },
+}
+
+/// The crash reports that a node knows.
+#[plain]
+pub struct SuspectTable {
+    settings: SuspectSettings,
+    crashes: BTreeMap<u64, Vec<Known>>,
+    // Where the next heartbeat goes on with older reports.
+    next_old: usize,
+}
+
+#[plain]
+#[derive(Copy)]
+struct Known {
+    crash: Crash,
+    learned_ms: TimeMs,
+}
+
+// Crashes after which a request runs alone.
+const ALONE_CRASHES: usize = 2;
+// Crashes, however they came about, after which a request is no longer tried.
+const MAX_CRASHES: usize = 4;
+// Reports in one heartbeat.
+const MAX_NEW_REPORTS: usize = 64;
+const MAX_OLD_REPORTS: usize = 4;
+
+impl Crash {
+    /// Returns the id of a crash of an upstream as one node saw it.
+    pub fn id(upstream_hash: u64, observer_hash: u64) -> u64 {
+        (upstream_hash << 32) | (observer_hash & 0xffff_ffff)
+    }
+
+    fn upstream(&self) -> u64 {
+        self.crash_id >> 32
+    }
+}
+
+impl SuspectTable {
+    /// Returns a table without reports.
+    pub fn new(settings: SuspectSettings) -> Self {
+        Self {
+            settings,
+            crashes: BTreeMap::new(),
+            next_old: 0,
+        }
+    }
+
+    /// Returns a report of a crash that this node has just seen.
+    pub fn observe(&self, fingerprint: u64, crash_id: u64, alone: bool, now: TimeMs) -> Crash {
+        let lifetime_ms = match alone {
+            true => self.settings.quarantine_ms,
+            false => self.settings.crash_ms,
+        };
+        Crash {
+            fingerprint,
+            crash_id,
+            alone,
+            expires_ms: now.after(lifetime_ms),
+        }
+    }
+
+    /// Takes in a report. Returns whether it is of a crash that was not known.
+    pub fn take(&mut self, crash: Crash, now: TimeMs) -> bool {
+        self.expire(now);
+        let same_crash_ms = self.settings.same_crash_ms;
+        let is_full = self.crashes.len() >= self.settings.max_requests;
+        if crash.expires_ms <= now || (is_full && !self.crashes.contains_key(&crash.fingerprint)) {
+            return false;
+        }
+        let known = self.crashes.entry(crash.fingerprint).or_default();
+        let same = known.iter_mut().find(|known| {
+            known.crash.crash_id == crash.crash_id
+                || (known.crash.upstream() == crash.upstream()
+                    && now.since(known.learned_ms) < same_crash_ms)
+        });
+        if let Some(same) = same {
+            // The same crash seen by the one who ran the request alone says more.
+            same.crash.alone |= crash.alone;
+            same.crash.expires_ms = same.crash.expires_ms.max(crash.expires_ms);
+            return false;
+        }
+        known.push(Known {
+            crash,
+            learned_ms: now,
+        });
+        true
+    }
+
+    /// Returns what a request may do.
+    pub fn standing(&self, fingerprint: u64, now: TimeMs) -> Standing {
+        let crashes: Vec<&Crash> = self.live(fingerprint, now).collect();
+        let is_guilty = crashes.len() >= MAX_CRASHES || crashes.iter().any(|crash| crash.alone);
+        let last_ms = crashes.iter().map(|crash| crash.expires_ms).max();
+        match crashes.len() {
+            0 => Standing::Clear,
+            _ if is_guilty => Standing::Quarantined {
+                retry_after_ms: last_ms.map_or(0, |last_ms| last_ms.remaining(now)),
+            },
+            count if count >= ALONE_CRASHES => Standing::Alone,
+            _ => Standing::OneCopy,
+        }
+    }
+
+    /// Returns the reports of a request.
+    pub fn reports_of(&self, fingerprint: u64, now: TimeMs) -> Vec<Crash> {
+        self.live(fingerprint, now).copied().collect()
+    }
+
+    /// Returns the reports for the next heartbeat: all that are new, and a few of the older ones
+    /// for nodes that have just joined.
+    pub fn reports(&mut self, now: TimeMs) -> Vec<Crash> {
+        self.expire(now);
+        let spread_ms = self.settings.spread_ms;
+        let all: Vec<Known> = self.crashes.values().flatten().copied().collect();
+        let is_new = |known: &&Known| now.since(known.learned_ms) < spread_ms;
+        let new = all.iter().filter(is_new).take(MAX_NEW_REPORTS);
+        let mut reports: Vec<Crash> = new.map(|known| known.crash).collect();
+        let old: Vec<&Known> = all.iter().filter(|known| !is_new(known)).collect();
+        for offset in 0..MAX_OLD_REPORTS.min(old.len()) {
+            reports.push(old[(self.next_old + offset) % old.len()].crash);
+        }
+        self.next_old = self.next_old.wrapping_add(MAX_OLD_REPORTS);
+        reports
+    }
+
+    /// Returns the number of requests with reports.
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Returns whether there are no reports.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    fn live(&self, fingerprint: u64, now: TimeMs) -> impl Iterator<Item = &Crash> {
+        self.crashes
+            .get(&fingerprint)
+            .into_iter()
+            .flatten()
+            .map(|known| &known.crash)
+            .filter(move |crash| crash.expires_ms > now)
+    }
+
+    fn expire(&mut self, now: TimeMs) {
+        self.crashes.retain(|_, known| {
+            known.retain(|known| known.crash.expires_ms > now);
+            !known.is_empty()
+        });
+    }
+}
