Slots name a tenure by the version that it replaced; claims follow slots

Cause: a new holder of a slot needs the version that its claim replaced, to know whether it has every claim of its predecessor. The slots' object did not tell. After: SlotRecord.replaced_version, set by claims and hand-overs, kept by renewals and changes of heir. It names the tenure for claims as well.

--- a/crates/dogwoodpier-core/src/claims/copies.rs
+++ b/crates/dogwoodpier-core/src/claims/copies.rs
@@ -14,7 +14,7 @@
 pub struct KeepMessage {
     /// Version of the slot at which the holder acts.
     pub version: u64,
-    /// First version of the holder's tenure.
+    /// Version of the slot that the holder's tenure replaced; it names the tenure.
     pub tenure_version: u64,
     /// True if the records are all that the platform lacks, so that older copies can go.
     pub baseline: bool,
--- a/crates/dogwoodpier-core/src/claims/groups.rs
+++ b/crates/dogwoodpier-core/src/claims/groups.rs
@@ -26,7 +26,7 @@
 /// A conditional write of a group.
 #[plain]
 pub struct GroupWrite {
-    /// First version of the tenure that writes.
+    /// The tenure that writes, see [`ClaimTable::tenure_version`].
     pub tenure_version: u64,
     /// Name of the object.
     pub name: Arc<str>,
--- a/crates/dogwoodpier-core/src/claims/record.rs
+++ b/crates/dogwoodpier-core/src/claims/record.rs
@@ -20,7 +20,7 @@
 #[wire]
 #[derive(Copy, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Stamp {
-    /// First version of the slot's tenure in which the record was made.
+    /// Version of the slot that the tenure replaced in which the record was made.
     pub tenure_version: u64,
     /// Number of the record within the tenure.
     pub revision: u64,
--- a/crates/dogwoodpier-core/src/claims/table.rs
+++ b/crates/dogwoodpier-core/src/claims/table.rs
@@ -285,7 +285,7 @@
         self.log = self.log.split_off(&(self.platform_revision + 1));
     }
 
-    /// Returns the first version of the tenure.
+    /// Returns the version of the slot that the tenure replaced, which names the tenure.
     pub fn tenure_version(&self) -> u64 {
         self.tenure_version
     }
--- a/crates/dogwoodpier-core/src/slots/plan.rs
+++ b/crates/dogwoodpier-core/src/slots/plan.rs
@@ -115,7 +115,7 @@
     }
     let wanted = match entry.own_record(&table.me) {
         Some(record) => own_change(table, entry, record, outlook)?,
-        None if may_claim(table, slot, outlook) => claim(&table.me),
+        None if may_claim(table, slot, outlook) => claim(&table.me, entry.version()),
         None => return None,
     };
     open_or_retry(entry, wanted, outlook.now, new_id)
@@ -143,12 +143,13 @@
     (entry.attempts.len() < MAX_ATTEMPTS).then_some(wanted)
 }
 
-fn claim(me: &PeerId) -> SlotRecord {
+fn claim(me: &PeerId, replaced_version: u64) -> SlotRecord {
     SlotRecord {
         holder: me.clone(),
         heir: None,
         levels: BTreeMap::new(),
         write_id: 0,
+        replaced_version,
         renewals: 0,
     }
 }
--- a/crates/dogwoodpier-core/src/slots/record.rs
+++ b/crates/dogwoodpier-core/src/slots/record.rs
@@ -45,6 +45,10 @@
     pub levels: BTreeMap<Arc<str>, MicroTokens>,
     /// Random id of the write, by which its author knows it again.
     pub write_id: u64,
+    /// Version that the write by which the holder became holder replaced, zero if it created the
+    /// object. Renewals and changes of heir leave it as it is, so it names the tenure.
+    #[serde(default)]
+    pub replaced_version: u64,
     /// Number of times that the holder has renewed its lease.
     #[serde(default)]
     pub renewals: u64,
--- a/crates/dogwoodpier-core/src/slots/table.rs
+++ b/crates/dogwoodpier-core/src/slots/table.rs
@@ -37,6 +37,8 @@
     pub slot: u32,
     /// Version of its object, the fencing number.
     pub version: u64,
+    /// Version that this node's tenure replaced, zero if it is the slot's first.
+    pub replaced_version: u64,
     /// Heir that promised not to claim it, if there is one.
     pub heir: Option<PeerId>,
     /// Time from which its floors count for this node.
@@ -146,6 +148,7 @@
         (now < act_deadline_ms).then(|| Held {
             slot,
             version: seen.version,
+            replaced_version: seen.record.replaced_version,
             heir: seen.record.heir.clone(),
             since_ms: entry.since_ms,
             act_deadline_ms,
@@ -395,6 +398,7 @@
             heir: hand_over.heir,
             levels: hand_over.levels,
             write_id: hand_over.write_id,
+            replaced_version: entry.version(),
             renewals: 0,
         };
         Some(self.send(hand_over.slot, record, now))
--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -161,7 +161,7 @@
             version,
             heir,
             act_deadline_ms: now,
-            table: ClaimTable::take_over(settings(), version, loaded, handover, now),
+            table: ClaimTable::take_over(settings(), superseded_version, loaded, handover, now),
             groups: Groups::new(0, GROUP_BYTES, WRITE_INTERVAL_MS),
             waiting: Vec::new(),
             keep_sent_ms: None,
--- a/crates/dogwoodpier-node/src/claims/copying.rs
+++ b/crates/dogwoodpier-node/src/claims/copying.rs
@@ -23,7 +23,8 @@
 
 const TICK: Duration = Duration::from_millis(50);
 const RETRY: Duration = Duration::from_millis(100);
-// Ticks between two looks for missing claims and expired groups.
+// Ticks between two looks for claims that are missing, and for groups that have expired.
+const COMPLETE_TICKS: u64 = 4;
 const SLOW_TICKS: u64 = 20;
 // A group whose delete failed is deleted later.
 const DELETE_RETRY_MS: u64 = 60_000;
@@ -50,8 +51,12 @@
         };
         if !loading::load(&node, &claims, &held).await {
             tokio::time::sleep(RETRY).await;
-        } else if tick % SLOW_TICKS == 0 {
+            continue;
+        }
+        if tick % COMPLETE_TICKS == 0 {
             loading::complete(&node, &claims, &held).await;
+        }
+        if tick % SLOW_TICKS == 0 {
             delete_expired(&node, &claims).await;
         }
     }
--- a/crates/dogwoodpier-node/src/claims/holder.rs
+++ b/crates/dogwoodpier-node/src/claims/holder.rs
@@ -34,6 +34,8 @@
 // Time in which a record must be kept in a second place. The asker's call takes a little longer.
 const KEEP_TIME: Duration = Duration::from_millis(700);
 const RETRY_AFTER_MS: u64 = 500;
+// Time in which a new holder gets missing claims from other nodes, if any has them.
+const NEW_MS: u64 = 3_000;
 
 /// The claims of one slot that this node holds or held last.
 pub struct SlotClaims {
@@ -59,6 +61,8 @@
     pub table: ClaimTable,
     /// Records on the platform.
     pub groups: Groups,
+    /// When the claims were loaded.
+    pub loaded_ms: TimeMs,
 }
 
 impl SlotClaims {
@@ -83,13 +87,20 @@
         let tenure = tenure.as_mut()?;
         let now = clock::now();
         let held = node.slots.held(self.slot, now)?;
-        if tenure.table.tenure_version() != held.tenure_version {
+        if tenure.table.tenure_version() != held.replaced_version {
             return None;
         }
         tenure.version = held.version;
         Some(work(tenure, &held, now))
     }
 
+    // Returns whether this node holds the slot since a short time only.
+    fn is_new(&self, now: TimeMs) -> bool {
+        lock(&self.tenure)
+            .as_ref()
+            .is_some_and(|tenure| now.since(tenure.loaded_ms) < NEW_MS)
+    }
+
     /// Tells those who wait for a record that more is kept.
     pub fn note_progress(&self) {
         self.progress.send_modify(|count| *count += 1);
@@ -132,6 +143,19 @@
     }
 }
 
+// A new holder that misses claims may still get them from another node.
+fn soon(verdict: Verdict, claims: &SlotClaims) -> Verdict {
+    match verdict {
+        Verdict::Unavailable {
+            never_dispatched, ..
+        } if claims.is_new(clock::now()) => Verdict::Unavailable {
+            never_dispatched,
+            retry_after_ms: RETRY_AFTER_MS,
+        },
+        verdict => verdict,
+    }
+}
+
 impl Claims {
     /// Decides on claims as the holder of their slots.
     pub async fn grant(&self, node: &SharedNode, request: ClaimRequest) -> ClaimReply {
@@ -165,7 +189,7 @@
         });
         match asked {
             None => return unavailable(false),
-            Some(Asked::Answer(verdict)) => return verdict,
+            Some(Asked::Answer(verdict)) => return soon(verdict, &claims),
             Some(Asked::Recorded) => claims.wake(),
         }
         let granted = || {
--- a/crates/dogwoodpier-node/src/claims/loading.rs
+++ b/crates/dogwoodpier-node/src/claims/loading.rs
@@ -35,7 +35,7 @@
     let loaded_version = lock(&claims.tenure)
         .as_ref()
         .map(|tenure| tenure.table.tenure_version());
-    if loaded_version == Some(held.tenure_version) {
+    if loaded_version == Some(held.replaced_version) {
         return true;
     }
     let prefix = format!("{}/", held.slot);
@@ -43,7 +43,7 @@
         return false;
     };
     // An older view could lack what the former holder wrote.
-    if listing.revision < held.tenure_version {
+    if listing.revision < held.version {
         return false;
     }
     let now = clock::now();
@@ -58,7 +58,7 @@
         records.extend(content.records);
         groups.note_loaded(object.name, expires_ms);
     }
-    let handover = match held.superseded_version {
+    let handover = match held.replaced_version {
         0 => Some(Handover::default()),
         version => node.claims.copies_at(held.slot, version),
     };
@@ -67,11 +67,12 @@
         dispatch_ms: DISPATCH_MS,
         max_keys: MAX_KEYS,
     };
-    let table = ClaimTable::take_over(settings, held.tenure_version, records, handover, now);
+    let table = ClaimTable::take_over(settings, held.replaced_version, records, handover, now);
     *lock(&claims.tenure) = Some(Tenure {
         version: held.version,
         table,
         groups,
+        loaded_ms: now,
     });
     true
 }
@@ -86,7 +87,7 @@
     for peer in node.peers.alive(clock::now()) {
         if let Some(handover) = fetch(node, &peer, held).await {
             claims.with_held(node, |tenure, current, now: TimeMs| {
-                if current.tenure_version == held.tenure_version {
+                if current.replaced_version == held.replaced_version {
                     tenure.table.complete(handover, now);
                 }
             });
@@ -100,7 +101,7 @@
         sender: Some(node.id()),
         slot: Some(SlotRef {
             slot: held.slot,
-            version: held.superseded_version,
+            version: held.replaced_version,
         }),
     };
     let reply = node
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -58,6 +58,9 @@
     pub slot: u32,
     /// Version of the slot's object, its fencing number.
     pub version: u64,
+    /// Version that this node's tenure replaced, zero if it is the slot's first. It stays the same
+    /// through renewals and changes of heir.
+    pub replaced_version: u64,
     /// The heir that promises not to claim it, absent while this node knows no other member.
     pub heir: Option<NodeInfo>,
     /// Time until which this node may act on the slot, by its own clock.
@@ -71,6 +74,7 @@
         Some(HeldSlot {
             slot: held.slot,
             version: held.version,
+            replaced_version: held.replaced_version,
             heir: held.heir.as_ref().map(node_info),
             act_deadline_ms: held.act_deadline_ms,
         })
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -256,7 +256,7 @@
     pub slot: ::core::option::Option<SlotRef>,
     #[prost(message, repeated, tag = "3")]
     pub claims: ::prost::alloc::vec::Vec<KeptClaim>,
-    /// First version of the holder's tenure.
+    /// Version that the holder's tenure replaced; it names the tenure.
     #[prost(uint64, tag = "4")]
     pub tenure_version: u64,
     /// True if the claims are all that the platform lacks.
