--- a/crates/dogwoodpier-core/src/slots/plan.rs
+++ b/crates/dogwoodpier-core/src/slots/plan.rs
@@ -143,13 +143,13 @@
     (entry.attempts.len() < MAX_ATTEMPTS).then_some(wanted)
 }
 
-fn claim(me: &PeerId, superseded_version: u64) -> SlotRecord {
+fn claim(me: &PeerId, replaced_version: u64) -> SlotRecord {
     SlotRecord {
         holder: me.clone(),
         heir: None,
         levels: BTreeMap::new(),
         write_id: 0,
-        superseded_version,
+        replaced_version,
         renewals: 0,
     }
 }
--- a/crates/dogwoodpier-core/src/slots/table.rs
+++ b/crates/dogwoodpier-core/src/slots/table.rs
@@ -37,10 +37,8 @@
     pub slot: u32,
     /// Version of its object, the fencing number.
     pub version: u64,
-    /// First version of this node's tenure that it saw.
-    pub tenure_version: u64,
-    /// Version that the first write of the tenure replaced, zero if it created the object.
-    pub superseded_version: u64,
+    /// Version that this node's tenure replaced, zero if it is the slot's first.
+    pub replaced_version: u64,
     /// Heir that promised not to claim it, if there is one.
     pub heir: Option<PeerId>,
     /// Time from which its floors count for this node.
@@ -147,12 +145,10 @@
         let entry = self.slots.get(slot as usize)?;
         let act_deadline_ms = entry.act_deadline_ms(&self.me)?;
         let seen = entry.seen.as_ref()?;
-        let tenure = entry.tenure?;
         (now < act_deadline_ms).then(|| Held {
             slot,
             version: seen.version,
-            tenure_version: tenure.first_version,
-            superseded_version: tenure.superseded_version,
+            replaced_version: seen.record.replaced_version,
             heir: seen.record.heir.clone(),
             since_ms: entry.since_ms,
             act_deadline_ms,
@@ -226,7 +222,6 @@
             entry.lose();
             return None;
         }
-        entry.note_tenure();
         let long_lease_ms = self.timing.long_lease_ms;
         let lease_ms = |since_ms| lease::asker_deadline(since_ms, long_lease_ms);
         entry.lease_deadline_ms = match &own {
@@ -403,7 +398,7 @@
             heir: hand_over.heir,
             levels: hand_over.levels,
             write_id: hand_over.write_id,
-            superseded_version: entry.version(),
+            replaced_version: entry.version(),
             renewals: 0,
         };
         Some(self.send(hand_over.slot, record, now))
