--- /dev/null
+++ b/crates/dogwoodpier-core/examples/escrow_report/fleet.rs
@@ -0,0 +1,527 @@
+//! The fleet: accounts, one request stream, and calls with a fixed latency.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::Tokens;
+use dogwoodpier_core::TokensPerSecond;
+use dogwoodpier_core::escrow::Account;
+use dogwoodpier_core::escrow::Admission;
+use dogwoodpier_core::escrow::Backing;
+use dogwoodpier_core::escrow::Charge;
+use dogwoodpier_core::escrow::Limit;
+use dogwoodpier_core::escrow::ReceivedLoan;
+
+use super::scenario::Failure;
+use super::scenario::Lending;
+use super::scenario::Pattern;
+use super::scenario::Scenario;
+
+const ONE_WAY_MS: u64 = 1;
+const TICK_MS: u64 = 100;
+const LOAN_MS: u64 = 2_000;
+const DRY_MS: u64 = 50;
+const DRY_AHEAD_MS: u64 = 500;
+const MAX_GATHERS: u32 = 2;
+const COST_TOKENS: std::ops::RangeInclusive<u64> = 100..=900;
+const MEAN_COST_TOKENS: u64 = 500;
+const CLAIM_MS: u64 = 200;
+// Starts above zero, as the node's clock does.
+const ORIGIN_MS: u64 = 3_600_000;
+const FOREVER: TimeMs = TimeMs(u64::MAX);
+
+/// What a run measured.
+#[derive(Default)]
+pub struct Outcome {
+    central_admitted: u64,
+    refused_within_rate: u64,
+    admitted: u64,
+    borrow_calls: u64,
+    measured_ms: u64,
+}
+
+impl Outcome {
+    pub fn refused_within_rate_percent(&self) -> f64 {
+        100.0 * self.refused_within_rate as f64 / self.central_admitted.max(1) as f64
+    }
+
+    pub fn admitted_ratio(&self) -> f64 {
+        self.admitted as f64 / self.central_admitted.max(1) as f64
+    }
+
+    pub fn borrow_calls_per_s(&self) -> f64 {
+        self.borrow_calls as f64 * 1_000.0 / self.measured_ms.max(1) as f64
+    }
+}
+
+struct Peer {
+    account: Account,
+    backings: Vec<Backing>,
+    waiting: Vec<Waiting>,
+    gathering: bool,
+    dry_deadline_ms: TimeMs,
+    dry_ahead_deadline_ms: TimeMs,
+    alive: bool,
+}
+
+struct Waiting {
+    cost: Tokens,
+    central: bool,
+    gathers: u32,
+}
+
+enum Event {
+    // The broker collects what it lacks.
+    Collect {
+        borrower: usize,
+        wanted: Tokens,
+        asked_ms: TimeMs,
+    },
+    // The broker has collected and lends.
+    Broker {
+        borrower: usize,
+        wanted: Tokens,
+        asked_ms: TimeMs,
+    },
+    Direct {
+        borrower: usize,
+        wanted: Tokens,
+    },
+    Gathered {
+        borrower: usize,
+        wanted: Tokens,
+        before: Tokens,
+    },
+    Settle {
+        lender: usize,
+        loan_id: u64,
+        returned: Tokens,
+    },
+    Done {
+        node: Option<usize>,
+        charge: Charge,
+        actual: Tokens,
+    },
+    Claim {
+        node: usize,
+        slot: u32,
+    },
+}
+
+struct Fleet<'a> {
+    scenario: &'a Scenario,
+    rng: StdRng,
+    now: TimeMs,
+    peers: Vec<Peer>,
+    central: Account,
+    central_backings: Vec<Backing>,
+    events: BTreeMap<TimeMs, Vec<Event>>,
+    next_loan_id: u64,
+    outcome: Outcome,
+}
+
+/// Runs a scenario.
+pub fn run(scenario: &Scenario, seed: u64) -> Outcome {
+    let mut fleet = Fleet::new(scenario, seed);
+    let interval_ms = (MEAN_COST_TOKENS * 100_000) as f64
+        / (scenario.rate_tokens_per_s * scenario.load_percent) as f64;
+    let mut next_arrival_ms = 0.0;
+    for elapsed_ms in 1..Scenario::END_MS {
+        fleet.now = TimeMs(ORIGIN_MS + elapsed_ms);
+        if elapsed_ms == Scenario::DEATH_MS {
+            fleet.strike();
+        }
+        for event in fleet.events.remove(&fleet.now).unwrap_or_default() {
+            fleet.handle(event);
+        }
+        while next_arrival_ms <= elapsed_ms as f64 {
+            fleet.arrive();
+            let uniform: f64 = fleet.rng.random_range(f64::EPSILON..1.0);
+            next_arrival_ms -= interval_ms * uniform.ln();
+        }
+        if elapsed_ms % TICK_MS == 0 {
+            fleet.tick();
+        }
+    }
+    fleet.outcome
+}
+
+impl<'a> Fleet<'a> {
+    fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        let now = TimeMs(ORIGIN_MS);
+        let limit = |slot_count| Limit {
+            rate_tokens_per_s: TokensPerSecond(scenario.rate_tokens_per_s),
+            burst_tokens: Tokens(scenario.burst_tokens),
+            slot_count,
+        };
+        let backing = |slot| Backing {
+            slot,
+            since_ms: now,
+            act_deadline_ms: FOREVER,
+        };
+        let peers = (0..scenario.nodes).map(|node| {
+            let own = |slot: &u32| *slot as usize % scenario.nodes == node;
+            let backings: Vec<Backing> =
+                (0..scenario.slot_count).filter(own).map(backing).collect();
+            let mut account = Account::new(limit(scenario.slot_count), now);
+            account.receive(Tokens(scenario.burst_tokens).into(), &backings, now);
+            Peer {
+                account,
+                backings,
+                waiting: Vec::new(),
+                gathering: false,
+                dry_deadline_ms: TimeMs(0),
+                dry_ahead_deadline_ms: TimeMs(0),
+                alive: true,
+            }
+        });
+        let central_backings = vec![backing(0)];
+        let mut central = Account::new(limit(1), now);
+        central.receive(Tokens(scenario.burst_tokens).into(), &central_backings, now);
+        Self {
+            scenario,
+            rng: StdRng::seed_from_u64(seed),
+            now,
+            peers: peers.collect(),
+            central,
+            central_backings,
+            events: BTreeMap::new(),
+            next_loan_id: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn measured(&self) -> bool {
+        let elapsed_ms = self.now.0 - ORIGIN_MS;
+        let end_ms = Scenario::DEATH_MS + Scenario::AFTER_DEATH_MS;
+        let window = Scenario::DEATH_MS..end_ms;
+        self.scenario.failure == Failure::None || window.contains(&elapsed_ms)
+    }
+
+    fn after(&mut self, delay_ms: u64, event: Event) {
+        let time_ms = self.now.after(delay_ms);
+        self.events.entry(time_ms).or_default().push(event);
+    }
+
+    // The broker, which another node takes over if it dies.
+    fn broker(&self) -> usize {
+        (0..self.peers.len())
+            .find(|node| *node != 0 && self.peers[*node].alive)
+            .unwrap_or(0)
+    }
+
+    fn strike(&mut self) {
+        if self.scenario.failure == Failure::None {
+            return;
+        }
+        let dead = self.peers.len() - 1;
+        self.peers[dead].alive = false;
+        self.peers[dead].waiting.clear();
+        let slots: Vec<u32> = self.peers[dead].backings.iter().map(|b| b.slot).collect();
+        if self.scenario.failure == Failure::Reclaimed {
+            for (index, slot) in slots.into_iter().enumerate() {
+                let node = index % dead;
+                self.after(
+                    self.scenario.promise_ms + CLAIM_MS,
+                    Event::Claim { node, slot },
+                );
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let cost = Tokens(self.rng.random_range(COST_TOKENS));
+        let alive = self.peers.iter().filter(|peer| peer.alive).count();
+        let node = match self.scenario.pattern {
+            Pattern::Even => self.rng.random_range(0..alive),
+            Pattern::Skewed if self.rng.random_bool(0.5) => self.rng.random_range(0..alive),
+            Pattern::Skewed | Pattern::OneNode => 0,
+        };
+        let now = self.now;
+        let admission = self.central.admit(cost, &self.central_backings, now);
+        let central = matches!(admission, Admission::Admitted(_));
+        if let Admission::Admitted(charge) = admission {
+            self.outcome.central_admitted += u64::from(self.measured());
+            self.finish_later(None, charge);
+        }
+        self.peers[node].account.note_demand(cost, now);
+        self.try_admit(
+            node,
+            Waiting {
+                cost,
+                central,
+                gathers: 0,
+            },
+        );
+    }
+
+    // Requests use a half to all of what they were charged, some time later.
+    fn finish_later(&mut self, node: Option<usize>, charge: Charge) {
+        let part: u64 = self.rng.random_range(50..=100);
+        let actual = Tokens(charge.tokens.0 * part / 100);
+        let delay_ms = self.rng.random_range(200..3_000);
+        self.after(
+            delay_ms,
+            Event::Done {
+                node,
+                charge,
+                actual,
+            },
+        );
+    }
+
+    fn try_admit(&mut self, node: usize, waiting: Waiting) {
+        let now = self.now;
+        let peer = &mut self.peers[node];
+        match peer.account.admit(waiting.cost, &peer.backings, now) {
+            Admission::Admitted(charge) => {
+                self.outcome.admitted += u64::from(self.measured());
+                self.finish_later(Some(node), charge);
+            }
+            Admission::Short(_)
+                if self.scenario.lending == Lending::Loans
+                    && waiting.gathers < MAX_GATHERS
+                    && (peer.gathering || now >= peer.dry_deadline_ms) =>
+            {
+                peer.waiting.push(waiting);
+                self.gather_for_waiting(node);
+            }
+            _ => self.refuse(&waiting),
+        }
+    }
+
+    fn refuse(&mut self, waiting: &Waiting) {
+        let within_rate = waiting.central && self.measured();
+        self.outcome.refused_within_rate += u64::from(within_rate);
+    }
+
+    fn gather_for_waiting(&mut self, node: usize) {
+        let peer = &mut self.peers[node];
+        if peer.gathering || peer.waiting.is_empty() {
+            return;
+        }
+        let wanted = Tokens(peer.waiting.iter().map(|waiting| waiting.cost.0).sum());
+        let short = wanted.saturating_sub(peer.account.spendable().whole());
+        for waiting in &mut peer.waiting {
+            waiting.gathers += 1;
+        }
+        self.gather(node, short);
+    }
+
+    fn gather(&mut self, borrower: usize, wanted: Tokens) {
+        self.peers[borrower].gathering = true;
+        let asked_ms = self.now;
+        self.count_calls(1);
+        let collect = Event::Collect {
+            borrower,
+            wanted,
+            asked_ms,
+        };
+        if self.broker() == borrower {
+            self.handle(collect);
+        } else {
+            self.after(ONE_WAY_MS, collect);
+        }
+    }
+
+    fn count_calls(&mut self, calls: usize) {
+        if self.measured() {
+            self.outcome.borrow_calls += calls as u64;
+        }
+    }
+
+    fn lend(
+        &mut self,
+        lender: usize,
+        borrower: usize,
+        wanted: Tokens,
+        as_broker: bool,
+        asked_ms: TimeMs,
+    ) -> Tokens {
+        let now = self.now;
+        if lender == borrower || !self.peers[lender].alive || wanted.0 == 0 {
+            return Tokens(0);
+        }
+        let next_loan_id = &mut self.next_loan_id;
+        let peer = &mut self.peers[lender];
+        let loans = peer
+            .account
+            .lend(wanted, as_broker, LOAN_MS, &peer.backings, now, || {
+                *next_loan_id += 1;
+                *next_loan_id
+            });
+        let mut lent = Tokens(0);
+        for terms in loans {
+            lent = lent + terms.tokens;
+            let loan = ReceivedLoan {
+                loan_id: terms.loan_id,
+                lender_address: lender.to_string().into(),
+                tokens: terms.tokens,
+                valid_ms: terms.valid_ms,
+                asked_ms,
+            };
+            self.peers[borrower].account.receive_loan(loan, now);
+        }
+        lent
+    }
+
+    // Asks all others for their part of what is missing, then for all of it.
+    fn collect(
+        &mut self,
+        borrower: usize,
+        wanted: Tokens,
+        excluded: usize,
+        asked_ms: TimeMs,
+    ) -> Tokens {
+        let lenders: Vec<usize> = (0..self.peers.len())
+            .filter(|node| *node != borrower && *node != excluded && self.peers[*node].alive)
+            .collect();
+        let mut missing = wanted;
+        for divisor in [(lenders.len() as u64).div_ceil(2).max(1), 1] {
+            let part = Tokens(missing.0.div_ceil(divisor));
+            if missing.0 > 0 {
+                self.count_calls(lenders.len());
+            }
+            for lender in &lenders {
+                let wanted = part.min(missing);
+                missing =
+                    missing.saturating_sub(self.lend(*lender, borrower, wanted, false, asked_ms));
+            }
+        }
+        wanted.saturating_sub(missing)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Collect {
+                borrower,
+                wanted,
+                asked_ms,
+            } => {
+                let broker = self.broker();
+                let before = self.peers[borrower].account.spendable().whole();
+                if broker == borrower {
+                    self.collect(borrower, wanted, borrower, asked_ms);
+                    let event = Event::Gathered {
+                        borrower,
+                        wanted,
+                        before,
+                    };
+                    self.after(2 * ONE_WAY_MS, event);
+                    return;
+                }
+                let lent = self.lend(broker, borrower, wanted, true, asked_ms);
+                let missing = wanted.saturating_sub(lent);
+                if missing.0 > 0 {
+                    self.collect(broker, missing, borrower, now);
+                }
+                let event = Event::Broker {
+                    borrower,
+                    wanted: missing,
+                    asked_ms,
+                };
+                self.after(2 * ONE_WAY_MS, event);
+            }
+            Event::Broker {
+                borrower,
+                wanted,
+                asked_ms,
+            } => {
+                let broker = self.broker();
+                let lent = self.lend(broker, borrower, wanted, true, asked_ms);
+                let wanted = wanted.saturating_sub(lent);
+                self.after(ONE_WAY_MS, Event::Direct { borrower, wanted });
+            }
+            Event::Direct { borrower, wanted } => {
+                let before = self.peers[borrower].account.spendable().whole();
+                if wanted.0 > 0 {
+                    self.collect(borrower, wanted, self.broker(), now);
+                }
+                let delay_ms = if wanted.0 > 0 { 2 * ONE_WAY_MS } else { 0 };
+                let event = Event::Gathered {
+                    borrower,
+                    wanted,
+                    before,
+                };
+                if delay_ms == 0 {
+                    self.handle(event);
+                } else {
+                    self.after(delay_ms, event);
+                }
+            }
+            Event::Gathered {
+                borrower,
+                wanted,
+                before,
+            } => {
+                let peer = &mut self.peers[borrower];
+                peer.gathering = false;
+                if wanted.0 > 0 && peer.account.spendable().whole() <= before {
+                    peer.dry_deadline_ms = now.after(DRY_MS);
+                    peer.dry_ahead_deadline_ms = now.after(DRY_AHEAD_MS);
+                }
+                for waiting in std::mem::take(&mut peer.waiting) {
+                    self.try_admit(borrower, waiting);
+                }
+            }
+            Event::Settle {
+                lender,
+                loan_id,
+                returned,
+            } => {
+                let peer = &mut self.peers[lender];
+                peer.account
+                    .settle_loan(loan_id, returned, &peer.backings, now);
+            }
+            Event::Done {
+                node,
+                charge,
+                actual,
+            } => match node {
+                None => self
+                    .central
+                    .settle(charge, actual, &self.central_backings, now),
+                Some(node) => {
+                    let peer = &mut self.peers[node];
+                    peer.account.settle(charge, actual, &peer.backings, now);
+                }
+            },
+            Event::Claim { node, slot } => self.peers[node].backings.push(Backing {
+                slot,
+                since_ms: now.after(1),
+                act_deadline_ms: FOREVER,
+            }),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        if self.measured() {
+            self.outcome.measured_ms += TICK_MS;
+        }
+        for node in 0..self.peers.len() {
+            if !self.peers[node].alive || self.scenario.lending == Lending::FloorsOnly {
+                continue;
+            }
+            for settlement in self.peers[node].account.settle_due(now) {
+                let lender = settlement.lender_address.parse().expect("a node's number");
+                let event = Event::Settle {
+                    lender,
+                    loan_id: settlement.loan_id,
+                    returned: settlement.returned,
+                };
+                self.after(ONE_WAY_MS, event);
+            }
+            let peer = &mut self.peers[node];
+            let wanted = peer.account.wanted_ahead(&peer.backings, now);
+            if wanted.0 > 0 && !peer.gathering && now >= peer.dry_ahead_deadline_ms {
+                self.gather(node, wanted);
+            }
+        }
+    }
+}
--- a/crates/dogwoodpier-core/tests/rate_escrow/main.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/main.rs
@@ -82,3 +82,44 @@
     #[test]
     fn tokens_run_stay_within_rate_and_burst(sequential 20..120 => RateEscrow);
 }
+
+// The lender's right to its slots ends, and another node claims them, while a loan could still run.
+#[test]
+fn loan_ends_before_the_right_behind_it() {
+    let mut fleet = Fleet::new(DRIFTS_PPM, 240);
+    fleet.apply(Step::Wait { ms: 2_500 });
+    fleet.apply(Step::Renew { node: 1 });
+    fleet.apply(Step::Renew { node: 2 });
+    fleet.apply(Step::Ask {
+        from: 1,
+        to: 0,
+        tokens: 20,
+        as_broker: false,
+        at_once: true,
+    });
+    fleet.apply(Step::Wait { ms: 510 });
+    fleet.apply(Step::Reclaim { node: 2, slot: 0 });
+    fleet.apply(Step::Reclaim { node: 2, slot: 3 });
+    fleet.apply(Step::Wait { ms: 300 });
+    fleet.check();
+    assert!(fleet.spendable(2) >= 30, "the slots were claimed");
+}
+
+// What the lender accrues while a loan fills its cap is lost, however late it looks.
+#[test]
+fn lender_accrues_nothing_above_its_cap_while_a_loan_runs() {
+    let mut fleet = Fleet::new(DRIFTS_PPM, 240);
+    fleet.apply(Step::Ask {
+        from: 1,
+        to: 0,
+        tokens: 20,
+        as_broker: false,
+        at_once: true,
+    });
+    assert!(fleet.spendable(1) >= 30, "the loan was made");
+    fleet.apply(Step::Wait { ms: 1_980 });
+    fleet.apply(Step::RenewAll);
+    fleet.apply(Step::DrainAll);
+    fleet.apply(Step::Wait { ms: 40 });
+    fleet.check();
+}
