--- a/crates/dogwoodpier-fakes/src/caller.rs
+++ b/crates/dogwoodpier-fakes/src/caller.rs
@@ -51,6 +51,13 @@
     Http(#[from] http::Error),
 }
 
+impl CallError {
+    /// Returns true if no node was reached, so that nothing was sent.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::Send(SendError::NotSent(_)))
+    }
+}
+
 /// A caller with a key at one node.
 #[derive(Clone)]
 pub struct Caller {
--- /dev/null
+++ b/crates/dogwoodpier-node/examples/load/summary.rs
@@ -0,0 +1,326 @@
+//! The figures of a run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use dogwoodpier_derive::wire;
+
+use crate::arguments::Run;
+use crate::deployment::Deployment;
+use crate::deployment::Workspace;
+use crate::record::End;
+use crate::record::Kind;
+use crate::record::Record;
+use crate::record::Records;
+
+const MAX_TRACKED_US: u64 = 600_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+/// Part of a request's gaps that must be within the target.
+const GAPS_WITHIN_PERCENT: usize = 95;
+
+/// The figures of a run.
+#[wire]
+pub struct Summary {
+    /// Deployment.
+    pub deployment: String,
+    /// Policy.
+    pub policy: String,
+    /// Seed.
+    pub seed: u64,
+    /// Fault under load.
+    pub fault: String,
+    /// Demand within rates, in percent of the capacity.
+    pub load_percent: u64,
+    /// The only workspace with load, if not all had it.
+    pub alone: Option<String>,
+    /// Measured seconds.
+    pub measured_s: f64,
+    /// Model requests.
+    pub completions: Counts,
+    /// Model requests a second that met both latency targets.
+    pub goodput_per_s: f64,
+    /// Tokens a second, prompts left out, of answers that met both targets.
+    pub goodput_tokens_per_s: f64,
+    /// Computed prompt tokens whose result was never used, in percent.
+    pub wasted_prefill_percent: f64,
+    /// The part of that which expired, in percent.
+    pub expired_prefill_percent: f64,
+    /// Prompt tokens that came from prefix caches, in percent.
+    pub cached_prompt_percent: f64,
+    /// Of each workspace's requests within rate, the part that met both targets, in percent.
+    pub met_percent_by_workspace: BTreeMap<String, f64>,
+    /// The workspace within its rate with the least such part.
+    pub worst_workspace: String,
+    /// Its part, in percent.
+    pub worst_workspace_percent: f64,
+    /// Requests refused as above rate although they were within it.
+    pub limited_within_rate: u64,
+    /// Requests within rate that were refused for other causes.
+    pub refused_within_rate: u64,
+    /// Refusals by cause.
+    pub refusals: BTreeMap<String, u64>,
+    /// What was lost, by cause.
+    pub losses: BTreeMap<String, u64>,
+    /// Times to the first token.
+    pub first_token: Percentiles,
+    /// Times between tokens.
+    pub token_gap: Percentiles,
+    /// Orders.
+    pub orders: Counts,
+    /// Orders that ran more than once.
+    pub orders_doubled: u64,
+    /// Orders that ran although their caller was told that they didn't.
+    pub orders_untrue: u64,
+    /// Orders answered as done that never ran.
+    pub orders_vanished: u64,
+    /// Lookups.
+    pub lookups: Counts,
+    /// Times to the answer of orders and lookups.
+    pub service_answer: Percentiles,
+    /// Calls a second on the platform by operation.
+    pub platform_calls_per_s: BTreeMap<String, f64>,
+}
+
+/// How requests ended.
+#[wire]
+#[derive(Default)]
+pub struct Counts {
+    /// Requests.
+    pub sent: u64,
+    /// Answered whole and rightly.
+    pub whole: u64,
+    /// Answered with something else.
+    pub wrong: u64,
+    /// Refused before anything of an answer came.
+    pub refused: u64,
+    /// Refused after part of an answer had come.
+    pub broken_off: u64,
+    /// Without any answer.
+    pub lost: u64,
+    /// Of those within rate, the ones that met both targets.
+    pub met: u64,
+}
+
+/// Percentiles of times.
+#[wire]
+pub struct Percentiles {
+    /// Median.
+    pub p50_ms: f64,
+    /// 95 of 100 are no longer.
+    pub p95_ms: f64,
+    /// 99 of 100 are no longer.
+    pub p99_ms: f64,
+}
+
+impl Summary {
+    /// Returns the figures of a run.
+    pub fn of(run: &Run, records: &Records) -> Self {
+        let deployment = Deployment::named(&run.deployment, run.load_percent);
+        let (from, to) = records.measured;
+        let measured: Vec<&Record> = records
+            .requests
+            .iter()
+            .filter(|record| record.at >= from && record.at < to)
+            .collect();
+        let measured_s = (to - from).as_secs_f64();
+        let completions: Vec<&Record> = of_kind(&measured, Kind::Completion);
+        let met: Vec<&&Record> = completions
+            .iter()
+            .filter(|record| met_targets(record, &deployment))
+            .collect();
+        let met_tokens: usize = met.iter().map(|record| record.gaps.len() + 1).sum();
+        let by_workspace = met_by_workspace(&completions, &deployment);
+        let (worst_workspace, worst_workspace_percent) = worst(&by_workspace, &deployment, run);
+        let stats = records.engines.values();
+        let computed: u64 = stats.clone().map(|s| s.prefill_tokens).sum();
+        let cached: u64 = stats.clone().map(|s| s.cached_tokens).sum();
+        let expired: u64 = stats.clone().map(|s| s.expired_tokens).sum();
+        let dropped: u64 = stats
+            .map(|s| s.cancelled_tokens + s.unused_import_tokens)
+            .sum();
+        Self {
+            deployment: run.deployment.clone(),
+            policy: run.policy.clone(),
+            seed: run.seed,
+            fault: format!("{:?}", run.fault),
+            load_percent: run.load_percent,
+            alone: run.alone.clone(),
+            measured_s,
+            completions: counts(&completions, &deployment),
+            goodput_per_s: met.len() as f64 / measured_s,
+            goodput_tokens_per_s: met_tokens as f64 / measured_s,
+            wasted_prefill_percent: percent(expired + dropped, computed),
+            expired_prefill_percent: percent(expired, computed),
+            cached_prompt_percent: percent(cached, cached + computed),
+            met_percent_by_workspace: by_workspace,
+            worst_workspace,
+            worst_workspace_percent,
+            limited_within_rate: refused_within(&measured, true),
+            refused_within_rate: refused_within(&measured, false),
+            refusals: refusals(&measured),
+            losses: losses(&measured),
+            first_token: percentiles(completions.iter().filter_map(|record| record.first)),
+            token_gap: percentiles(completions.iter().flat_map(|r| r.gaps.iter().copied())),
+            orders: counts(&of_kind(&measured, Kind::Order), &deployment),
+            orders_doubled: records.order_runs.values().filter(|n| **n > 1).count() as u64,
+            orders_untrue: untrue(records),
+            orders_vanished: vanished(records),
+            lookups: counts(&of_kind(&measured, Kind::Lookup), &deployment),
+            service_answer: percentiles(
+                measured
+                    .iter()
+                    .filter(|record| record.kind != Kind::Completion)
+                    .filter_map(|record| record.first),
+            ),
+            platform_calls_per_s: records
+                .platform_calls
+                .iter()
+                .map(|(name, calls)| {
+                    (
+                        name.clone(),
+                        *calls as f64 / records.load_time.as_secs_f64(),
+                    )
+                })
+                .collect(),
+        }
+    }
+}
+
+fn of_kind<'a>(records: &[&'a Record], kind: Kind) -> Vec<&'a Record> {
+    let matches = |record: &&&Record| record.kind == kind;
+    records.iter().filter(matches).copied().collect()
+}
+
+/// Returns true if an answer is whole and met both latency targets.
+fn met_targets(record: &Record, deployment: &Deployment) -> bool {
+    let workspace: &Workspace = &deployment.workspaces[record.workspace];
+    let first_target = Duration::from_millis(workspace.first_token_target_ms);
+    let gap_target = Duration::from_millis(workspace.token_gap_target_ms());
+    let within = record.gaps.iter().filter(|gap| **gap <= gap_target).count();
+    record.end == End::Whole
+        && record.first.is_some_and(|first| first <= first_target)
+        && within * 100 >= record.gaps.len() * GAPS_WITHIN_PERCENT
+}
+
+fn counts(records: &[&Record], deployment: &Deployment) -> Counts {
+    let mut counts = Counts::default();
+    for record in records {
+        counts.sent += 1;
+        match &record.end {
+            End::Whole => counts.whole += 1,
+            End::Wrong => counts.wrong += 1,
+            End::Refused {
+                after_start: false, ..
+            } => counts.refused += 1,
+            End::Refused { .. } => counts.broken_off += 1,
+            End::Lost(_) => counts.lost += 1,
+        }
+        if record.within_rate && met_targets(record, deployment) {
+            counts.met += 1;
+        }
+    }
+    counts
+}
+
+fn met_by_workspace(records: &[&Record], deployment: &Deployment) -> BTreeMap<String, f64> {
+    let mut parts = BTreeMap::new();
+    for (place, workspace) in deployment.workspaces.iter().enumerate() {
+        let own: Vec<&Record> = records
+            .iter()
+            .filter(|record| record.workspace == place && record.within_rate)
+            .copied()
+            .collect();
+        if !own.is_empty() {
+            let met = counts(&own, deployment).met;
+            parts.insert(workspace.name.to_owned(), percent(met, own.len() as u64));
+        }
+    }
+    parts
+}
+
+fn worst(parts: &BTreeMap<String, f64>, deployment: &Deployment, run: &Run) -> (String, f64) {
+    deployment
+        .workspaces
+        .iter()
+        .filter(|workspace| workspace.is_within_rate() || run.alone.is_some())
+        .filter_map(|workspace| {
+            let part = parts.get(workspace.name)?;
+            Some((workspace.name.to_owned(), *part))
+        })
+        .min_by(|one, other| one.1.total_cmp(&other.1))
+        .unwrap_or_default()
+}
+
+fn refused_within(records: &[&Record], by_rate: bool) -> u64 {
+    let matches = |record: &&&Record| match &record.end {
+        End::Refused { code, .. } => record.within_rate && (code == "rate_limited") == by_rate,
+        _ => false,
+    };
+    records.iter().filter(matches).count() as u64
+}
+
+fn refusals(records: &[&Record]) -> BTreeMap<String, u64> {
+    let mut by_cause = BTreeMap::new();
+    for record in records {
+        if let End::Refused {
+            code, execution, ..
+        } = &record.end
+        {
+            *by_cause.entry(format!("{code} {execution}")).or_default() += 1;
+        }
+    }
+    by_cause
+}
+
+fn losses(records: &[&Record]) -> BTreeMap<String, u64> {
+    let mut by_cause = BTreeMap::new();
+    for record in records {
+        if let End::Lost(cause) = &record.end {
+            *by_cause.entry(cause.clone()).or_default() += 1;
+        }
+    }
+    by_cause
+}
+
+fn untrue(records: &Records) -> u64 {
+    let ran = |text: &String| records.order_runs.contains_key(text);
+    let told_not_run =
+        |end: &End| matches!(end, End::Refused { execution, .. } if execution == "not-run");
+    records
+        .order_ends
+        .iter()
+        .filter(|(text, end)| told_not_run(end) && ran(text))
+        .count() as u64
+}
+
+fn vanished(records: &Records) -> u64 {
+    records
+        .order_ends
+        .iter()
+        .filter(|(text, end)| **end == End::Whole && !records.order_runs.contains_key(*text))
+        .count() as u64
+}
+
+fn percentiles<I>(times: I) -> Percentiles
+where
+    I: Iterator<Item = Duration>,
+{
+    let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_TRACKED_US, SIGNIFICANT_DIGITS)
+        .expect("the bounds are valid");
+    for time in times {
+        let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        histogram.saturating_record(time_us.clamp(1, MAX_TRACKED_US));
+    }
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Percentiles {
+        p50_ms: at(0.5),
+        p95_ms: at(0.95),
+        p99_ms: at(0.99),
+    }
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    100.0 * part as f64 / (whole as f64).max(1.0)
+}
