--- a/crates/dogwoodpier-node/examples/load/deployment.rs
+++ b/crates/dogwoodpier-node/examples/load/deployment.rs
@@ -133,12 +133,8 @@
     /// mix without help of prefix caches: the least of what prefill, decode sequences and KV pieces
     /// allow.
     pub fn capacity_tokens_per_s(&self) -> f64 {
-        let prefill = engine(EngineRole::Prefill);
         let decode = engine(EngineRole::Decode);
-        let sequences = f64::from(decode.max_sequences);
-        let gap_s = (decode.token_gap_us as f64
-            + decode.token_gap_per_sequence_us as f64 * sequences)
-            / 1e6;
+        let gap_s = full_batch_gap_s(&decode);
         let mut prompt_tokens = 0.0;
         let mut answer_tokens = 0.0;
         let mut piece_s = 0.0;
@@ -152,14 +148,26 @@
             let pieces = (prompt + answer) / f64::from(decode.tokens_per_piece);
             piece_s += requests * answer * gap_s * pieces;
         }
-        let engines = self.decode_engines as f64;
-        let by_prefill =
-            self.prefill_engines as f64 * prefill.prefill_tokens_per_s as f64 / prompt_tokens;
-        let by_decode = engines * sequences / gap_s / answer_tokens;
-        let by_pieces = engines * f64::from(decode.max_pieces) / piece_s;
+        let all_pieces = self.decode_engines as f64 * f64::from(decode.max_pieces);
+        let by_prefill = self.prefill_tokens_per_s() / prompt_tokens;
+        let by_decode = self.decode_tokens_per_s() / answer_tokens;
+        let by_pieces = all_pieces / piece_s;
         by_prefill.min(by_decode).min(by_pieces)
     }
 
+    /// Returns the prompt tokens a second that all prefill engines compute.
+    pub fn prefill_tokens_per_s(&self) -> f64 {
+        let prefill = engine(EngineRole::Prefill);
+        self.prefill_engines as f64 * prefill.prefill_tokens_per_s as f64
+    }
+
+    /// Returns the output tokens a second of all decode engines with full batches.
+    pub fn decode_tokens_per_s(&self) -> f64 {
+        let decode = engine(EngineRole::Decode);
+        let batch_tokens_per_s = f64::from(decode.max_sequences) / full_batch_gap_s(&decode);
+        self.decode_engines as f64 * batch_tokens_per_s
+    }
+
     /// Returns the plan of a fleet for it.
     pub fn plan(&self, arguments: &Arguments, run: &Run) -> FleetPlan {
         let mut plan = FleetPlan::new(&arguments.node_program, arguments.nodes, self.data_centres);
@@ -253,6 +261,11 @@
     }
 }
 
+fn full_batch_gap_s(decode: &EngineOptions) -> f64 {
+    let batch_us = decode.token_gap_per_sequence_us * u64::from(decode.max_sequences);
+    (decode.token_gap_us + batch_us) as f64 / 1e6
+}
+
 fn upstream_kind(pool: &str, number: usize) -> UpstreamKind {
     let role = match pool {
         PREFILL_POOL => EngineRole::Prefill,
--- a/crates/dogwoodpier-node/examples/load/report.rs
+++ b/crates/dogwoodpier-node/examples/load/report.rs
@@ -36,6 +36,10 @@
         "  goodput            {:.2} req/s, {:.0} tokens/s",
         summary.goodput_per_s, summary.goodput_tokens_per_s
     );
+    println!(
+        "  engines busy       prefill {:.0} %, decode {:.0} %",
+        summary.prefill_busy_percent, summary.decode_busy_percent
+    );
     println!(
         "  wasted prefill     {:.2} % ({:.2} % expired), {:.1} % of prompts cached",
         summary.wasted_prefill_percent,
--- a/crates/dogwoodpier-node/examples/load/summary.rs
+++ b/crates/dogwoodpier-node/examples/load/summary.rs
@@ -43,6 +43,10 @@
     pub goodput_per_s: f64,
     /// Tokens a second, prompts left out, of answers that met both targets.
     pub goodput_tokens_per_s: f64,
+    /// Prompt tokens that engines computed, in percent of what they can over the whole load.
+    pub prefill_busy_percent: f64,
+    /// Output tokens of the engines, in percent of what full batches give over the whole load.
+    pub decode_busy_percent: f64,
     /// Computed prompt tokens whose result was never used, in percent.
     pub wasted_prefill_percent: f64,
     /// The part of that which expired, in percent.
@@ -137,6 +141,8 @@
         let computed: u64 = stats.clone().map(|s| s.prefill_tokens).sum();
         let cached: u64 = stats.clone().map(|s| s.cached_tokens).sum();
         let expired: u64 = stats.clone().map(|s| s.expired_tokens).sum();
+        let decoded: u64 = stats.clone().map(|s| s.decode_tokens).sum();
+        let load_s = records.load_time.as_secs_f64();
         let dropped: u64 = stats
             .map(|s| s.cancelled_tokens + s.unused_import_tokens)
             .sum();
@@ -151,6 +157,10 @@
             completions: counts(&completions, &deployment),
             goodput_per_s: met.len() as f64 / measured_s,
             goodput_tokens_per_s: met_tokens as f64 / measured_s,
+            prefill_busy_percent: 100.0 * computed as f64
+                / (deployment.prefill_tokens_per_s() * load_s),
+            decode_busy_percent: 100.0 * decoded as f64
+                / (deployment.decode_tokens_per_s() * load_s),
             wasted_prefill_percent: percent(expired + dropped, computed),
             expired_prefill_percent: percent(expired, computed),
             cached_prompt_percent: percent(cached, cached + computed),
