--- a/crates/dogwoodpier-node/src/pipeline/decode.rs
+++ b/crates/dogwoodpier-node/src/pipeline/decode.rs
@@ -1,6 +1,7 @@
 //! Follows a decode stream and hands its tokens on, each once and in order.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use metrics::counter;
 use thiserror::Error;
@@ -36,13 +37,24 @@
     CallerGone,
 }
 
+/// Bounds of one decode.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Most output tokens of the whole answer.
+    pub max_tokens: u64,
+    /// Longest silence of the engine.
+    pub progress_timeout_ms: u64,
+    /// Longest time for the caller to take the next part, once the parts that may wait for it are
+    /// used up.
+    pub write_timeout_ms: u64,
+}
+
 /// Decodes at the seat's engine until the answer is whole. `on_token` hears of each token that was
 /// handed on.
 pub async fn decode<F>(
     seat: &Seat,
     stream_id: &Arc<str>,
-    max_tokens: u64,
-    progress_timeout_ms: u64,
+    bounds: Bounds,
     delivery: &mut Delivery,
     outputs: &mpsc::Sender<Result<Output, Refusal>>,
     mut on_token: F,
@@ -53,14 +65,14 @@
     let request = DecodeRequest {
         hold: seat.hold.tag().clone(),
         request_id: stream_id.clone(),
-        max_tokens,
+        max_tokens: bounds.max_tokens,
         resume_from: delivery.delivered_tokens(),
     };
     delivery.resume(stream_id.clone());
     let mut stream = seat
         .engine
         .client
-        .decode(&request, progress_timeout_ms)
+        .decode(&request, bounds.progress_timeout_ms)
         .await?;
     let mut crossed = 0;
     loop {
@@ -79,12 +91,12 @@
         };
         let progress = delivery.take(stream_event(event))?;
         for text in progress.tokens {
-            send(outputs, Output::Token(text)).await?;
+            send(outputs, Output::Token(text), bounds).await?;
             counter!(counters::OUTPUT_TOKENS_TOTAL).increment(1);
             on_token();
         }
         if let Some(reason) = progress.finished {
-            return send(outputs, Output::Finish(reason)).await;
+            return send(outputs, Output::Finish(reason), bounds).await;
         }
     }
 }
@@ -92,11 +104,13 @@
 async fn send(
     outputs: &mpsc::Sender<Result<Output, Refusal>>,
     output: Output,
+    bounds: Bounds,
 ) -> Result<(), DecodeFailure> {
-    outputs
-        .send(Ok(output))
-        .await
-        .map_err(|_| DecodeFailure::CallerGone)
+    let limit = Duration::from_millis(bounds.write_timeout_ms);
+    match tokio::time::timeout(limit, outputs.send(Ok(output))).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err(DecodeFailure::CallerGone),
+    }
 }
 
 fn stream_event(event: DecodeEvent) -> StreamEvent {
--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -32,6 +32,7 @@
 use super::authenticate;
 use super::authenticate::Authenticated;
 use super::decode;
+use super::decode::Bounds;
 use super::decode::DecodeFailure;
 use super::model_call::ModelCall;
 use super::prefill;
@@ -272,11 +273,15 @@
         let stream_id: Arc<str> = format!("{}-{}", self.job.request.id, self.attempts).into();
         let admission = &mut self.job.admission;
         let execution = &mut self.execution;
+        let bounds = Bounds {
+            max_tokens: self.job.call.max_tokens,
+            progress_timeout_ms: self.job.decode_pool.progress_timeout_ms,
+            write_timeout_ms: self.node.settings.tuning.write_timeout_ms,
+        };
         let result = decode::decode(
             seat,
             &stream_id,
-            self.job.call.max_tokens,
-            self.job.decode_pool.progress_timeout_ms,
+            bounds,
             &mut self.delivery,
             self.outputs,
             || {
@@ -291,7 +296,7 @@
             DecodeFailure::CallerGone => Failure::Final(Refusal::new(
                 RefusalReason::DeadlineExceeded,
                 Execution::Ran,
-                "the caller has left",
+                "the caller has left or takes nothing",
             )),
         })
     }
--- /dev/null
+++ b/crates/dogwoodpier-node/tests/bad_input.rs
@@ -0,0 +1,265 @@
+//! Bad input gets a clear error in the API's form that says `not-run`, and bounded time and memory.
+
+#[allow(dead_code)]
+mod models;
+
+use std::net::SocketAddr;
+
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+
+use dogwoodpier_fakes::caller::Caller;
+use dogwoodpier_fakes::caller::Refused;
+use dogwoodpier_fakes::engine::EngineStats;
+use dogwoodpier_fakes::fleet::Fleet;
+use dogwoodpier_fakes::fleet::FleetPlan;
+use dogwoodpier_fakes::fleet::UpstreamKind;
+
+use crate::models::DECODES;
+use crate::models::KEY;
+
+const COMPLETIONS: &str = "/v1/completions";
+const MAX_BODY_BYTES: usize = 100_000;
+
+fn plan() -> FleetPlan {
+    let mut plan = models::plan(1);
+    plan.node_settings = format!(
+        "[tuning]\nmax_body_bytes = {MAX_BODY_BYTES}\nbody_timeout_ms = 500\nwrite_timeout_ms = 500\n"
+    );
+    plan
+}
+
+async fn start() -> Fleet {
+    Fleet::start(plan()).await.expect("the fleet starts")
+}
+
+fn address(fleet: &Fleet) -> SocketAddr {
+    fleet.node("node-1").caller_address
+}
+
+async fn refusal(fleet: &Fleet, key: Option<&str>, path: &str, body: String) -> Refused {
+    Caller::new(address(fleet), key)
+        .call(Method::POST, path, &[], body.into())
+        .await
+        .expect("there is an answer")
+        .refused()
+        .expect("the answer is a refusal")
+}
+
+fn request(changes: Value) -> String {
+    let mut body = json!({ "model": "quotes", "prompt": "tender", "max_tokens": 5 });
+    for (field, value) in changes.as_object().expect("changes are an object") {
+        body[field] = value.clone();
+    }
+    body.to_string()
+}
+
+// Sends bytes over a connection of its own and returns what comes until the server closes it.
+async fn raw(fleet: &Fleet, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address(fleet))
+        .await
+        .expect("it listens");
+    stream.write_all(bytes).await.expect("it takes the bytes");
+    let mut answer = Vec::new();
+    // The server may reset the connection after its answer.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn wrong_requests_are_refused() {
+    let fleet = start().await;
+    let good = request(json!({}));
+    let cases = [
+        (None, COMPLETIONS, good.clone(), 401, "invalid_key"),
+        (
+            Some("unknown-key"),
+            COMPLETIONS,
+            good.clone(),
+            401,
+            "invalid_key",
+        ),
+        (Some(KEY), "/v1/unknown", good.clone(), 404, "no_route"),
+        (Some(KEY), COMPLETIONS, "{".into(), 400, "invalid_request"),
+        (Some(KEY), COMPLETIONS, "[]".into(), 400, "invalid_request"),
+        (
+            Some(KEY),
+            COMPLETIONS,
+            request(json!({ "prompt": 5 })),
+            400,
+            "invalid_request",
+        ),
+        (
+            Some(KEY),
+            COMPLETIONS,
+            request(json!({ "max_tokens": 0 })),
+            400,
+            "invalid_request",
+        ),
+        (
+            Some(KEY),
+            COMPLETIONS,
+            request(json!({ "n": 2 })),
+            400,
+            "invalid_request",
+        ),
+        (
+            Some(KEY),
+            COMPLETIONS,
+            request(json!({ "prompt": "" })),
+            400,
+            "invalid_request",
+        ),
+        (
+            Some(KEY),
+            COMPLETIONS,
+            request(json!({ "model": "other" })),
+            403,
+            "forbidden",
+        ),
+        (
+            Some("franchises-key"),
+            COMPLETIONS,
+            request(json!({ "model": "other" })),
+            404,
+            "no_route",
+        ),
+        (
+            Some("order-desk-key"),
+            COMPLETIONS,
+            good.clone(),
+            403,
+            "forbidden",
+        ),
+        (
+            Some(KEY),
+            COMPLETIONS,
+            request(json!({ "user": KEY })),
+            400,
+            "invalid_request",
+        ),
+        (
+            Some(KEY),
+            COMPLETIONS,
+            "x".repeat(MAX_BODY_BYTES + 1),
+            413,
+            "too_large",
+        ),
+        (
+            Some(KEY),
+            "/v1/chat/completions",
+            good.clone(),
+            400,
+            "invalid_request",
+        ),
+    ];
+    for (key, path, body, status, code) in cases {
+        let start: String = body.chars().take(80).collect();
+        let refused = refusal(&fleet, key, path, body).await;
+        assert_eq!(refused.status.as_u16(), status, "{start}: {refused:?}");
+        assert_eq!(refused.code, code, "{start}: {refused:?}");
+        assert_eq!(refused.execution, "not-run", "{start}: {refused:?}");
+        assert!(!refused.message.is_empty());
+    }
+    let answer = Caller::new(address(&fleet), Some(KEY))
+        .call(Method::POST, COMPLETIONS, &[], good.into())
+        .await
+        .expect("there is an answer");
+    assert_eq!(answer.status, 200, "a right request is still served");
+}
+
+#[tokio::test]
+async fn slow_and_broken_senders_are_ended() {
+    let fleet = start().await;
+    let head =
+        format!("POST {COMPLETIONS} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {KEY}\r\n");
+    // The body never ends: the bound on its time does.
+    let trickle = format!("{head}content-length: 50\r\nconnection: close\r\n\r\n{{");
+    let answer = raw(&fleet, trickle.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(
+        answer.contains("x-dogwoodpier-execution: not-run"),
+        "{answer}"
+    );
+
+    // A body without an announced length is bounded as it comes.
+    let part = format!("{:x}\r\n{}\r\n", MAX_BODY_BYTES, "x".repeat(MAX_BODY_BYTES));
+    let endless = format!("{head}transfer-encoding: chunked\r\n\r\n{part}{part}");
+    let answer = raw(&fleet, endless.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+
+    // Bodies without a key aren't read at all.
+    let unknown =
+        format!("POST {COMPLETIONS} HTTP/1.1\r\nhost: node\r\ncontent-length: 50\r\n\r\n");
+    let answer = raw(&fleet, unknown.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+
+    let header = "x".repeat(1_000_000);
+    let large = format!("GET / HTTP/1.1\r\nhost: node\r\nx-large: {header}\r\n\r\n");
+    let answer = raw(&fleet, large.as_bytes()).await;
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 431"),
+        "{answer}"
+    );
+
+    let answer = raw(&fleet, b"no http at all\r\n\r\n").await;
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 400"),
+        "{answer}"
+    );
+}
+
+#[tokio::test]
+async fn a_caller_that_stops_reading_holds_no_engine() {
+    let mut plan = plan();
+    for upstream in &mut plan.upstreams {
+        if let UpstreamKind::Engine(options) = &mut upstream.kind {
+            options.token_gap_us = 100;
+            options.token_gap_per_sequence_us = 0;
+        }
+    }
+    let fleet = Fleet::start(plan).await.expect("the fleet starts");
+    // More than all buffers on the way hold, and much less than the request's time at the engine.
+    let body = request(json!({ "stream": true, "max_tokens": 50_000 }));
+    let head = format!(
+        "POST {COMPLETIONS} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let socket = TcpSocket::new_v4().expect("there are sockets");
+    socket.set_recv_buffer_size(4_096).expect("it can be small");
+    let mut stream = socket.connect(address(&fleet)).await.expect("it listens");
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    models::wait_decoding(&fleet, 1).await;
+    models::wait_nothing_held(&fleet).await;
+    let mut finished = 0;
+    for engine in DECODES {
+        let stats: EngineStats = fleet.stats(engine).await.expect("it answers");
+        finished += stats.finished_decodes;
+    }
+    assert_eq!(finished, 0, "the buffers took the whole answer");
+    drop(stream);
+}
+
+#[tokio::test]
+async fn a_deadline_that_passes_is_answered_at_once() {
+    let fleet = start().await;
+    let answer = Caller::new(address(&fleet), Some(KEY))
+        .call(
+            Method::POST,
+            COMPLETIONS,
+            &[("x-deadline-ms", "300")],
+            request(json!({ "max_tokens": 1_000 })).into(),
+        )
+        .await
+        .expect("there is an answer");
+    let refused = answer.refused().expect("the answer is a refusal");
+    assert_eq!(refused.code, "deadline_exceeded");
+    assert_eq!(refused.execution, "ran");
+    models::wait_nothing_held(&fleet).await;
+}
--- a/crates/dogwoodpier-node/tests/engine_memory.rs
+++ b/crates/dogwoodpier-node/tests/engine_memory.rs
@@ -9,9 +9,9 @@
 use dogwoodpier_fakes::fleet::Fleet;
 use dogwoodpier_fakes::wait;
 
-use models::DECODES;
-use models::PREFILLS;
-use models::completion;
+use crate::models::DECODES;
+use crate::models::PREFILLS;
+use crate::models::completion;
 
 const LONG_ANSWER_TOKENS: u64 = 2_000;
 const CALLERS: usize = 6;
--- a/crates/dogwoodpier-node/tests/stream_faults.rs
+++ b/crates/dogwoodpier-node/tests/stream_faults.rs
@@ -11,8 +11,8 @@
 use dogwoodpier_fakes::engine::text::expected_answer;
 use dogwoodpier_fakes::fleet::Fleet;
 
-use models::DECODES;
-use models::completion;
+use crate::models::DECODES;
+use crate::models::completion;
 
 const CALLERS: usize = 12;
 const MAX_TOKENS: u64 = 60;
