--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -5,15 +5,19 @@
 
 #![forbid(unsafe_code)]
 
+pub mod claims;
 pub mod delivery;
+pub mod escrow;
 pub mod fair_queue;
 pub mod freshness;
 pub mod holds;
 pub mod links;
+pub mod quarantine;
 pub mod refusal;
 pub mod rendezvous;
 pub mod reservations;
 pub mod selection;
+pub mod slots;
 pub mod units;
 pub mod versions;
 
