--- a/crates/dogwoodpier-ctl/src/apply.rs
+++ b/crates/dogwoodpier-ctl/src/apply.rs
@@ -27,6 +27,8 @@
 use crate::store;
 use crate::store::Current;
 
+const PUT_TRIES: u32 = 4;
+
 /// A change to put in force.
 #[plain]
 pub struct Order {
@@ -217,15 +219,22 @@
     Ok(history.first().map_or(0, |root| root.generation))
 }
 
+// Writes something that is harmless until a root names it. A lost answer is tried again: the same
+// content under the same name takes effect once or twice alike.
 async fn put<T>(client: &Client, kind: &str, name: &str, value: &T, expect: Expect) -> Result<()>
 where
     T: Serialize,
 {
-    client
-        .put(kind, name, &encode(value), expect)
-        .await
-        .map(|_| ())
-        .map_err(Error::Platform)
+    let value = encode(value);
+    let mut tries_left = PUT_TRIES;
+    loop {
+        tries_left -= 1;
+        match client.put(kind, name, &value, expect).await {
+            Ok(_) => return Ok(()),
+            Err(dogwoodpier_platform::Error::Unknown(_)) if tries_left > 0 => {}
+            Err(error) => return Err(Error::Platform(error)),
+        }
+    }
 }
 
 fn encode<T>(value: &T) -> Value
--- a/crates/dogwoodpier-ctl/src/error.rs
+++ b/crates/dogwoodpier-ctl/src/error.rs
@@ -33,7 +33,7 @@
     #[error("{0}\nNothing was applied.")]
     Refused(String),
     /// The platform failed before anything took effect.
-    #[error("{0}\nNothing was applied. Try again when the platform answers.")]
+    #[error("{0}\nNo new version was written. Try again when the platform answers.")]
     Platform(dogwoodpier_platform::Error),
     /// The write of a new version may or may not have taken effect.
     #[error(
--- a/crates/dogwoodpier-fakes/src/platform/api.rs
+++ b/crates/dogwoodpier-fakes/src/platform/api.rs
@@ -135,7 +135,9 @@
         if_version: Option<u64>,
     ) -> Answer {
         let mut inner = self.lock();
-        if take_one(&mut inner.faults.lose_writes) {
+        let only_kind = inner.faults.lose_only_kind.as_deref();
+        let may_lose = only_kind.is_none_or(|only_kind| only_kind == kind);
+        if may_lose && take_one(&mut inner.faults.lose_writes) {
             return Err(Cut);
         }
         let written = if *request.method() == Method::DELETE {
@@ -147,7 +149,7 @@
             }
         };
         self.changed.send_replace(inner.store.revision());
-        if take_one(&mut inner.faults.lose_answers) {
+        if may_lose && take_one(&mut inner.faults.lose_answers) {
             return Err(Cut);
         }
         match written {
--- a/crates/dogwoodpier-fakes/src/platform/faults.rs
+++ b/crates/dogwoodpier-fakes/src/platform/faults.rs
@@ -28,4 +28,6 @@
     pub lose_answers: u32,
     /// Number of next writes that are lost with their answer.
     pub lose_writes: u32,
+    /// Kind of the objects whose writes may be lost; all if absent.
+    pub lose_only_kind: Option<String>,
 }
