Keep keys from upstreams in encoded and unnamed forms too

Weighed: stripping fields from a body would change bytes that the caller may have signed, so a body with a key is refused with 400 and the field's name. A field called key in a body is left alone, since services use the name for other things. Not covered: another workspace's key in a header or nested field of the caller's own invention.

--- a/crates/dogwoodpier-node/src/pipeline/accept.rs
+++ b/crates/dogwoodpier-node/src/pipeline/accept.rs
@@ -16,35 +16,15 @@
 use dogwoodpier_upstream::headers::end_to_end;
 
 use super::model_call::Api;
+use super::secrets;
 
 /// Header with the time that the caller gives the request, in milliseconds.
 pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
 /// Header with the caller's idempotency key.
 pub const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
-const KEY_HEADER: HeaderName = HeaderName::from_static("x-api-key");
 const BEARER: &str = "bearer ";
-// A shorter text is found in innocent places, and no configuration has such a key.
-const MIN_KEY_BYTES: usize = 8;
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 
-// Headers that carry keys in this API or its like. None goes on to an upstream.
-const SECRET_HEADERS: [HeaderName; 6] = [
-    header::AUTHORIZATION,
-    header::PROXY_AUTHORIZATION,
-    header::COOKIE,
-    KEY_HEADER,
-    HeaderName::from_static("api-key"),
-    HeaderName::from_static("x-goog-api-key"),
-];
-const SECRET_PARAMETERS: [&str; 6] = [
-    "key",
-    "api_key",
-    "api-key",
-    "apikey",
-    "access_token",
-    "x-api-key",
-];
-
 /// The head of a request.
 #[derive(Debug)]
 pub struct Head {
@@ -82,8 +62,8 @@
     let path = parts.uri.path();
     let target = find_target(&parts.method, path, config)?;
     let key = find_key(&parts.headers)?;
-    let path_and_query = strip_query(path, parts.uri.query(), key.as_deref());
-    if contains_key(path.as_bytes(), key.as_deref()) {
+    let path_and_query = secrets::strip_query(path, parts.uri.query(), key.as_deref());
+    if secrets::contains_key(path.as_bytes(), key.as_deref()) {
         return Err(invalid("the path must not contain the key"));
     }
     Ok(Head {
@@ -99,16 +79,6 @@
     })
 }
 
-/// Returns whether bytes contain the caller's key, which must not reach an upstream.
-pub fn contains_key(bytes: &[u8], key: Option<&str>) -> bool {
-    let Some(key) = key.filter(|key| key.len() >= MIN_KEY_BYTES) else {
-        return false;
-    };
-    bytes
-        .windows(key.len())
-        .any(|window| window == key.as_bytes())
-}
-
 /// Returns a refusal of a malformed request.
 pub fn invalid<M>(message: M) -> Refusal
 where
@@ -144,7 +114,7 @@
         }
         None => None,
     };
-    let plain = match headers.get(KEY_HEADER) {
+    let plain = match headers.get(secrets::KEY_HEADER) {
         Some(value) => Some(
             value
                 .to_str()
@@ -188,31 +158,11 @@
 fn strip_headers(headers: &HeaderMap, key: Option<&str>) -> HeaderMap {
     end_to_end(headers)
         .iter()
-        .filter(|(name, value)| {
-            !SECRET_HEADERS.contains(*name)
-                && **name != DEADLINE_HEADER
+        .filter(|(name, _)| {
+            **name != DEADLINE_HEADER
                 && **name != header::HOST
-                && !contains_key(value.as_bytes(), key)
+                && secrets::may_pass(headers, name, key)
         })
         .map(|(name, value)| (name.clone(), value.clone()))
         .collect()
 }
-
-fn strip_query(path: &str, query: Option<&str>, key: Option<&str>) -> String {
-    let kept: Vec<&str> = query
-        .unwrap_or_default()
-        .split('&')
-        .filter(|pair| {
-            let name = pair.split('=').next().unwrap_or_default();
-            !pair.is_empty()
-                && !SECRET_PARAMETERS
-                    .iter()
-                    .any(|secret| secret.eq_ignore_ascii_case(name))
-                && !contains_key(pair.as_bytes(), key)
-        })
-        .collect();
-    if kept.is_empty() {
-        return path.to_owned();
-    }
-    format!("{path}?{}", kept.join("&"))
-}
--- a/crates/dogwoodpier-node/src/pipeline/mod.rs
+++ b/crates/dogwoodpier-node/src/pipeline/mod.rs
@@ -20,6 +20,7 @@
 pub mod request;
 pub mod reserve;
 pub mod respond;
+pub mod secrets;
 pub mod serve;
 pub mod sse;
 pub mod transfer;
--- a/crates/dogwoodpier-node/src/pipeline/serve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -39,6 +39,7 @@
 use super::request::fingerprint;
 use super::respond;
 use super::respond::WholeAnswer;
+use super::secrets;
 use super::sse;
 
 const DRAIN_RETRY_AFTER_MS: u64 = 1_000;
@@ -90,9 +91,12 @@
         *workspace = authenticated.name.clone();
     }
     let read = body::read(&parts.headers, body, &node.settings.tuning).await?;
-    if accept::contains_key(&read.bytes, head.key.as_deref()) {
+    if secrets::contains_key(&read.bytes, head.key.as_deref()) {
         return Err(accept::invalid("the body must not contain the key"));
     }
+    if matches!(head.target, Target::Route(_)) {
+        secrets::refuse_in_body(&read.bytes, head.key.as_deref())?;
+    }
     let read = Read {
         body: read.bytes,
         config,
@@ -124,6 +128,10 @@
     authenticated: Authenticated,
 ) -> Result<Response<Body>, Refusal> {
     let call = model_call::parse(api, &read.body)?;
+    // Of the body only the prompt goes on, and a key that is escaped in it shows only now.
+    if secrets::contains_key(call.prompt.as_bytes(), read.head.key.as_deref()) {
+        return Err(accept::invalid("the prompt must not contain the key"));
+    }
     authenticate::authorize(&authenticated, &call.model)?;
     let Some(model) = read.config.models.get(&call.model) else {
         return Err(Refusal::not_run(
