Peers: a node is no peer of itself

Cause: a holder that hands a slot over can be the heir that the successor gets, so the heartbeat's list of heirs named the node itself. It sent itself a heartbeat, took itself in as a member, and `keeper_of` then named it as a peer that keeps the engine, so nobody audited that engine or kept its book. Ruled out: the rule of presumed life (the killed node was rightly held dead), the audit's grace time. Change: Members never take in their own instance, whatever the source, in place of three checks elsewhere; the round leaves the own id out.

--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -93,13 +93,7 @@
         .grant_promises(&sender, &request.promise_requests, now);
     node.peers.take_heard(sender, now);
     for info in request.known {
-        if info
-            .id
-            .as_ref()
-            .is_some_and(|id| id.instance != *node.settings.instance)
-        {
-            node.peers.take_known(info, now);
-        }
+        node.peers.take_known(info, now);
     }
     HeartbeatReply {
         sender: Some(node.info()),
@@ -120,7 +114,14 @@
         LARGE_FLEET_FANOUT
     };
     let sample = node.peers.sample(fanout);
-    for info in node.slots.heirs().into_iter().chain(sample) {
+    let own = node.id();
+    // This node can be the heir of a slot that it hands over.
+    let heirs = node
+        .slots
+        .heirs()
+        .into_iter()
+        .filter(|info| info.id.as_ref() != Some(&own));
+    for info in heirs.chain(sample) {
         chosen.insert(info.peer_address.clone(), info);
     }
     chosen.into_values().collect()
--- a/crates/dogwoodpier-node/src/peers/members.rs
+++ b/crates/dogwoodpier-node/src/peers/members.rs
@@ -1,6 +1,7 @@
 //! Members of the fleet: the platform's list joined with heartbeats.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_derive::plain;
@@ -11,6 +12,7 @@
 
 /// What is known of the other nodes.
 pub struct Members {
+    own_instance: Arc<str>,
     member_timeout_ms: u64,
     by_instance: BTreeMap<String, Member>,
 }
@@ -31,9 +33,11 @@
 }
 
 impl Members {
-    /// Returns an empty set. A member counts as alive for `member_timeout_ms` after a sign of life.
-    pub fn new(member_timeout_ms: u64) -> Self {
+    /// Returns an empty set. It never takes in `own_instance`, which is no peer of itself. A member
+    /// counts as alive for `member_timeout_ms` after a sign of life.
+    pub fn new(own_instance: Arc<str>, member_timeout_ms: u64) -> Self {
         Self {
+            own_instance,
             member_timeout_ms,
             by_instance: BTreeMap::new(),
         }
@@ -193,6 +197,9 @@
 
     fn add(&mut self, info: NodeInfo, heard_ms: Option<TimeMs>, listed: bool, now: TimeMs) {
         let instance = info.id.clone().unwrap_or_default().instance;
+        if instance == *self.own_instance {
+            return;
+        }
         let member = Member {
             info,
             heard_ms,
--- a/crates/dogwoodpier-node/src/peers/mod.rs
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -23,7 +23,6 @@
 
 /// Members of the fleet and connections to them.
 pub struct Peers {
-    own_instance: Arc<str>,
     members: Mutex<Members>,
     transport: Transport,
 }
@@ -32,8 +31,7 @@
     /// Returns the peers of a node that knows nobody yet.
     pub fn new(own_instance: Arc<str>, member_timeout_ms: u64, peer_timeout_ms: u64) -> Self {
         Self {
-            own_instance,
-            members: Mutex::new(Members::new(member_timeout_ms)),
+            members: Mutex::new(Members::new(own_instance, member_timeout_ms)),
             transport: Transport::new(peer_timeout_ms),
         }
     }
@@ -71,26 +69,15 @@
     where
         I: IntoIterator<Item = NodeInfo>,
     {
-        let own = &self.own_instance;
         let mut members = self.lock();
         for info in nodes {
-            if info.id.as_ref().is_some_and(|id| id.instance != **own) {
-                members.take_registered(info, now);
-            }
+            members.take_registered(info, now);
         }
     }
 
     /// Takes in the platform's list of nodes.
     pub fn take_listed(&self, nodes: Vec<NodeInfo>, now: TimeMs) {
-        let others = nodes
-            .into_iter()
-            .filter(|info| {
-                info.id
-                    .as_ref()
-                    .is_some_and(|id| id.instance != *self.own_instance)
-            })
-            .collect();
-        self.lock().take_listed(others, now);
+        self.lock().take_listed(nodes, now);
     }
 
     /// Returns the connections to the peers.
--- a/crates/dogwoodpier-node/tests/member_view.rs
+++ b/crates/dogwoodpier-node/tests/member_view.rs
@@ -29,7 +29,7 @@
 
 #[test]
 fn listed_member_is_alive_until_call_fails() {
-    let mut members = Members::new(TIMEOUT_MS);
+    let mut members = Members::new("own".into(), TIMEOUT_MS);
     members.take_listed(vec![info("a", 0), info("b", 0)], START);
     assert_eq!(names(&members, START), ["a", "b"]);
     members.note_call("a", false, START.after(1));
@@ -40,7 +40,7 @@
 
 #[test]
 fn draining_member_is_not_alive() {
-    let mut members = Members::new(TIMEOUT_MS);
+    let mut members = Members::new("own".into(), TIMEOUT_MS);
     let draining = NodeInfo {
         draining: true,
         ..info("a", 7)
@@ -51,7 +51,7 @@
 
 #[test]
 fn new_member_survives_lagging_list() {
-    let mut members = Members::new(TIMEOUT_MS);
+    let mut members = Members::new("own".into(), TIMEOUT_MS);
     members.take_registered(info("a", 7), START);
     members.take_listed(vec![], START.after(10_000));
     assert!(members.may_live(7, TIMEOUT_MS, START.after(10_000)));
@@ -61,7 +61,7 @@
 
 #[test]
 fn replaced_incarnation_is_dead() {
-    let mut members = Members::new(TIMEOUT_MS);
+    let mut members = Members::new("own".into(), TIMEOUT_MS);
     members.take_heard(info("a", 7), START);
     assert!(members.may_live(7, TIMEOUT_MS, START));
     members.take_heard(info("a", 8), START.after(1));
@@ -71,7 +71,7 @@
 
 #[test]
 fn silent_incarnation_is_dead_only_after_failed_call() {
-    let mut members = Members::new(TIMEOUT_MS);
+    let mut members = Members::new("own".into(), TIMEOUT_MS);
     members.take_heard(info("a", 7), START);
     members.take_listed(vec![info("a", 0)], START);
     let later = START.after(60_000);
@@ -82,7 +82,7 @@
 
 #[test]
 fn reach_counts_answered_share_of_recent_calls() {
-    let mut members = Members::new(TIMEOUT_MS);
+    let mut members = Members::new("own".into(), TIMEOUT_MS);
     assert_eq!(members.reach(START), None);
     members.take_listed(vec![info("a", 0), info("b", 0)], START);
     members.note_call("a", true, START);
@@ -90,3 +90,13 @@
     assert_eq!(members.reach(START), Some(0.5));
     assert_eq!(members.reach(START.after(TIMEOUT_MS + 1)), None);
 }
+
+#[test]
+fn node_is_no_peer_of_itself() {
+    let mut members = Members::new("own".into(), TIMEOUT_MS);
+    members.take_heard(info("own", 7), START);
+    members.take_known(info("own", 7), START);
+    members.take_registered(info("own", 7), START);
+    members.take_listed(vec![info("own", 0)], START);
+    assert!(members.all().is_empty());
+}
