Refuse fewer requests within rate, with fewer calls

Now lenders give all for requests that wait, also what they borrowed, and keep a reserve only against asks ahead of demand; requests spend the own bucket first; a broker that collected nothing doesn't collect again for 100 ms; direct asks after a broker that answered go out once a second.

Contract change: BorrowItem.is_urgent.

--- a/crates/dogwoodpier-core/examples/escrow_report/fleet.rs
+++ b/crates/dogwoodpier-core/examples/escrow_report/fleet.rs
@@ -14,6 +14,7 @@
 use dogwoodpier_core::escrow::Backing;
 use dogwoodpier_core::escrow::Charge;
 use dogwoodpier_core::escrow::Limit;
+use dogwoodpier_core::escrow::LoanRequest;
 use dogwoodpier_core::escrow::ReceivedLoan;
 
 use super::scenario::Failure;
@@ -24,7 +25,8 @@
 const ONE_WAY_MS: u64 = 1;
 const TICK_MS: u64 = 100;
 const LOAN_MS: u64 = 2_000;
-const DRY_MS: u64 = 50;
+const DRY_MS: u64 = 100;
+const DIRECT_INTERVAL_MS: u64 = 1_000;
 const DRY_AHEAD_MS: u64 = 500;
 const MAX_GATHERS: u32 = 2;
 const COST_TOKENS: std::ops::RangeInclusive<u64> = 100..=900;
@@ -38,8 +40,9 @@
 #[derive(Default)]
 pub struct Outcome {
     central_admitted: u64,
+    central_tokens: u64,
+    admitted_tokens: u64,
     refused_within_rate: u64,
-    admitted: u64,
     borrow_calls: u64,
     measured_ms: u64,
 }
@@ -50,7 +53,7 @@
     }
 
     pub fn admitted_ratio(&self) -> f64 {
-        self.admitted as f64 / self.central_admitted.max(1) as f64
+        self.admitted_tokens as f64 / self.central_tokens.max(1) as f64
     }
 
     pub fn borrow_calls_per_s(&self) -> f64 {
@@ -65,6 +68,8 @@
     gathering: bool,
     dry_deadline_ms: TimeMs,
     dry_ahead_deadline_ms: TimeMs,
+    dry_broker_deadline_ms: TimeMs,
+    next_direct_ms: TimeMs,
     alive: bool,
 }
 
@@ -79,17 +84,20 @@
     Collect {
         borrower: usize,
         wanted: Tokens,
+        is_urgent: bool,
         asked_ms: TimeMs,
     },
     // The broker has collected and lends.
     Broker {
         borrower: usize,
         wanted: Tokens,
+        is_urgent: bool,
         asked_ms: TimeMs,
     },
     Direct {
         borrower: usize,
         wanted: Tokens,
+        is_urgent: bool,
     },
     Gathered {
         borrower: usize,
@@ -176,6 +184,8 @@
                 gathering: false,
                 dry_deadline_ms: TimeMs(0),
                 dry_ahead_deadline_ms: TimeMs(0),
+                dry_broker_deadline_ms: TimeMs(0),
+                next_direct_ms: TimeMs(0),
                 alive: true,
             }
         });
@@ -246,6 +256,7 @@
         let central = matches!(admission, Admission::Admitted(_));
         if let Admission::Admitted(charge) = admission {
             self.outcome.central_admitted += u64::from(self.measured());
+            self.outcome.central_tokens += charge.tokens.0 * u64::from(self.measured());
             self.finish_later(None, charge);
         }
         self.peers[node].account.note_demand(cost, now);
@@ -279,7 +290,7 @@
         let peer = &mut self.peers[node];
         match peer.account.admit(waiting.cost, &peer.backings, now) {
             Admission::Admitted(charge) => {
-                self.outcome.admitted += u64::from(self.measured());
+                self.outcome.admitted_tokens += charge.tokens.0 * u64::from(self.measured());
                 self.finish_later(Some(node), charge);
             }
             Admission::Short(_)
@@ -309,16 +320,17 @@
         for waiting in &mut peer.waiting {
             waiting.gathers += 1;
         }
-        self.gather(node, short);
+        self.gather(node, short, true);
     }
 
-    fn gather(&mut self, borrower: usize, wanted: Tokens) {
+    fn gather(&mut self, borrower: usize, wanted: Tokens, is_urgent: bool) {
         self.peers[borrower].gathering = true;
         let asked_ms = self.now;
         self.count_calls(1);
         let collect = Event::Collect {
             borrower,
             wanted,
+            is_urgent,
             asked_ms,
         };
         if self.broker() == borrower {
@@ -340,20 +352,25 @@
         borrower: usize,
         wanted: Tokens,
         as_broker: bool,
+        is_urgent: bool,
         asked_ms: TimeMs,
     ) -> Tokens {
         let now = self.now;
         if lender == borrower || !self.peers[lender].alive || wanted.0 == 0 {
             return Tokens(0);
         }
+        let request = LoanRequest {
+            wanted,
+            is_urgent,
+            as_broker,
+            valid_ms: LOAN_MS,
+        };
         let next_loan_id = &mut self.next_loan_id;
         let peer = &mut self.peers[lender];
-        let loans = peer
-            .account
-            .lend(wanted, as_broker, LOAN_MS, &peer.backings, now, || {
-                *next_loan_id += 1;
-                *next_loan_id
-            });
+        let loans = peer.account.lend(request, &peer.backings, now, || {
+            *next_loan_id += 1;
+            *next_loan_id
+        });
         let mut lent = Tokens(0);
         for terms in loans {
             lent = lent + terms.tokens;
@@ -375,6 +392,7 @@
         borrower: usize,
         wanted: Tokens,
         excluded: usize,
+        is_urgent: bool,
         asked_ms: TimeMs,
     ) -> Tokens {
         let lenders: Vec<usize> = (0..self.peers.len())
@@ -388,8 +406,9 @@
             }
             for lender in &lenders {
                 let wanted = part.min(missing);
-                missing =
-                    missing.saturating_sub(self.lend(*lender, borrower, wanted, false, asked_ms));
+                missing = missing.saturating_sub(
+                    self.lend(*lender, borrower, wanted, false, is_urgent, asked_ms),
+                );
             }
         }
         wanted.saturating_sub(missing)
@@ -401,12 +420,13 @@
             Event::Collect {
                 borrower,
                 wanted,
+                is_urgent,
                 asked_ms,
             } => {
                 let broker = self.broker();
                 let before = self.peers[borrower].account.spendable().whole();
                 if broker == borrower {
-                    self.collect(borrower, wanted, borrower, asked_ms);
+                    self.collect(borrower, wanted, borrower, is_urgent, asked_ms);
                     let event = Event::Gathered {
                         borrower,
                         wanted,
@@ -415,14 +435,18 @@
                     self.after(2 * ONE_WAY_MS, event);
                     return;
                 }
-                let lent = self.lend(broker, borrower, wanted, true, asked_ms);
+                let lent = self.lend(broker, borrower, wanted, true, is_urgent, asked_ms);
                 let missing = wanted.saturating_sub(lent);
-                if missing.0 > 0 {
-                    self.collect(broker, missing, borrower, now);
+                if missing.0 > 0 && now >= self.peers[broker].dry_broker_deadline_ms {
+                    let collected = self.collect(broker, missing, borrower, is_urgent, now);
+                    if collected.0 == 0 {
+                        self.peers[broker].dry_broker_deadline_ms = now.after(DRY_MS);
+                    }
                 }
                 let event = Event::Broker {
                     borrower,
                     wanted: missing,
+                    is_urgent,
                     asked_ms,
                 };
                 self.after(2 * ONE_WAY_MS, event);
@@ -430,19 +454,34 @@
             Event::Broker {
                 borrower,
                 wanted,
+                is_urgent,
                 asked_ms,
             } => {
                 let broker = self.broker();
-                let lent = self.lend(broker, borrower, wanted, true, asked_ms);
+                let lent = self.lend(broker, borrower, wanted, true, is_urgent, asked_ms);
                 let wanted = wanted.saturating_sub(lent);
-                self.after(ONE_WAY_MS, Event::Direct { borrower, wanted });
+                self.after(
+                    ONE_WAY_MS,
+                    Event::Direct {
+                        borrower,
+                        wanted,
+                        is_urgent,
+                    },
+                );
             }
-            Event::Direct { borrower, wanted } => {
+            Event::Direct {
+                borrower,
+                wanted,
+                is_urgent,
+            } => {
                 let before = self.peers[borrower].account.spendable().whole();
-                if wanted.0 > 0 {
-                    self.collect(borrower, wanted, self.broker(), now);
+                let peer = &mut self.peers[borrower];
+                let due = wanted.0 > 0 && now >= peer.next_direct_ms;
+                if due {
+                    peer.next_direct_ms = now.after(DIRECT_INTERVAL_MS);
+                    self.collect(borrower, wanted, self.broker(), is_urgent, now);
                 }
-                let delay_ms = if wanted.0 > 0 { 2 * ONE_WAY_MS } else { 0 };
+                let delay_ms = if due { 2 * ONE_WAY_MS } else { 0 };
                 let event = Event::Gathered {
                     borrower,
                     wanted,
@@ -520,7 +559,7 @@
             let peer = &mut self.peers[node];
             let wanted = peer.account.wanted_ahead(&peer.backings, now);
             if wanted.0 > 0 && !peer.gathering && now >= peer.dry_ahead_deadline_ms {
-                self.gather(node, wanted);
+                self.gather(node, wanted, false);
             }
         }
     }
--- a/crates/dogwoodpier-core/examples/escrow_report/main.rs
+++ b/crates/dogwoodpier-core/examples/escrow_report/main.rs
@@ -83,7 +83,7 @@
 fn heading(text: &str) {
     println!("\n{text}\n");
     println!(
-        "| rate tokens/s | burst | load % | pattern | lending | failure | slots | promise ms | refused within rate % | admitted / central | borrow calls/s |"
+        "| rate tokens/s | burst | load % | pattern | lending | failure | slots | promise ms | refused within rate % | tokens admitted / central | borrow calls/s |"
     );
     println!("| --: | --: | --: | :-- | :-- | :-- | --: | --: | --: | --: | --: |");
 }
--- a/crates/dogwoodpier-core/src/escrow/account.rs
+++ b/crates/dogwoodpier-core/src/escrow/account.rs
@@ -29,6 +29,22 @@
     mark: u64,
 }
 
+/// What a peer asks for.
+#[plain]
+#[derive(Copy, Eq)]
+pub struct LoanRequest {
+    /// Most tokens to lend.
+    pub wanted: Tokens,
+    /// True if requests wait for them. Otherwise they are asked for ahead of demand, and the lender
+    /// keeps what it may need itself.
+    pub is_urgent: bool,
+    /// True if the lender is asked as broker: it lends on what it borrowed, too. So does any lender
+    /// if requests wait.
+    pub as_broker: bool,
+    /// Longest validity.
+    pub valid_ms: u64,
+}
+
 /// Answer to a request for tokens.
 #[plain]
 pub enum Admission {
@@ -89,10 +105,10 @@
         if missing > MicroTokens(0) {
             return Admission::Short(missing.covering());
         }
-        // Loans first: they end, and what is left of them helps nobody meanwhile.
+        // The own bucket first: a full one loses its accrual, and has no room for refunds.
         let mark = self.bucket.mark();
-        let from_loans = self.borrowed.take(needed);
-        self.bucket.take(needed.saturating_sub(from_loans));
+        let own = self.bucket.take(needed);
+        self.borrowed.take(needed.saturating_sub(own));
         Admission::Admitted(Charge { tokens: cost, mark })
     }
 
@@ -107,13 +123,10 @@
         }
     }
 
-    /// Lends up to `wanted`: what was borrowed first, if `as_broker`, then from the own bucket.
-    /// `new_id` returns a random, unique id.
+    /// Lends from the own bucket and from what was borrowed. `new_id` returns a random, unique id.
     pub fn lend<F>(
         &mut self,
-        wanted: Tokens,
-        as_broker: bool,
-        valid_ms: u64,
+        request: LoanRequest,
         backings: &[Backing],
         now: TimeMs,
         mut new_id: F,
@@ -122,20 +135,26 @@
         F: FnMut() -> u64,
     {
         self.advance(backings, now);
-        let reserve = self.demand.expect(RESERVE_MS, now);
-        let mut loans = Vec::new();
-        let mut missing = wanted;
-        while as_broker && missing.0 > 0 {
+        let reserve = if request.is_urgent {
+            Tokens(0)
+        } else {
+            self.demand.expect(RESERVE_MS, now)
+        };
+        let LoanRequest {
+            wanted, valid_ms, ..
+        } = request;
+        let own = self
+            .bucket
+            .lend(new_id(), wanted, reserve, valid_ms, backings, now);
+        let mut loans = Vec::from_iter(own);
+        let mut missing = Tokens(wanted.0 - loans.iter().map(|loan| loan.tokens.0).sum::<u64>());
+        while (request.is_urgent || request.as_broker) && missing.0 > 0 {
             let Some(loan) = self.borrowed.lend_on(new_id(), missing, now) else {
                 break;
             };
             missing = missing.saturating_sub(loan.tokens);
             loans.push(loan);
         }
-        let own = self
-            .bucket
-            .lend(new_id(), missing, reserve, valid_ms, backings, now);
-        loans.extend(own);
         loans
     }
 
--- a/crates/dogwoodpier-core/src/escrow/mod.rs
+++ b/crates/dogwoodpier-core/src/escrow/mod.rs
@@ -31,6 +31,7 @@
 pub use account::Account;
 pub use account::Admission;
 pub use account::Charge;
+pub use account::LoanRequest;
 pub use amount::MicroTokens;
 pub use borrowed::ReceivedLoan;
 pub use borrowed::Settlement;
--- a/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
@@ -8,6 +8,7 @@
 use dogwoodpier_core::escrow::Backing;
 use dogwoodpier_core::escrow::Charge;
 use dogwoodpier_core::escrow::Limit;
+use dogwoodpier_core::escrow::LoanRequest;
 use dogwoodpier_core::escrow::MicroTokens;
 use dogwoodpier_core::escrow::ReceivedLoan;
 use dogwoodpier_core::slots::lease;
@@ -275,10 +276,13 @@
                     self.next_loan_id += 1;
                     self.next_loan_id
                 };
-                let wanted = Tokens(tokens);
-                let loans =
-                    peer.account
-                        .lend(wanted, as_broker, LOAN_MS, &peer.backings, now, new_id);
+                let request = LoanRequest {
+                    wanted: Tokens(tokens),
+                    is_urgent: true,
+                    as_broker,
+                    valid_ms: LOAN_MS,
+                };
+                let loans = peer.account.lend(request, &peer.backings, now, new_id);
                 for terms in loans {
                     let loan = ReceivedLoan {
                         loan_id: terms.loan_id,
--- a/crates/dogwoodpier-node/src/limits/borrow.rs
+++ b/crates/dogwoodpier-node/src/limits/borrow.rs
@@ -33,7 +33,9 @@
 // Members asked in one round.
 const MAX_ASKED: usize = 32;
 // A workspace of which nobody had tokens is left alone for this time.
-const DRY_MS: u64 = 50;
+const DRY_MS: u64 = 100;
+// The broker has asked everybody a moment ago, but it may be cut off from some.
+const DIRECT_INTERVAL_MS: u64 = 1_000;
 const DRY_AHEAD_MS: u64 = 500;
 
 /// Requests that wait for tokens, by workspace. One gathering at a time serves all that wait.
@@ -54,15 +56,28 @@
     // Until then there is no use in asking.
     dry_deadline_ms: TimeMs,
     dry_ahead_deadline_ms: TimeMs,
+    // As broker: until then collecting is no use.
+    dry_broker_deadline_ms: TimeMs,
+    next_direct_ms: TimeMs,
 }
 
 impl Gathers {
-    fn of(&self, workspace: &Arc<str>) -> Arc<Gather> {
+    fn of(&self, workspace: &str) -> Arc<Gather> {
         let mut gathers = self
             .by_workspace
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        gathers.entry(workspace.clone()).or_default().clone()
+        gathers.entry(workspace.into()).or_default().clone()
+    }
+}
+
+impl Waiting {
+    fn direct_is_due(&mut self, now: TimeMs) -> bool {
+        let due = now >= self.next_direct_ms;
+        if due {
+            self.next_direct_ms = now.after(DIRECT_INTERVAL_MS);
+        }
+        due
     }
 }
 
@@ -106,7 +121,7 @@
     if wanted.0 == 0 {
         return;
     }
-    let borrowed = borrow(node, vec![item(node, workspace, wanted)]).await;
+    let borrowed = borrow(node, vec![item(node, workspace, wanted, true)]).await;
     if borrowed.0 == 0 {
         gather.waiting().dry_deadline_ms = clock::now().after(DRY_MS);
     }
@@ -132,7 +147,10 @@
 }
 
 async fn borrow_through(node: &SharedNode, broker: &NodeInfo, items: Vec<BorrowItem>) -> Tokens {
-    let borrowed = ask(node, broker, items.clone(), true).await;
+    let answer = ask(node, broker, items.clone(), true).await;
+    let broker_answered = answer.is_some();
+    let borrowed = answer.unwrap_or_default();
+    let now = clock::now();
     let short: Vec<BorrowItem> = items
         .into_iter()
         .filter_map(|item| {
@@ -140,16 +158,41 @@
             let tokens = item.tokens.saturating_sub(got);
             (tokens > 0).then_some(BorrowItem { tokens, ..item })
         })
+        .filter(|item| {
+            let gather = node.limits.gathers.of(&item.workspace);
+            !broker_answered || gather.waiting().direct_is_due(now)
+        })
         .collect();
     let through_broker = Tokens(borrowed.values().sum());
     if short.is_empty() {
         return through_broker;
     }
-    // The broker may be cut off from others that this node reaches.
     let instance = broker.id.clone().unwrap_or_default().instance;
     through_broker + collect(node, short, &[&instance]).await
 }
 
+/// Collects as broker for another member, unless that brought nothing a moment ago.
+pub(super) async fn collect_as_broker(
+    node: &SharedNode,
+    mut items: Vec<BorrowItem>,
+    borrower: &str,
+) {
+    let now = clock::now();
+    items.retain(|item| {
+        let gather = node.limits.gathers.of(&item.workspace);
+        let dry = now < gather.waiting().dry_broker_deadline_ms;
+        !dry
+    });
+    let workspaces: Vec<String> = items.iter().map(|item| item.workspace.clone()).collect();
+    if items.is_empty() || collect(node, items, &[borrower]).await.0 > 0 {
+        return;
+    }
+    for workspace in workspaces {
+        let gather = node.limits.gathers.of(&workspace);
+        gather.waiting().dry_broker_deadline_ms = clock::now().after(DRY_MS);
+    }
+}
+
 /// Asks other members directly, first each for twice its part, then for all that is missing.
 pub(super) async fn collect(
     node: &SharedNode,
@@ -181,7 +224,7 @@
         let asks = asked
             .iter()
             .map(|info| ask(node, info, parts.clone(), false));
-        for borrowed in join_all(asks).await {
+        for borrowed in join_all(asks).await.into_iter().flatten() {
             for item in &mut missing {
                 let got = borrowed.get(&item.workspace).copied().unwrap_or(0);
                 item.tokens = item.tokens.saturating_sub(got);
@@ -196,13 +239,14 @@
     total
 }
 
-// Asks one member and takes its loans in. Returns the tokens by workspace.
+// Asks one member and takes its loans in. Returns the tokens by workspace, or `None` if there is no
+// answer.
 async fn ask(
     node: &SharedNode,
     lender: &NodeInfo,
     items: Vec<BorrowItem>,
     as_broker: bool,
-) -> BTreeMap<String, u64> {
+) -> Option<BTreeMap<String, u64>> {
     let request = BorrowRequest {
         borrower: Some(node.id()),
         items,
@@ -220,7 +264,7 @@
         )
         .await;
     // Loans of a lost answer end by themselves.
-    take_loans(node, answer.unwrap_or_default(), asked_ms)
+    Some(take_loans(node, answer.ok()?, asked_ms))
 }
 
 fn take_loans(node: &Node, reply: BorrowReply, asked_ms: TimeMs) -> BTreeMap<String, u64> {
@@ -326,7 +370,7 @@
         !dry
     });
     let asks = items.into_iter().map(|(workspace, wanted)| async move {
-        let borrowed = borrow(node, vec![item(node, &workspace, wanted)]).await;
+        let borrowed = borrow(node, vec![item(node, &workspace, wanted, false)]).await;
         if borrowed.0 * 4 < wanted.0 {
             let gather = node.limits.gathers.of(&workspace);
             gather.waiting().dry_ahead_deadline_ms = clock::now().after(DRY_AHEAD_MS);
@@ -348,11 +392,12 @@
         .cloned()
 }
 
-fn item(node: &Node, workspace: &Arc<str>, tokens: Tokens) -> BorrowItem {
+fn item(node: &Node, workspace: &Arc<str>, tokens: Tokens, is_urgent: bool) -> BorrowItem {
     BorrowItem {
         workspace: workspace.to_string(),
         tokens: tokens.0,
         config_version: node.config.current().version,
+        is_urgent,
     }
 }
 
--- a/crates/dogwoodpier-node/src/limits/lend.rs
+++ b/crates/dogwoodpier-node/src/limits/lend.rs
@@ -3,6 +3,7 @@
 use metrics::counter;
 
 use dogwoodpier_core::Tokens;
+use dogwoodpier_core::escrow::LoanRequest;
 use dogwoodpier_core::escrow::LoanTerms;
 use dogwoodpier_proto::BorrowItem;
 use dogwoodpier_proto::BorrowReply;
@@ -35,7 +36,7 @@
         }
     }
     if request.as_broker && !missing_items.is_empty() {
-        borrow::collect(node, missing_items.clone(), &[&borrower]).await;
+        borrow::collect_as_broker(node, missing_items.clone(), &borrower).await;
         for item in missing_items {
             lend_item(node, &item, true, &mut reply);
         }
@@ -47,12 +48,17 @@
 fn lend_item(node: &Node, item: &BorrowItem, as_broker: bool, reply: &mut BorrowReply) -> Tokens {
     let now = clock::now();
     let wanted = Tokens(item.tokens);
-    let valid_ms = node.settings.tuning.loan_ms;
+    let request = LoanRequest {
+        wanted,
+        is_urgent: item.is_urgent,
+        as_broker,
+        valid_ms: node.settings.tuning.loan_ms,
+    };
     let loans = node
         .limits
         .accounts
         .with(node, &item.workspace, now, |account, backings| {
-            account.lend(wanted, as_broker, valid_ms, backings, now, rand::random)
+            account.lend(request, backings, now, rand::random)
         })
         .unwrap_or_default();
     let lent = Tokens(loans.iter().map(|loan| loan.tokens.0).sum());
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -104,6 +104,9 @@
     /// Configuration version whose limits the borrower applies.
     #[prost(uint64, tag = "3")]
     pub config_version: u64,
+    /// True if requests wait for the tokens, false if they are asked for ahead of demand.
+    #[prost(bool, tag = "4")]
+    pub is_urgent: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BorrowReply {
