--- a/crates/dogwoodpier-core/src/escrow/account.rs
+++ b/crates/dogwoodpier-core/src/escrow/account.rs
@@ -107,7 +107,8 @@
         }
         // The own bucket first: a full one loses its accrual, and has no room for refunds.
         let mark = self.bucket.mark();
-        let own = self.bucket.take(needed);
+        let own_whole = MicroTokens::from(self.bucket.level().whole());
+        let own = self.bucket.take(needed.min(own_whole));
         self.borrowed.take(needed.saturating_sub(own));
         Admission::Admitted(Charge { tokens: cost, mark })
     }
@@ -215,9 +216,12 @@
         self.bucket.receive(level, backings, now);
     }
 
-    /// Returns the tokens that this node could spend, as of the last call.
+    /// Returns the whole tokens that this node could spend, as of the last call.
+    ///
+    /// A part of a token stays in the bucket, so that loans stay whole: what a loan has left below a
+    /// token could not be returned.
     pub fn spendable(&self) -> MicroTokens {
-        self.bucket.level() + self.borrowed.available()
+        MicroTokens::from(self.bucket.level().whole()) + self.borrowed.available()
     }
 
     fn advance(&mut self, backings: &[Backing], now: TimeMs) {
