--- a/crates/dogwoodpier-core/examples/escrow_report/main.rs
+++ b/crates/dogwoodpier-core/examples/escrow_report/main.rs
@@ -65,11 +65,11 @@
 }
 
 fn slots_and_promises(seeds: u64) {
-    heading("Number of slots and length of the promise; even load of 95 %, one of 8 nodes dead");
+    heading("Slots and promise length; even load of 120 %, 90 % used; one of 8 nodes dead");
     for slot_count in [8, 32, 128] {
         for promise_ms in [1_000, 3_000, 10_000] {
             let scenario = Scenario {
-                load_percent: 95,
+                load_percent: 120,
                 slot_count,
                 promise_ms,
                 failure: Failure::Reclaimed,
