--- a/crates/dogwoodpier-node/src/counters.rs
+++ b/crates/dogwoodpier-node/src/counters.rs
@@ -48,3 +48,7 @@
 pub const BORROWED_TOKENS_TOTAL: &str = "dogwoodpier_borrowed_tokens_total";
 /// Tokens that requests asked for, by whether they were admitted.
 pub const LIMIT_TOKENS_TOTAL: &str = "dogwoodpier_limit_tokens_total";
+/// Claims of idempotency keys by verdict.
+pub const CLAIMS_TOTAL: &str = "dogwoodpier_claims_total";
+/// Writes of claims to the platform by whether they were answered.
+pub const CLAIM_WRITES_TOTAL: &str = "dogwoodpier_claim_writes_total";
