Orders: prove at-most-once with real nodes, and mend what that found

Cause, each found by order_delivery with three nodes and 32 slots: a successor that got a slot before its predecessor had loaded the claims stayed blocked for a window; a live predecessor could not tell that the asked version was its own, since its last write came after its last look; requests went to a dead holder until the watch, hung by the outage, ended after 10 s; and a repeat right after an answer could still be told unknown, since the record was reported in the background. After: a slot is handed over only once its claims are loaded; records name the tenure before, so a live predecessor answers for it; requests ask the holder and the heir in turn; an answer waits up to 200 ms for its record.

--- a/crates/dogwoodpier-core/src/claims/table.rs
+++ b/crates/dogwoodpier-core/src/claims/table.rs
@@ -301,6 +301,11 @@
         settings.window_ms.saturating_add(settings.dispatch_ms)
     }
 
+    /// Returns whether the heir has confirmed copies at a version of the slot.
+    pub fn has_heir_at(&self, version: u64) -> bool {
+        self.heir.version == version
+    }
+
     /// Returns the number of known keys.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/dogwoodpier-core/src/slots/plan.rs
+++ b/crates/dogwoodpier-core/src/slots/plan.rs
@@ -115,7 +115,7 @@
     }
     let wanted = match entry.own_record(&table.me) {
         Some(record) => own_change(table, entry, record, outlook)?,
-        None if may_claim(table, slot, outlook) => claim(&table.me, entry.version()),
+        None if may_claim(table, slot, outlook) => claim(&table.me, entry),
         None => return None,
     };
     open_or_retry(entry, wanted, outlook.now, new_id)
@@ -143,13 +143,14 @@
     (entry.attempts.len() < MAX_ATTEMPTS).then_some(wanted)
 }
 
-fn claim(me: &PeerId, replaced_version: u64) -> SlotRecord {
+fn claim(me: &PeerId, entry: &Slot) -> SlotRecord {
     SlotRecord {
         holder: me.clone(),
         heir: None,
         levels: BTreeMap::new(),
         write_id: 0,
-        replaced_version,
+        replaced_version: entry.version(),
+        replaced_tenure: entry.tenure(),
         renewals: 0,
     }
 }
--- a/crates/dogwoodpier-core/src/slots/record.rs
+++ b/crates/dogwoodpier-core/src/slots/record.rs
@@ -49,6 +49,9 @@
     /// object. Renewals and changes of heir leave it as it is, so it names the tenure.
     #[serde(default)]
     pub replaced_version: u64,
+    /// `replaced_version` of the tenure before, zero if there was none or it was the first.
+    #[serde(default)]
+    pub replaced_tenure: u64,
     /// Number of times that the holder has renewed its lease.
     #[serde(default)]
     pub renewals: u64,
--- a/crates/dogwoodpier-core/src/slots/slot.rs
+++ b/crates/dogwoodpier-core/src/slots/slot.rs
@@ -68,6 +68,12 @@
         self.seen.as_ref().map_or(0, |seen| seen.version)
     }
 
+    /// Returns the version that the present tenure replaced, zero if there is none.
+    pub(super) fn tenure(&self) -> u64 {
+        let seen = self.seen.as_ref();
+        seen.map_or(0, |seen| seen.record.replaced_version)
+    }
+
     /// Returns the record if `me` is its holder.
     pub(super) fn own_record(&self, me: &PeerId) -> Option<&SlotRecord> {
         let record = &self.seen.as_ref()?.record;
--- a/crates/dogwoodpier-core/src/slots/table.rs
+++ b/crates/dogwoodpier-core/src/slots/table.rs
@@ -39,6 +39,8 @@
     pub version: u64,
     /// Version that this node's tenure replaced, zero if it is the slot's first.
     pub replaced_version: u64,
+    /// `replaced_version` of the tenure before.
+    pub replaced_tenure: u64,
     /// Heir that promised not to claim it, if there is one.
     pub heir: Option<PeerId>,
     /// Time from which its floors count for this node.
@@ -149,6 +151,7 @@
             slot,
             version: seen.version,
             replaced_version: seen.record.replaced_version,
+            replaced_tenure: seen.record.replaced_tenure,
             heir: seen.record.heir.clone(),
             since_ms: entry.since_ms,
             act_deadline_ms,
@@ -399,6 +402,7 @@
             levels: hand_over.levels,
             write_id: hand_over.write_id,
             replaced_version: entry.version(),
+            replaced_tenure: entry.tenure(),
             renewals: 0,
         };
         Some(self.send(hand_over.slot, record, now))
--- a/crates/dogwoodpier-node/src/claims/heir.rs
+++ b/crates/dogwoodpier-node/src/claims/heir.rs
@@ -8,7 +8,6 @@
 use dogwoodpier_proto::KeepClaimsRequest;
 use dogwoodpier_proto::NodeInfo;
 
-use crate::clock;
 use crate::state::SharedNode;
 
 use super::Claims;
@@ -33,31 +32,34 @@
 
     /// Returns what this node knows of the claims that a former holder of a slot granted, this
     /// node itself included.
-    pub fn copies_for(
-        &self,
-        node: &SharedNode,
-        request: &FetchClaimsRequest,
-        now: TimeMs,
-    ) -> FetchClaimsReply {
+    pub fn copies_for(&self, request: &FetchClaimsRequest, now: TimeMs) -> FetchClaimsReply {
         let slot = request.slot.unwrap_or_default();
         let known = self
             .copies_at(slot.slot, slot.version)
-            .or_else(|| self.own_at(node, slot.slot, slot.version, now));
+            .or_else(|| self.own_of(slot.slot, request.tenure, now));
         convert::fetch_reply(known, now)
     }
 
     /// Stops granting on a held slot and gives its successor the claims that the platform lacks. To
     /// be called before the conditional write that hands the slot over. A successor that got
     /// nothing has to fetch the claims from this node, which must still run then.
-    pub async fn prepare_hand_over(&self, node: &SharedNode, slot: u32, successor: &NodeInfo) {
+    ///
+    /// Returns false if the slot may not be handed over yet: this node has not loaded its claims, so
+    /// it could pass none on.
+    pub async fn prepare_hand_over(
+        &self,
+        node: &SharedNode,
+        slot: u32,
+        successor: &NodeInfo,
+    ) -> bool {
         let Some(claims) = self.find(slot) else {
-            return;
+            return false;
         };
         let message = claims.with_held(node, |tenure, held, now| {
             tenure.table.freeze(held.version, now)
         });
         let Some(message) = message else {
-            return;
+            return false;
         };
         let request = convert::keep_request(node.id(), slot, &message);
         // Without an answer the successor fetches the claims itself.
@@ -71,6 +73,7 @@
                 |mut client, request| async move { client.keep_claims(request).await },
             )
             .await;
+        true
     }
 
     /// Returns the copies of a slot if they are complete at a version.
@@ -78,19 +81,15 @@
         lock(&self.copies).get(&slot)?.complete_at(version)
     }
 
-    // What this node granted itself, if it was the holder up to that version and no longer is.
-    fn own_at(&self, node: &SharedNode, slot: u32, version: u64, now: TimeMs) -> Option<Handover> {
+    // What this node granted itself in a tenure that is over: the sender holds the slot.
+    fn own_of(&self, slot: u32, tenure_version: u64, now: TimeMs) -> Option<Handover> {
         let claims = self.find(slot)?;
         let mut tenure = lock(&claims.tenure);
         let tenure = tenure.as_mut()?;
-        let holds_later = node
-            .slots
-            .held(slot, clock::now())
-            .is_some_and(|held| held.version > version);
-        if tenure.version != version || holds_later {
+        if tenure.table.tenure_version() != tenure_version {
             return None;
         }
-        let message = tenure.table.freeze(version, now);
+        let message = tenure.table.freeze(u64::MAX, now);
         Some(Handover {
             records: message.records,
             blocked_deadline_ms: now.after(message.blocked_ms),
--- a/crates/dogwoodpier-node/src/claims/holder.rs
+++ b/crates/dogwoodpier-node/src/claims/holder.rs
@@ -25,6 +25,7 @@
 
 use crate::clock;
 use crate::slots::HeldSlot;
+use crate::slots::Slots;
 use crate::state::SharedNode;
 
 use super::Claims;
@@ -107,15 +108,17 @@
     }
 
     /// Returns the state as JSON.
-    pub fn dump(&self, now: TimeMs) -> Option<serde_json::Value> {
+    pub fn dump(&self, slots: &Slots, now: TimeMs) -> Option<serde_json::Value> {
         let tenure = lock(&self.tenure);
         let tenure = tenure.as_ref()?;
         Some(serde_json::json!({
             "slot": self.slot,
+            "held": slots.held(self.slot, now).is_some(),
             "version": tenure.version,
             "tenure_version": tenure.table.tenure_version(),
             "keys": tenure.table.len(),
             "unflushed": tenure.table.unflushed().len(),
+            "heir_confirmed": tenure.table.has_heir_at(tenure.version),
             "blocked": tenure.table.is_blocked(now),
         }))
     }
--- a/crates/dogwoodpier-node/src/claims/loading.rs
+++ b/crates/dogwoodpier-node/src/claims/loading.rs
@@ -103,6 +103,7 @@
             slot: held.slot,
             version: held.replaced_version,
         }),
+        tenure: held.replaced_tenure,
     };
     let reply = node
         .peers
--- a/crates/dogwoodpier-node/src/claims/mod.rs
+++ b/crates/dogwoodpier-node/src/claims/mod.rs
@@ -23,6 +23,8 @@
 use dogwoodpier_core::claims::Copies;
 use dogwoodpier_proto::RecordedOutcome;
 
+use crate::slots::Slots;
+
 use self::holder::SlotClaims;
 
 pub use self::copying::run;
@@ -77,11 +79,11 @@
     }
 
     /// Returns the state as JSON.
-    pub fn dump(&self, now: TimeMs) -> serde_json::Value {
+    pub fn dump(&self, slots: &Slots, now: TimeMs) -> serde_json::Value {
         let slots: Vec<serde_json::Value> = self
             .all()
             .into_iter()
-            .filter_map(|slot| slot.dump(now))
+            .filter_map(|claims| claims.dump(slots, now))
             .collect();
         let copies: BTreeMap<u32, usize> = lock(&self.copies)
             .iter()
--- a/crates/dogwoodpier-node/src/claims/requester.rs
+++ b/crates/dogwoodpier-node/src/claims/requester.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use metrics::counter;
+use tokio::task::JoinHandle;
 
 use dogwoodpier_core::Execution;
 use dogwoodpier_core::Refusal;
@@ -17,6 +18,7 @@
 use dogwoodpier_proto::ClaimRequest;
 use dogwoodpier_proto::ClaimResult;
 use dogwoodpier_proto::ClaimVerdict;
+use dogwoodpier_proto::NodeInfo;
 use dogwoodpier_proto::OutcomeItem;
 use dogwoodpier_proto::RecordOutcomesRequest;
 use dogwoodpier_proto::RecordedOutcome;
@@ -36,10 +38,18 @@
 // A holder that tells to come back later than this won't grant within the time for tries.
 const LONG_RETRY_MS: u64 = 5_000;
 const RETRY_AFTER_MS: u64 = 1_000;
+// Longest time for which an answer waits for its record.
+const RECORD_WAIT: Duration = Duration::from_millis(200);
 const RECORD_PAUSE: Duration = Duration::from_millis(250);
 // Time for which an outcome is reported; after it the claim stays without one.
 const RECORD_MS: u64 = 60_000;
 
+// Who decides on a slot, as far as this node knows.
+enum Target {
+    Own,
+    Peer(NodeInfo),
+}
+
 impl Claims {
     /// Claims a key before its request is dispatched. A refusal is true to its execution: `not-run`
     /// where this key was certainly never dispatched, `unknown` where an earlier attempt may run.
@@ -89,8 +99,27 @@
         Err(refusal(verdict, &result))
     }
 
+    /// Records the outcome of a granted claim, and waits a short time for it to be kept: who asks
+    /// again after the answer then gets the same one, even if a node has died in between. What is
+    /// not kept by then is reported in the background.
+    pub async fn record_before_answer(
+        &self,
+        node: &SharedNode,
+        grant: Grant,
+        outcome: RecordedOutcome,
+    ) {
+        let reported = self.record(node, grant, outcome);
+        // Without an end in time the answer goes out all the same.
+        let _ = tokio::time::timeout(RECORD_WAIT, reported).await;
+    }
+
     /// Records the outcome of a granted claim, in the background and until it is kept.
-    pub fn record(&self, node: &SharedNode, grant: Grant, outcome: RecordedOutcome) {
+    pub fn record(
+        &self,
+        node: &SharedNode,
+        grant: Grant,
+        outcome: RecordedOutcome,
+    ) -> JoinHandle<()> {
         let item = OutcomeItem {
             slot: grant.slot,
             workspace: grant.workspace.to_string(),
@@ -102,11 +131,14 @@
         let node = node.clone();
         tokio::spawn(async move {
             let deadline_ms = clock::now().after(RECORD_MS);
-            while !report(&node, &item).await && clock::now() < deadline_ms {
+            for turn in 0.. {
+                if report(&node, &item, turn).await || clock::now() >= deadline_ms {
+                    break;
+                }
                 tokio::time::sleep(RECORD_PAUSE).await;
             }
             node.claims.unrecorded.fetch_sub(1, Ordering::SeqCst);
-        });
+        })
     }
 }
 
@@ -114,8 +146,13 @@
 async fn ask(node: &SharedNode, item: &ClaimItem, give_up_ms: TimeMs) -> ClaimResult {
     // What an earlier answer said still holds after a later ask that got none.
     let mut never_dispatched = false;
-    loop {
-        let mut result = ask_once(node, item).await.unwrap_or_else(unanswered);
+    for turn in 0.. {
+        let target = target(node, item.slot, turn);
+        let mut result = match target {
+            Some(target) => ask_once(node, item, &target).await,
+            None => None,
+        }
+        .unwrap_or_else(unanswered);
         never_dispatched |= result.never_dispatched;
         result.never_dispatched = never_dispatched;
         let is_final = result.verdict() != ClaimVerdict::Unavailable
@@ -128,27 +165,40 @@
         }
         tokio::time::sleep(PAUSE).await;
     }
+    unanswered()
+}
+
+// Returns whom to ask in a turn: this node if it may decide, else the holder and the heir in turn,
+// since news of a failover may be late.
+fn target(node: &SharedNode, slot: u32, turn: usize) -> Option<Target> {
+    if node.slots.held(slot, clock::now()).is_some() {
+        return Some(Target::Own);
+    }
+    let heir = match turn % 2 {
+        0 => None,
+        _ => node.slots.heir(slot),
+    };
+    heir.or_else(|| node.slots.holder(slot)).map(Target::Peer)
 }
 
-async fn ask_once(node: &SharedNode, item: &ClaimItem) -> Option<ClaimResult> {
+async fn ask_once(node: &SharedNode, item: &ClaimItem, target: &Target) -> Option<ClaimResult> {
     let request = ClaimRequest {
         sender: Some(node.id()),
         items: vec![item.clone()],
     };
-    let reply = if node.slots.held(item.slot, clock::now()).is_some() {
-        node.claims.grant(node, request).await
-    } else {
-        let holder = node.slots.holder(item.slot)?;
-        node.peers
+    let reply = match target {
+        Target::Own => node.claims.grant(node, request).await,
+        Target::Peer(peer) => node
+            .peers
             .transport()
             .call(
                 "claim",
-                &holder.peer_address,
+                &peer.peer_address,
                 request,
                 |mut client, request| async move { client.claim(request).await },
             )
             .await
-            .ok()?
+            .ok()?,
     };
     // An answer is matched by its id, never by its place.
     reply
@@ -165,26 +215,25 @@
     }
 }
 
-async fn report(node: &SharedNode, item: &OutcomeItem) -> bool {
+async fn report(node: &SharedNode, item: &OutcomeItem, turn: usize) -> bool {
     let request = RecordOutcomesRequest {
         sender: Some(node.id()),
         items: vec![item.clone()],
     };
-    let reply = if node.slots.held(item.slot, clock::now()).is_some() {
-        Some(node.claims.take_outcomes(node, request).await)
-    } else if let Some(holder) = node.slots.holder(item.slot) {
-        node.peers
+    let reply = match target(node, item.slot, turn) {
+        Some(Target::Own) => Some(node.claims.take_outcomes(node, request).await),
+        Some(Target::Peer(peer)) => node
+            .peers
             .transport()
             .call(
                 "record_outcomes",
-                &holder.peer_address,
+                &peer.peer_address,
                 request,
                 |mut client, request| async move { client.record_outcomes(request).await },
             )
             .await
-            .ok()
-    } else {
-        None
+            .ok(),
+        None => None,
     };
     reply.is_some_and(|reply| reply.recorded_attempt_ids.contains(&item.attempt_id))
 }
--- a/crates/dogwoodpier-node/src/peers/service.rs
+++ b/crates/dogwoodpier-node/src/peers/service.rs
@@ -149,11 +149,11 @@
         &self,
         request: Request<FetchClaimsRequest>,
     ) -> Result<Response<FetchClaimsReply>, Status> {
-        Ok(Response::new(self.node.claims.copies_for(
-            &self.node,
-            &request.into_inner(),
-            clock::now(),
-        )))
+        Ok(Response::new(
+            self.node
+                .claims
+                .copies_for(&request.into_inner(), clock::now()),
+        ))
     }
 
     async fn reserve(
--- a/crates/dogwoodpier-node/src/pipeline/forward.rs
+++ b/crates/dogwoodpier-node/src/pipeline/forward.rs
@@ -80,7 +80,7 @@
     let id = format!("{:016x}", grant.attempt_id);
     let result = dispatch::once(node, &request, route, &id, passage).await;
     if let Some(outcome) = outcome(&result) {
-        node.claims.record(node, grant, outcome);
+        node.claims.record_before_answer(node, grant, outcome).await;
     }
     result.map(respond).map_err(Refusal::from)
 }
--- a/crates/dogwoodpier-node/src/slots/balance.rs
+++ b/crates/dogwoodpier-node/src/slots/balance.rs
@@ -115,9 +115,10 @@
 
 // Returns the slot's new version if it certainly went to the successor.
 async fn give(node: &SharedNode, slot: u32, successor: &PeerId) -> Option<u64> {
-    node.claims
-        .prepare_hand_over(node, slot, &super::node_info(successor))
-        .await;
+    let info = super::node_info(successor);
+    if !node.claims.prepare_hand_over(node, slot, &info).await {
+        return None;
+    }
     let now = clock::now();
     let outlook = super::outlook(node, now);
     let write = node.limits.release_slot(node, slot, now, |table, levels| {
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -61,6 +61,8 @@
     /// Version that this node's tenure replaced, zero if it is the slot's first. It stays the same
     /// through renewals and changes of heir.
     pub replaced_version: u64,
+    /// `replaced_version` of the tenure before.
+    pub replaced_tenure: u64,
     /// The heir that promises not to claim it, absent while this node knows no other member.
     pub heir: Option<NodeInfo>,
     /// Time until which this node may act on the slot, by its own clock.
@@ -75,6 +77,7 @@
             slot: held.slot,
             version: held.version,
             replaced_version: held.replaced_version,
+            replaced_tenure: held.replaced_tenure,
             heir: held.heir.as_ref().map(node_info),
             act_deadline_ms: held.act_deadline_ms,
         })
@@ -85,6 +88,12 @@
         self.read(|table| table.record(slot).map(|record| node_info(&record.holder)))?
     }
 
+    /// Returns the presumed heir of a slot, who is the likely holder once the holder is dead.
+    pub fn heir(&self, slot: u32) -> Option<NodeInfo> {
+        let heir = |table: &SlotTable| table.record(slot)?.heir.as_ref().map(node_info);
+        self.read(heir)?
+    }
+
     /// Returns the slots that back this node's buckets now.
     pub fn backings(&self, now: TimeMs) -> Vec<Backing> {
         let held = self.read(|table| table.all_held(now)).unwrap_or_default();
--- a/crates/dogwoodpier-node/src/state.rs
+++ b/crates/dogwoodpier-node/src/state.rs
@@ -76,7 +76,7 @@
             "config": self.config.dump(now),
             "slots": self.slots.dump(now),
             "limits": self.limits.dump(now),
-            "claims": self.claims.dump(now),
+            "claims": self.claims.dump(&self.slots, now),
             "quarantine": self.quarantine.dump(now),
             "upstreams": self.upstreams.dump(now),
             "keeper": self.keeper.dump(now),
--- /dev/null
+++ b/crates/dogwoodpier-node/tests/order_delivery.rs
@@ -0,0 +1,239 @@
+//! Orders with an idempotency key run once, over real nodes and stand-ins, and no refusal lies.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Method;
+use http::StatusCode;
+
+use dogwoodpier_fakes::caller::Caller;
+use dogwoodpier_fakes::caller::PlainAnswer;
+use dogwoodpier_fakes::fleet::EXAMPLE_ORDER_KEY;
+use dogwoodpier_fakes::fleet::Fleet;
+use dogwoodpier_fakes::fleet::FleetPlan;
+use dogwoodpier_fakes::platform::PlatformFaults;
+use dogwoodpier_fakes::platform::faults::Outage;
+use dogwoodpier_fakes::service::ServiceFaults;
+use dogwoodpier_fakes::service::ServiceStats;
+
+const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
+const ORDERS: usize = 40;
+const SLOTS: usize = 32;
+
+async fn start() -> Fleet {
+    let plan = FleetPlan::example(env!("CARGO_BIN_EXE_dogwoodpier"), NODES.len());
+    let fleet = Fleet::start(plan).await.expect("the fleet starts");
+    wait_claims(&fleet, &NODES).await;
+    fleet
+}
+
+// Waits until the nodes may decide on the keys of all slots.
+async fn wait_claims(fleet: &Fleet, nodes: &[&str]) {
+    for _ in 0..150 {
+        let mut ready = 0;
+        for node in nodes {
+            if let Ok(dump) = fleet.node(node).dump().await {
+                let slots = dump["claims"]["slots"].as_array().cloned();
+                let held = |slot: &serde_json::Value| {
+                    slot["held"] == true
+                        && slot["blocked"] == false
+                        && slot["heir_confirmed"] == true
+                };
+                ready += slots
+                    .unwrap_or_default()
+                    .iter()
+                    .filter(|slot| held(slot))
+                    .count();
+            }
+        }
+        if ready == SLOTS {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    for node in nodes {
+        let dump = fleet.node(node).dump().await.expect("the node answers");
+        println!("{node}: {}", dump["claims"]);
+        println!("{node}: {}", dump["slots"]);
+    }
+    panic!("the nodes don't decide on all slots");
+}
+
+async fn order(fleet: &Fleet, node: &str, number: usize) -> PlainAnswer {
+    let caller = Caller::new(fleet.node(node).caller_address, Some(EXAMPLE_ORDER_KEY));
+    let key = format!("order-{number}");
+    let body = Bytes::from(format!("{{\"order\":{number}}}"));
+    let headers = [("idempotency-key", key.as_str())];
+    let answer = caller.call(Method::POST, "/orders", &headers, body).await;
+    answer.expect("the node answers")
+}
+
+async fn order_all(
+    fleet: &Fleet,
+    nodes: &[&str],
+    numbers: std::ops::Range<usize>,
+) -> Vec<PlainAnswer> {
+    let orders = numbers.map(|number| order(fleet, nodes[number % nodes.len()], number));
+    join_all(orders).await
+}
+
+fn execution(answer: &PlainAnswer) -> &str {
+    answer
+        .headers
+        .get("x-dogwoodpier-execution")
+        .map_or("", |value| value.to_str().unwrap_or("unreadable"))
+}
+
+#[track_caller]
+fn assert_all_ok(answers: &[PlainAnswer]) {
+    let is_refused = |answer: &&PlainAnswer| answer.status != StatusCode::OK;
+    let refused: Vec<_> = answers.iter().filter(is_refused).collect();
+    assert!(refused.is_empty(), "{} refused: {refused:?}", refused.len());
+}
+
+async fn runs(fleet: &Fleet) -> BTreeMap<String, u64> {
+    let stats: ServiceStats = fleet.stats("orders-1").await.expect("the service answers");
+    stats.runs_by_body
+}
+
+async fn assert_once(fleet: &Fleet, orders: usize) {
+    let runs = runs(fleet).await;
+    let doubled: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+    assert_eq!(doubled, Vec::new());
+    assert_eq!(runs.len(), orders);
+}
+
+#[tokio::test]
+async fn an_order_sent_again_runs_once() {
+    let fleet = start().await;
+    let first = order_all(&fleet, &NODES, 0..ORDERS).await;
+    assert_all_ok(&first);
+    // Each again through the other nodes, all at the same time.
+    for turn in 1..NODES.len() {
+        let mut nodes = NODES;
+        nodes.rotate_left(turn);
+        let again = order_all(&fleet, &nodes, 0..ORDERS).await;
+        assert_all_ok(&again);
+        for (first, again) in first.iter().zip(&again) {
+            assert_eq!(first.body, again.body);
+            assert!(again.headers.contains_key("idempotency-replayed"));
+        }
+    }
+    assert_once(&fleet, ORDERS).await;
+}
+
+#[tokio::test]
+async fn an_order_with_an_unknown_end_is_not_sent_again() {
+    let fleet = start().await;
+    let faults = ServiceFaults {
+        cut_after: 1,
+        ..ServiceFaults::default()
+    };
+    fleet
+        .set_faults("orders-1", &faults)
+        .await
+        .expect("the service answers");
+    let first = order(&fleet, "node-1", 0).await;
+    let again = order(&fleet, "node-2", 0).await;
+    assert_eq!(
+        (execution(&first), execution(&again)),
+        ("unknown", "unknown")
+    );
+    assert_eq!(again.status, StatusCode::CONFLICT);
+    assert_once(&fleet, 1).await;
+}
+
+#[tokio::test]
+async fn an_order_that_reached_no_service_may_be_sent_again() {
+    let mut fleet = start().await;
+    fleet
+        .kill_upstream("orders-1")
+        .await
+        .expect("the service ends");
+    let first = order(&fleet, "node-1", 0).await;
+    assert_eq!(
+        (first.status, execution(&first)),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    fleet
+        .restart_upstream("orders-1")
+        .await
+        .expect("the service starts");
+    for _ in 0..100 {
+        let again = order(&fleet, "node-2", 0).await;
+        if again.status == StatusCode::OK {
+            break;
+        }
+        assert_ne!(execution(&again), "ran");
+    }
+    assert_once(&fleet, 1).await;
+}
+
+#[tokio::test]
+async fn an_outage_with_a_dead_node_doubles_no_order() {
+    let mut fleet = start().await;
+    let outage = PlatformFaults {
+        outage: Some(Outage::Hang),
+        ..PlatformFaults::default()
+    };
+    fleet
+        .set_platform_faults(&outage)
+        .await
+        .expect("the platform obeys");
+    let in_outage = order_all(&fleet, &NODES, 0..ORDERS).await;
+    assert_all_ok(&in_outage);
+
+    fleet
+        .node_mut("node-3")
+        .kill()
+        .await
+        .expect("the node ends");
+    // Those whose slot was the dead node's can't be decided before the platform is back.
+    let alive = ["node-1", "node-2"];
+    let again = order_all(&fleet, &alive, 0..ORDERS).await;
+    assert!(
+        again.iter().all(|answer| execution(answer) != "not-run"),
+        "{again:?}"
+    );
+    assert_once(&fleet, ORDERS).await;
+
+    let healed = PlatformFaults::default();
+    fleet
+        .set_platform_faults(&healed)
+        .await
+        .expect("the platform obeys");
+    wait_claims(&fleet, &alive).await;
+    let back = order_all(&fleet, &alive, 0..2 * ORDERS).await;
+    assert_all_ok(&back);
+    assert_once(&fleet, 2 * ORDERS).await;
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_platform_and_pauses_double_no_order() {
+    let fleet = start().await;
+    let lossy = PlatformFaults {
+        lose_answers: 20,
+        ..PlatformFaults::default()
+    };
+    fleet
+        .set_platform_faults(&lossy)
+        .await
+        .expect("the platform obeys");
+    let first = order_all(&fleet, &NODES, 0..ORDERS).await;
+    fleet.node("node-3").pause().expect("the node stops");
+    let alive = ["node-1", "node-2"];
+    let second = order_all(&fleet, &alive, 0..ORDERS).await;
+    wait_claims(&fleet, &alive).await;
+    fleet.node("node-3").resume().expect("the node goes on");
+    let resumed = fleet.node("node-3");
+    resumed.wait_ready().await.expect("the node serves again");
+    let third = order_all(&fleet, &NODES, 0..ORDERS).await;
+    assert_all_ok(&first);
+    assert!(
+        second.iter().all(|answer| execution(answer) != "not-run"),
+        "{second:?}"
+    );
+    assert_all_ok(&third);
+    assert_once(&fleet, ORDERS).await;
+}
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -305,6 +305,9 @@
     /// The version that the sender's claim of the slot replaced.
     #[prost(message, optional, tag = "2")]
     pub slot: ::core::option::Option<SlotRef>,
+    /// The tenure that ended with it, named by the version that it had replaced.
+    #[prost(uint64, tag = "3")]
+    pub tenure: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FetchClaimsReply {
