--- a/crates/dogwoodpier-core/src/claims/table.rs
+++ b/crates/dogwoodpier-core/src/claims/table.rs
@@ -171,6 +171,16 @@
         }
     }
 
+    /// Goes on granting at a version after the successor confirmed that it has dropped the copies
+    /// that [`Self::freeze`] returned for it.
+    pub fn thaw(&mut self, version: u64) {
+        if self.frozen_version == version {
+            self.frozen_version = 0;
+            // The successor may be the heir, which has dropped its copies too.
+            self.heir = HeirProgress::default();
+        }
+    }
+
     /// Decides on an attempt, or records it so that it can be granted once the record is kept.
     /// `held_version` is the version at which this node may act on the slot.
     pub fn ask(&mut self, ask: &Ask, held_version: u64, now: TimeMs) -> Asked {
--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -233,6 +233,13 @@
         if told {
             self.nodes[successor].copies.keep(&message, self.now);
         }
+        if told && !written && self.attempts.len().is_multiple_of(2) {
+            // The successor confirms that it has dropped them; the holder goes on at once.
+            self.nodes[successor].copies.withdraw(version);
+            if let Some(tenure) = &mut self.nodes[node].tenure {
+                tenure.table.thaw(version);
+            }
+        }
         if written {
             self.nodes[node].tenure = None;
             self.become_holder(self.life(successor), self.life(node));
--- a/crates/dogwoodpier-core/tests/order_claims.rs
+++ b/crates/dogwoodpier-core/tests/order_claims.rs
@@ -152,6 +152,21 @@
     assert_eq!(dispatches_after(&steps), 2);
 }
 
+#[test]
+fn nothing_is_granted_beside_a_successor_that_has_the_copies() {
+    let frozen = [
+        Step::Run,
+        Step::Ask(1, 1),
+        Step::HandOver(true, false),
+        Step::Ask(0, 1),
+        Step::Run,
+    ];
+    assert_eq!(dispatches_after(&frozen), 0);
+    let next_version = [Step::ReplaceHeir(0, 2), Step::Ask(0, 1), Step::Run];
+    let steps = [&frozen[..], &next_version[..]].concat();
+    assert_eq!(dispatches_after(&steps), 1);
+}
+
 #[test]
 fn an_attempt_given_up_frees_its_key() {
     let steps = [
--- a/crates/dogwoodpier-node/src/claims/heir.rs
+++ b/crates/dogwoodpier-node/src/claims/heir.rs
@@ -7,6 +7,7 @@
 use dogwoodpier_proto::KeepClaimsReply;
 use dogwoodpier_proto::KeepClaimsRequest;
 use dogwoodpier_proto::NodeInfo;
+use dogwoodpier_proto::SlotRef;
 
 use crate::state::SharedNode;
 
@@ -22,7 +23,14 @@
         request: KeepClaimsRequest,
         now: TimeMs,
     ) -> KeepClaimsReply {
+        let withdrawn = request.withdrawn;
         let (slot, message) = convert::keep_message(request);
+        if withdrawn {
+            if let Some(copies) = lock(&self.copies).get_mut(&slot) {
+                copies.withdraw(message.version);
+            }
+            return KeepClaimsReply { kept: true };
+        }
         let kept = lock(&self.copies)
             .entry(slot)
             .or_default()
@@ -44,8 +52,8 @@
     /// be called before the conditional write that hands the slot over. A successor that got
     /// nothing has to fetch the claims from this node, which must still run then.
     ///
-    /// Returns false if the slot may not be handed over yet: this node has not loaded its claims, so
-    /// it could pass none on.
+    /// Returns false if the slot may not be handed over now: this node has not loaded its claims, or
+    /// the successor didn't confirm that it has them.
     pub async fn prepare_hand_over(
         &self,
         node: &SharedNode,
@@ -62,18 +70,26 @@
             return false;
         };
         let request = convert::keep_request(node.id(), slot, &message);
-        // Without an answer the successor fetches the claims itself.
-        let _ = node
-            .peers
-            .transport()
-            .call(
-                "keep_claims",
-                &successor.peer_address,
-                request,
-                |mut client, request| async move { client.keep_claims(request).await },
-            )
-            .await;
-        true
+        send_copies(node, successor, request).await
+    }
+
+    /// Goes on granting on a slot after its hand-over did not come about. If the successor doesn't
+    /// confirm that it has dropped its copies, grants go on with the slot's next version.
+    pub async fn cancel_hand_over(&self, node: &SharedNode, slot: u32, successor: &NodeInfo) {
+        let Some(claims) = self.find(slot) else {
+            return;
+        };
+        let Some(version) = claims.with_held(node, |_, held, _| held.version) else {
+            return;
+        };
+        let request = KeepClaimsRequest {
+            slot: Some(SlotRef { slot, version }),
+            withdrawn: true,
+            ..KeepClaimsRequest::default()
+        };
+        if send_copies(node, successor, request).await {
+            claims.with_held(node, |tenure, _, _| tenure.table.thaw(version));
+        }
     }
 
     /// Returns the copies of a slot if they are complete at a version.
@@ -96,3 +112,16 @@
         })
     }
 }
+
+async fn send_copies(node: &SharedNode, to: &NodeInfo, request: KeepClaimsRequest) -> bool {
+    node.peers
+        .transport()
+        .call(
+            "keep_claims",
+            &to.peer_address,
+            request,
+            |mut client, request| async move { client.keep_claims(request).await },
+        )
+        .await
+        .is_ok_and(|reply| reply.kept)
+}
--- a/crates/dogwoodpier-node/src/slots/balance.rs
+++ b/crates/dogwoodpier-node/src/slots/balance.rs
@@ -115,6 +115,12 @@
 
 // Returns the slot's new version if it certainly went to the successor.
 async fn give(node: &SharedNode, slot: u32, successor: &PeerId) -> Option<u64> {
+    if !node
+        .slots
+        .read(|table| table.may_hand_over(slot, clock::now()))?
+    {
+        return None;
+    }
     let info = super::node_info(successor);
     if !node.claims.prepare_hand_over(node, slot, &info).await {
         return None;
@@ -131,7 +137,11 @@
             write_id: rand::random(),
         };
         table.hand_over(hand_over, now)
-    })?;
+    });
+    let Some(write) = write else {
+        node.claims.cancel_hand_over(node, slot, &info).await;
+        return None;
+    };
     claim::send(node, write).await;
     node.slots.read(|table| {
         let record = table.record(slot)?;
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -273,6 +273,9 @@
     /// Time for which the holder itself may lack claims.
     #[prost(uint64, tag = "9")]
     pub blocked_ms: u64,
+    /// True if the copies at this version no longer count, since the holder goes on granting.
+    #[prost(bool, tag = "10")]
+    pub withdrawn: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct KeptClaim {
