--- a/crates/dogwoodpier-core/src/claims/copies.rs
+++ b/crates/dogwoodpier-core/src/claims/copies.rs
@@ -78,6 +78,13 @@
         true
     }
 
+    /// Drops the copies that a holder gave for a hand-over at `version`, which did not come about.
+    pub fn withdraw(&mut self, version: u64) {
+        if self.version == version {
+            *self = Self::default();
+        }
+    }
+
     /// Returns the records if they are all that the platform may lack of what was granted up to
     /// `version`.
     pub fn complete_at(&self, version: u64) -> Option<Handover> {
--- a/crates/dogwoodpier-node/src/claims/convert.rs
+++ b/crates/dogwoodpier-node/src/claims/convert.rs
@@ -35,6 +35,7 @@
         through_revision: message.through_revision,
         platform_revision: message.platform_revision,
         blocked_ms: message.blocked_ms,
+        withdrawn: false,
     }
 }
 
--- a/crates/dogwoodpier-node/src/claims/heir.rs
+++ b/crates/dogwoodpier-node/src/claims/heir.rs
@@ -7,8 +7,8 @@
 use dogwoodpier_proto::KeepClaimsReply;
 use dogwoodpier_proto::KeepClaimsRequest;
 use dogwoodpier_proto::NodeInfo;
+use dogwoodpier_proto::SlotRef;
 
-use crate::clock;
 use crate::state::SharedNode;
 
 use super::Claims;
@@ -23,7 +23,14 @@
         request: KeepClaimsRequest,
         now: TimeMs,
     ) -> KeepClaimsReply {
+        let withdrawn = request.withdrawn;
         let (slot, message) = convert::keep_message(request);
+        if withdrawn {
+            if let Some(copies) = lock(&self.copies).get_mut(&slot) {
+                copies.withdraw(message.version);
+            }
+            return KeepClaimsReply { kept: true };
+        }
         let kept = lock(&self.copies)
             .entry(slot)
             .or_default()
@@ -33,44 +40,56 @@
 
     /// Returns what this node knows of the claims that a former holder of a slot granted, this
     /// node itself included.
-    pub fn copies_for(
-        &self,
-        node: &SharedNode,
-        request: &FetchClaimsRequest,
-        now: TimeMs,
-    ) -> FetchClaimsReply {
+    pub fn copies_for(&self, request: &FetchClaimsRequest, now: TimeMs) -> FetchClaimsReply {
         let slot = request.slot.unwrap_or_default();
         let known = self
             .copies_at(slot.slot, slot.version)
-            .or_else(|| self.own_at(node, slot.slot, slot.version, now));
+            .or_else(|| self.own_of(slot.slot, request.tenure, now));
         convert::fetch_reply(known, now)
     }
 
     /// Stops granting on a held slot and gives its successor the claims that the platform lacks. To
     /// be called before the conditional write that hands the slot over. A successor that got
     /// nothing has to fetch the claims from this node, which must still run then.
-    pub async fn prepare_hand_over(&self, node: &SharedNode, slot: u32, successor: &NodeInfo) {
+    ///
+    /// Returns false if the slot may not be handed over now: this node has not loaded its claims, or
+    /// the successor didn't confirm that it has them.
+    pub async fn prepare_hand_over(
+        &self,
+        node: &SharedNode,
+        slot: u32,
+        successor: &NodeInfo,
+    ) -> bool {
         let Some(claims) = self.find(slot) else {
-            return;
+            return false;
         };
         let message = claims.with_held(node, |tenure, held, now| {
             tenure.table.freeze(held.version, now)
         });
         let Some(message) = message else {
-            return;
+            return false;
         };
         let request = convert::keep_request(node.id(), slot, &message);
-        // Without an answer the successor fetches the claims itself.
-        let _ = node
-            .peers
-            .transport()
-            .call(
-                "keep_claims",
-                &successor.peer_address,
-                request,
-                |mut client, request| async move { client.keep_claims(request).await },
-            )
-            .await;
+        send_copies(node, successor, request).await
+    }
+
+    /// Goes on granting on a slot after its hand-over did not come about. If the successor doesn't
+    /// confirm that it has dropped its copies, grants go on with the slot's next version.
+    pub async fn cancel_hand_over(&self, node: &SharedNode, slot: u32, successor: &NodeInfo) {
+        let Some(claims) = self.find(slot) else {
+            return;
+        };
+        let Some(version) = claims.with_held(node, |_, held, _| held.version) else {
+            return;
+        };
+        let request = KeepClaimsRequest {
+            slot: Some(SlotRef { slot, version }),
+            withdrawn: true,
+            ..KeepClaimsRequest::default()
+        };
+        if send_copies(node, successor, request).await {
+            claims.with_held(node, |tenure, _, _| tenure.table.thaw(version));
+        }
     }
 
     /// Returns the copies of a slot if they are complete at a version.
@@ -78,22 +97,31 @@
         lock(&self.copies).get(&slot)?.complete_at(version)
     }
 
-    // What this node granted itself, if it was the holder up to that version and no longer is.
-    fn own_at(&self, node: &SharedNode, slot: u32, version: u64, now: TimeMs) -> Option<Handover> {
+    // What this node granted itself in a tenure that is over: the sender holds the slot.
+    fn own_of(&self, slot: u32, tenure_version: u64, now: TimeMs) -> Option<Handover> {
         let claims = self.find(slot)?;
         let mut tenure = lock(&claims.tenure);
         let tenure = tenure.as_mut()?;
-        let holds_later = node
-            .slots
-            .held(slot, clock::now())
-            .is_some_and(|held| held.version > version);
-        if tenure.version != version || holds_later {
+        if tenure.table.tenure_version() != tenure_version {
             return None;
         }
-        let message = tenure.table.freeze(version, now);
+        let message = tenure.table.freeze(u64::MAX, now);
         Some(Handover {
             records: message.records,
             blocked_deadline_ms: now.after(message.blocked_ms),
         })
     }
 }
+
+async fn send_copies(node: &SharedNode, to: &NodeInfo, request: KeepClaimsRequest) -> bool {
+    node.peers
+        .transport()
+        .call(
+            "keep_claims",
+            &to.peer_address,
+            request,
+            |mut client, request| async move { client.keep_claims(request).await },
+        )
+        .await
+        .is_ok_and(|reply| reply.kept)
+}
--- a/crates/dogwoodpier-node/src/slots/balance.rs
+++ b/crates/dogwoodpier-node/src/slots/balance.rs
@@ -121,10 +121,10 @@
     {
         return None;
     }
-    let successor_info = super::node_info(successor);
-    node.claims
-        .prepare_hand_over(node, slot, &successor_info)
-        .await;
+    let info = super::node_info(successor);
+    if !node.claims.prepare_hand_over(node, slot, &info).await {
+        return None;
+    }
     let now = clock::now();
     let outlook = super::outlook(node, now);
     let write = node.limits.release_slot(node, slot, now, |table, levels| {
@@ -137,7 +137,11 @@
             write_id: rand::random(),
         };
         table.hand_over(hand_over, now)
-    })?;
+    });
+    let Some(write) = write else {
+        node.claims.cancel_hand_over(node, slot, &info).await;
+        return None;
+    };
     claim::send(node, write).await;
     node.slots.read(|table| {
         let record = table.record(slot)?;
