--- a/crates/dogwoodpier-ctl/src/commands.rs
+++ b/crates/dogwoodpier-ctl/src/commands.rs
@@ -30,6 +30,8 @@
 use crate::nodes::NodeStatus;
 use crate::store;
 
+// Nodes keep keys of this length and more out of whatever goes to an upstream.
+const MIN_KEY_BYTES: usize = 8;
 const UNKNOWN_AUTHOR: &str = "unknown";
 
 /// Runs the command that the matches of [`cli::command`] name, and returns what it prints.
@@ -160,9 +162,9 @@
             source,
         })?;
     let key = key.trim_end_matches(['\r', '\n']);
-    if key.is_empty() || key.contains(char::is_whitespace) {
-        let message = "give one key without spaces on standard input";
-        return Err(Error::Argument(message.to_owned()));
+    if key.len() < MIN_KEY_BYTES || key.contains(char::is_whitespace) {
+        let message = format!("give one key of at least {MIN_KEY_BYTES} characters without spaces");
+        return Err(Error::Argument(message));
     }
     Ok(format!("{}\n", keys::hash_key(key)))
 }
--- a/crates/dogwoodpier-node/tests/config_rollout.rs
+++ b/crates/dogwoodpier-node/tests/config_rollout.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use http::Method;
-use serde_json::Value;
 use tokio::time::Instant;
 
 use dogwoodpier_fakes::caller::Caller;
@@ -59,18 +58,16 @@
 
 async fn wait_version(node: &NodeProcess, version: u64) {
     node.wait_for("the version is in force", |dump| {
-        dump["config"]["version"] == Value::from(version)
+        dump["config"]["version"] == version
     })
     .await
     .expect("the version comes");
 }
 
 async fn wait_trust(node: &NodeProcess, trust: &str) {
-    node.wait_for(trust, |dump| {
-        dump["config"]["key_trust"] == Value::from(trust)
-    })
-    .await
-    .expect("the trust changes");
+    node.wait_for(trust, |dump| dump["config"]["key_trust"] == trust)
+        .await
+        .expect("the trust changes");
 }
 
 async fn get(node: &NodeProcess, key: Option<&str>, path: &str) -> PlainAnswer {
