Let an apply replace a version whose parts are lost

Cause: apply read the version in force first, so a part that the platform lost made every further apply fail, for good. Weighed: only a missing or corrupt part is passed over; a part of a newer program still stops an older dogwoodpierctl, since it can't show what it would undo. Nodes check the number of slots themselves. Parts are then all written again, also those that the root in force lists. Before: lost_part_is_written_again failed, reading back a missing part. After: apply_race 6 passed, operator_commands 2 passed. Conclusion: operators have a way out.

--- a/crates/dogwoodpier-ctl/src/apply.rs
+++ b/crates/dogwoodpier-ctl/src/apply.rs
@@ -14,6 +14,7 @@
 use dogwoodpier_config::diff::Change;
 use dogwoodpier_config::storage;
 use dogwoodpier_config::storage::Root;
+use dogwoodpier_config::storage::StorageError;
 use dogwoodpier_config::storage::StoredPart;
 use dogwoodpier_derive::plain;
 use dogwoodpier_platform::Client;
@@ -74,19 +75,25 @@
         return Err(conflict(client, order, false).await?);
     }
     let before = match &current {
-        Some(current) => store::read_declarations(client, &current.root).await?,
-        None => Declarations::default(),
+        Some(current) => read_whole(client, current).await?,
+        None => None,
+    };
+    if let Some(before) = &before {
+        check_slots(before, &order.declarations)?;
+    }
+    // Parts that are in place already needn't be written again.
+    let in_place: &[Arc<str>] = match (&current, &before) {
+        (Some(current), Some(_)) => &current.root.parts,
+        _ => &[],
     };
+    let before = before.unwrap_or_default();
     let changes = diff::diff(&before, &order.declarations);
     if current.is_some() && changes.is_empty() {
         return Ok(Outcome::Same {
             version: generation,
         });
     }
-    if current.is_some() {
-        check_slots(&before, &order.declarations)?;
-    }
-    let version = write(client, order, current.as_ref()).await?;
+    let version = write(client, order, current.as_ref(), in_place).await?;
     Ok(Outcome::Applied { version, changes })
 }
 
@@ -104,15 +111,27 @@
     )))
 }
 
+// Returns the declarations in force, or `None` if the platform has lost a part of them: a new version
+// must still be possible, and nodes check the number of slots too.
+async fn read_whole(client: &Client, current: &Current) -> Result<Option<Declarations>> {
+    match store::read_declarations(client, &current.root).await {
+        Ok(declarations) => Ok(Some(declarations)),
+        Err(Error::Stored(StorageError::Missing(_) | StorageError::Corrupt(_))) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
 // Writes the parts and the root, and returns the new version.
-async fn write(client: &Client, order: &Order, current: Option<&Current>) -> Result<u64> {
+async fn write(
+    client: &Client,
+    order: &Order,
+    current: Option<&Current>,
+    in_place: &[Arc<str>],
+) -> Result<u64> {
     let now_unix_s = unix_time_s();
     let parts = storage::split(&order.declarations);
-    let known: BTreeSet<&Arc<str>> = current
-        .iter()
-        .flat_map(|current| current.root.parts.iter())
-        .collect();
-    for part in parts.iter().filter(|part| !known.contains(&part.hash)) {
+    let in_place: BTreeSet<&Arc<str>> = in_place.iter().collect();
+    for part in parts.iter().filter(|part| !in_place.contains(&part.hash)) {
         let stored = StoredPart {
             text: part.text.as_str().into(),
             written_unix_s: now_unix_s,
--- a/crates/dogwoodpier-ctl/src/error.rs
+++ b/crates/dogwoodpier-ctl/src/error.rs
@@ -50,7 +50,10 @@
         source: dogwoodpier_platform::Error,
     },
     /// What the platform stores can't be read.
-    #[error("{0}\nRead the version before with `dogwoodpierctl get --version N`, and apply it.")]
+    #[error(
+        "{0}\nNothing was applied. If the part is of a newer program, use that one's dogwoodpierctl; \
+         if it is lost, apply your file or a former version (`dogwoodpierctl get --version N`)."
+    )]
     Stored(#[from] StorageError),
     /// A root on the platform can't be read.
     #[error("the root on the platform can't be read by this program, use a newer one: {0}")]
--- a/crates/dogwoodpier-ctl/tests/apply_race.rs
+++ b/crates/dogwoodpier-ctl/tests/apply_race.rs
@@ -236,6 +236,20 @@
     );
 }
 
+#[tokio::test]
+async fn lost_part_is_written_again() {
+    let (_server, client) = start_platform().await;
+    apply::apply(&client, &order("first", 0)).await.unwrap();
+    for name in part_names(&client).await {
+        let deleted = client.delete(storage::PARTS_KIND, &name, Expect::Any);
+        deleted.await.unwrap();
+    }
+    apply::apply(&client, &order("first", 1)).await.unwrap();
+    let root = store::read_current(&client).await.unwrap().unwrap().root;
+    let declarations = store::read_declarations(&client, &root).await.unwrap();
+    assert_eq!(declarations, with_workspace("first"));
+}
+
 #[tokio::test]
 async fn old_parts_are_collected() {
     let (_server, client) = start_platform().await;
