Test versions that a node's program can't read

Cause: a configuration that an older node can't parse must not take it down, nor keep withdrawn keys alive there. Weighed: the test writes parts as a newer program could, since declarations of this one are always readable. Conclusion: holds as long as roots stay readable, which docs/CONFIGURATION.md asks for.

--- /dev/null
+++ b/crates/dogwoodpier-node/tests/unreadable_config.rs
@@ -0,0 +1,148 @@
+//! A version that this program can't read doesn't take the node down, and its withdrawn keys stop.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::Value;
+
+use dogwoodpier_config::storage;
+use dogwoodpier_config::storage::Root;
+use dogwoodpier_config::storage::StoredPart;
+use dogwoodpier_ctl::store;
+use dogwoodpier_fakes::caller::Caller;
+use dogwoodpier_fakes::fleet::EXAMPLE_MODEL_KEY;
+use dogwoodpier_fakes::fleet::EXAMPLE_ORDER_KEY;
+use dogwoodpier_fakes::fleet::Fleet;
+use dogwoodpier_fakes::fleet::FleetPlan;
+use dogwoodpier_fakes::fleet::NodeProcess;
+use dogwoodpier_platform::Expect;
+
+const WITHDRAWN_KEY_NAME: &str = "order-desk-2026";
+const REJECTED: &str = "dogwoodpier_configs_rejected_total";
+
+async fn start() -> Fleet {
+    let plan = FleetPlan::example(env!("CARGO_BIN_EXE_dogwoodpier"), 2);
+    Fleet::start(plan).await.expect("the fleet starts")
+}
+
+// Writes a version as a newer program could: `change` gets the content of each part.
+async fn write_version<C>(fleet: &Fleet, change: C)
+where
+    C: Fn(&mut Value),
+{
+    let platform = fleet.platform();
+    let current = store::read_current(platform).await.unwrap().unwrap();
+    let mut parts: Vec<Arc<str>> = Vec::new();
+    for hash in &current.root.parts {
+        let object = platform.get(storage::PARTS_KIND, hash).await.unwrap();
+        let part: StoredPart = serde_json::from_value(object.unwrap().value).unwrap();
+        let mut content: Value = serde_json::from_str(&part.text).unwrap();
+        change(&mut content);
+        let text: Arc<str> = content.to_string().into();
+        let hash = storage::hash_text(&text);
+        let stored = serde_json::to_value(StoredPart { text, ..part }).unwrap();
+        let written = platform.put(storage::PARTS_KIND, &hash, &stored, Expect::Any);
+        written.await.unwrap();
+        parts.push(hash);
+    }
+    let root = Root {
+        generation: current.root.generation + 1,
+        parts,
+        ..current.root
+    };
+    let root = serde_json::to_value(root).unwrap();
+    let expect = Expect::Version(current.object_version);
+    let written = platform.put(storage::ROOT_KIND, storage::ROOT_NAME, &root, expect);
+    written.await.unwrap();
+}
+
+async fn code(node: &NodeProcess, key: &str) -> String {
+    let answer = Caller::new(node.caller_address, Some(key))
+        .call(Method::GET, "/stock", &[], Bytes::new())
+        .await
+        .expect("each request is answered");
+    answer
+        .refused()
+        .map(|refused| refused.code)
+        .unwrap_or_default()
+}
+
+#[tokio::test]
+async fn former_version_stays_without_withdrawn_keys() {
+    let fleet = start().await;
+    write_version(&fleet, |content| {
+        if content.get("fleet").is_some() {
+            content["of_a_newer_program"] = true.into();
+        }
+        if let Some(keys) = content.get_mut("keys").and_then(Value::as_object_mut) {
+            keys.remove(WITHDRAWN_KEY_NAME);
+        }
+    })
+    .await;
+    for node in fleet.nodes().values() {
+        node.wait_for("the version is rejected", |dump| {
+            dump["config"]["rejected"]["version"] == 2
+        })
+        .await
+        .unwrap();
+        let dump = node.dump().await.unwrap();
+        assert_eq!(dump["config"]["version"], 1);
+        let reason = dump["config"]["rejected"]["reason"].as_str().unwrap();
+        assert!(reason.contains("of_a_newer_program"), "{reason}");
+        assert_eq!(code(node, EXAMPLE_MODEL_KEY).await, "");
+        assert_eq!(code(node, EXAMPLE_ORDER_KEY).await, "invalid_key");
+        // Fresh news counts for the version whose keys are in force.
+        node.wait_for("the keys are relied on", |dump| {
+            dump["config"]["key_trust"] == "Fresh"
+        })
+        .await
+        .unwrap();
+        let metrics = node.metrics().await.unwrap();
+        assert!(
+            metrics.contains(&(REJECTED.to_owned(), 1.0)),
+            "counted once"
+        );
+    }
+    // A version that it can read again is taken.
+    let version = fleet
+        .declare(&FleetPlan::example("", 1).declarations, "as before")
+        .await;
+    assert!(version.is_err(), "this program can't read what is in force");
+    write_version(&fleet, |content| {
+        if let Some(fields) = content.as_object_mut() {
+            fields.remove("of_a_newer_program");
+        }
+    })
+    .await;
+    for node in fleet.nodes().values() {
+        node.wait_for("the version is in force", |dump| {
+            dump["config"]["version"] == 3 && dump["config"]["rejected"].is_null()
+        })
+        .await
+        .unwrap();
+        assert_eq!(code(node, EXAMPLE_MODEL_KEY).await, "");
+        assert_eq!(code(node, EXAMPLE_ORDER_KEY).await, "invalid_key");
+    }
+}
+
+#[tokio::test]
+async fn unreadable_keys_are_not_relied_on() {
+    let fleet = start().await;
+    write_version(&fleet, |content| {
+        if let Some(fields) = content.as_object_mut()
+            && let Some(keys) = fields.remove("keys")
+        {
+            fields.insert("keys_in_a_newer_form".to_owned(), keys);
+        }
+    })
+    .await;
+    for node in fleet.nodes().values() {
+        node.wait_for("the keys are not relied on", |dump| {
+            dump["config"]["key_trust"] == "Stale"
+        })
+        .await
+        .unwrap();
+        assert_eq!(code(node, EXAMPLE_MODEL_KEY).await, "keys_stale");
+    }
+}
