--- a/crates/dogwoodpier-config/src/check.rs
+++ b/crates/dogwoodpier-config/src/check.rs
@@ -50,42 +50,66 @@
     (field.min..=field.max).contains(&value)
 }
 
-/// Returns the values of a workspace: the defaults with its exceptions.
-pub fn workspace_values(declarations: &Declarations, name: &str) -> WorkspaceValues {
-    let mut values = declarations.defaults.workspaces.clone();
-    for (field, value) in exceptions_of(declarations, "workspaces", name) {
-        values.set(field, value);
-    }
-    values
+/// The exceptions of declarations by what they change.
+pub struct Exceptions<'d> {
+    declarations: &'d Declarations,
+    // By kind and name.
+    by_target: BTreeMap<&'d str, BTreeMap<&'d str, Vec<(&'d str, i64)>>>,
 }
 
-/// Returns the values of a pool: the defaults with its exceptions.
-pub fn pool_values(declarations: &Declarations, name: &str) -> PoolValues {
-    let mut values = declarations.defaults.pools.clone();
-    for (field, value) in exceptions_of(declarations, "pools", name) {
-        values.set(field, value);
+impl<'d> Exceptions<'d> {
+    /// Returns the exceptions of declarations.
+    pub fn new(declarations: &'d Declarations) -> Self {
+        let mut by_target: BTreeMap<&str, BTreeMap<&str, Vec<(&str, i64)>>> = BTreeMap::new();
+        for exception in &declarations.exceptions {
+            if let Some(target) = split(exception) {
+                by_target
+                    .entry(target.kind)
+                    .or_default()
+                    .entry(target.name)
+                    .or_default()
+                    .push((target.field, exception.value));
+            }
+        }
+        Self {
+            declarations,
+            by_target,
+        }
     }
-    values
-}
 
-/// Returns the values of a route: the defaults with its exceptions.
-pub fn route_values(declarations: &Declarations, name: &str) -> RouteValues {
-    let mut values = declarations.defaults.routes.clone();
-    for (field, value) in exceptions_of(declarations, "routes", name) {
-        values.set(field, value);
+    /// Returns the values of a workspace: the defaults with its exceptions.
+    pub fn workspace_values(&self, name: &str) -> WorkspaceValues {
+        let mut values = self.declarations.defaults.workspaces.clone();
+        for (field, value) in self.of("workspaces", name) {
+            values.set(field, *value);
+        }
+        values
     }
-    values
-}
 
-fn exceptions_of<'d>(
-    declarations: &'d Declarations,
-    kind: &'d str,
-    name: &'d str,
-) -> impl Iterator<Item = (&'d str, i64)> {
-    declarations.exceptions.iter().filter_map(move |exception| {
-        let target = split(exception)?;
-        (target.kind == kind && target.name == name).then_some((target.field, exception.value))
-    })
+    /// Returns the values of a pool: the defaults with its exceptions.
+    pub fn pool_values(&self, name: &str) -> PoolValues {
+        let mut values = self.declarations.defaults.pools.clone();
+        for (field, value) in self.of("pools", name) {
+            values.set(field, *value);
+        }
+        values
+    }
+
+    /// Returns the values of a route: the defaults with its exceptions.
+    pub fn route_values(&self, name: &str) -> RouteValues {
+        let mut values = self.declarations.defaults.routes.clone();
+        for (field, value) in self.of("routes", name) {
+            values.set(field, *value);
+        }
+        values
+    }
+
+    fn of(&self, kind: &str, name: &str) -> &[(&'d str, i64)] {
+        self.by_target
+            .get(kind)
+            .and_then(|by_name| by_name.get(name))
+            .map_or(&[], Vec::as_slice)
+    }
 }
 
 // What an exception's `change` names.
@@ -344,8 +368,15 @@
 }
 
 fn check_limits(declarations: &Declarations, found: &mut Vec<Finding>) {
+    let exceptions = Exceptions::new(declarations);
+    let costs: BTreeMap<&Arc<str>, u64> = declarations
+        .routes
+        .iter()
+        .filter(|(_, route)| !route.open)
+        .map(|(name, _)| (name, exceptions.route_values(name).cost_tokens))
+        .collect();
     for (name, workspace) in &declarations.workspaces {
-        let values = workspace_values(declarations, name);
+        let values = exceptions.workspace_values(name);
         if values.request_timeout_ms < values.first_token_target_ms {
             let message = format!(
                 "{} is less than first_token_target_ms {} of workspaces.{name}",
@@ -354,10 +385,9 @@
             let path = source_of(declarations, name, "request_timeout_ms");
             found.push(Finding::new(path, message));
         }
-        for (route_name, route) in &declarations.routes {
-            let usable = workspace.allowed.is_empty() || workspace.allowed.contains(route_name);
-            let cost_tokens = route_values(declarations, route_name).cost_tokens;
-            if usable && !route.open && cost_tokens > values.burst_tokens {
+        for (route_name, cost_tokens) in &costs {
+            let usable = workspace.allowed.is_empty() || workspace.allowed.contains(*route_name);
+            if usable && *cost_tokens > values.burst_tokens {
                 let message = format!(
                     "{} is less than a call of routes.{route_name} costs ({cost_tokens}), so each \
                      from workspaces.{name} would be refused: raise it, lower the cost, or leave \
--- a/crates/dogwoodpier-config/src/resolve.rs
+++ b/crates/dogwoodpier-config/src/resolve.rs
@@ -6,6 +6,7 @@
 use dogwoodpier_core::TokensPerSecond;
 
 use crate::check;
+use crate::check::Exceptions;
 use crate::declarations::Declarations;
 use crate::effective::Effective;
 use crate::effective::Pool;
@@ -19,6 +20,7 @@
     if !findings.is_empty() {
         return Err(findings);
     }
+    let exceptions = Exceptions::new(declarations);
     Ok(Effective {
         version,
         slot_count: declarations.fleet.slot_count,
@@ -26,7 +28,7 @@
             .workspaces
             .iter()
             .map(|(name, entry)| {
-                let values = check::workspace_values(declarations, name);
+                let values = exceptions.workspace_values(name);
                 let workspace = Workspace {
                     rate_tokens_per_s: TokensPerSecond(values.rate_tokens_per_s),
                     burst_tokens: Tokens(values.burst_tokens),
@@ -49,7 +51,7 @@
             .pools
             .iter()
             .map(|(name, entry)| {
-                let values = check::pool_values(declarations, name);
+                let values = exceptions.pool_values(name);
                 let pool = Pool {
                     kind: entry.kind,
                     link_bytes_per_s: values.link_bytes_per_s,
@@ -59,16 +61,16 @@
             })
             .collect(),
         models: declarations.models.clone(),
-        routes: routes(declarations),
+        routes: routes(declarations, &exceptions),
     })
 }
 
-fn routes(declarations: &Declarations) -> Vec<Route> {
+fn routes(declarations: &Declarations, exceptions: &Exceptions<'_>) -> Vec<Route> {
     let mut routes: Vec<Route> = declarations
         .routes
         .iter()
         .map(|(name, entry)| {
-            let values = check::route_values(declarations, name);
+            let values = exceptions.route_values(name);
             Route {
                 name: name.clone(),
                 path_prefix: entry.path_prefix.clone(),
