--- a/crates/dogwoodpier-core/src/slots/plan.rs
+++ b/crates/dogwoodpier-core/src/slots/plan.rs
@@ -11,6 +11,7 @@
 use super::lease;
 use super::record::PeerId;
 use super::record::SlotRecord;
+use super::slot::Attempt;
 use super::slot::Candidate;
 use super::slot::Slot;
 use super::table::SlotTable;
@@ -113,40 +114,55 @@
     if entry.awaits_answer() {
         return None;
     }
-    let wanted = match entry.own_record(&table.me) {
-        Some(record) => own_change(table, entry, record, outlook)?,
-        None if may_claim(table, slot, outlook) => claim(&table.me, entry),
-        None => return None,
-    };
-    open_or_retry(entry, wanted, outlook.now, new_id)
+    match entry.own_record(&table.me) {
+        Some(record) => {
+            let wanted = own_change(table, entry, record, outlook)?;
+            open_or_retry(entry, wanted, MAX_ATTEMPTS, outlook.now, new_id)
+        }
+        None if may_claim(table, slot, outlook) => {
+            // The claimer doesn't act yet, so it may name an heir whose promise it still has to ask.
+            let heir = pick_heir(table, slot, &outlook.members, &[]);
+            let wanted = claim(&table.me, heir, entry);
+            open_or_retry(entry, wanted, 1, outlook.now, new_id)
+        }
+        None => None,
+    }
 }
 
 // A write that is open is sent again as it is, so that its effect is the same however often it is
-// sent. Only a change of mind makes another one.
+// sent. A change of mind makes another one, as long as few are open.
 fn open_or_retry<F>(
     entry: &Slot,
     mut wanted: SlotRecord,
+    max_attempts: usize,
     now: TimeMs,
     mut new_id: F,
 ) -> Option<SlotRecord>
 where
     F: FnMut() -> u64,
 {
-    for attempt in &entry.attempts {
-        wanted.write_id = attempt.record.write_id;
-        if attempt.record == wanted {
-            let due = now.since(attempt.last_sent_ms) >= RETRY_MS;
-            return due.then_some(wanted);
-        }
+    let same = |attempt: &&Attempt| {
+        let write_id = attempt.record.write_id;
+        let with_id = SlotRecord {
+            write_id,
+            ..wanted.clone()
+        };
+        attempt.record == with_id
+    };
+    let open = entry.attempts.iter().find(same);
+    let full = entry.attempts.len() >= max_attempts;
+    if let Some(attempt) = open.or(entry.attempts.last().filter(|_| full)) {
+        let due = now.since(attempt.last_sent_ms) >= RETRY_MS;
+        return due.then(|| attempt.record.clone());
     }
     wanted.write_id = new_id();
-    (entry.attempts.len() < MAX_ATTEMPTS).then_some(wanted)
+    Some(wanted)
 }
 
-fn claim(me: &PeerId, entry: &Slot) -> SlotRecord {
+fn claim(me: &PeerId, heir: Option<PeerId>, entry: &Slot) -> SlotRecord {
     SlotRecord {
         holder: me.clone(),
-        heir: None,
+        heir,
         levels: BTreeMap::new(),
         write_id: 0,
         replaced_version: entry.version(),
--- a/crates/dogwoodpier-core/src/slots/table.rs
+++ b/crates/dogwoodpier-core/src/slots/table.rs
@@ -312,17 +312,14 @@
             .collect()
     }
 
-    /// Returns the peers whose promises this node needs or wants.
-    pub fn asked_peers(&self) -> Vec<PeerId> {
-        let mut peers: BTreeMap<Arc<str>, PeerId> = BTreeMap::new();
-        for peer in self
-            .slots
-            .iter()
-            .flat_map(|slot| slot.asked_peers(&self.me))
-        {
-            peers.insert(peer.instance.clone(), peer);
-        }
-        peers.into_values().collect()
+    /// Returns the slots and peers whose promises this node needs or wants.
+    pub fn asked_peers(&self) -> Vec<(u32, PeerId)> {
+        self.numbered()
+            .flat_map(|(slot, entry)| {
+                let peers = entry.asked_peers(&self.me).into_iter();
+                peers.map(move |peer| (slot, peer))
+            })
+            .collect()
     }
 
     /// Decides, as heir or heir to be, on a promise that `holder` asks for.
--- a/crates/dogwoodpier-node/src/slots/claim.rs
+++ b/crates/dogwoodpier-node/src/slots/claim.rs
@@ -1,5 +1,6 @@
 //! The writes that the table plans: claims, renewals, changes of heir.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::slots::Acquired;
+use dogwoodpier_core::slots::PeerId;
+use dogwoodpier_core::slots::SlotTable;
 use dogwoodpier_core::slots::Write;
 use dogwoodpier_platform::Error;
 use dogwoodpier_platform::Expect;
@@ -107,15 +110,18 @@
     }
 }
 
-// Asks for the first promise at once, since the slot can't be used without.
-fn ask_new_heirs(node: &SharedNode, asked: &mut BTreeSet<u64>) {
-    let heirs = node.slots.heirs();
-    let incarnation =
-        |heir: &dogwoodpier_proto::NodeInfo| heir.id.as_ref().map_or(0, |id| id.incarnation);
-    for heir in &heirs {
-        if !asked.contains(&incarnation(heir)) {
-            tokio::spawn(peers::beat(node.clone(), heir.clone()));
+// Asks for the first promise at once, since a slot can't be used without.
+fn ask_new_heirs(node: &SharedNode, asked: &mut BTreeSet<(u32, u64)>) {
+    let peers = node.slots.read(SlotTable::asked_peers).unwrap_or_default();
+    let mut new_heirs = BTreeMap::new();
+    for (slot, peer) in &peers {
+        if !asked.contains(&(*slot, peer.incarnation)) {
+            new_heirs.insert(peer.incarnation, peer.clone());
         }
     }
-    *asked = heirs.iter().map(incarnation).collect();
+    for heir in new_heirs.values() {
+        tokio::spawn(peers::beat(node.clone(), super::node_info(heir)));
+    }
+    let pair = |(slot, peer): &(u32, PeerId)| (*slot, peer.incarnation);
+    *asked = peers.iter().map(pair).collect();
 }
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod follow;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -111,7 +112,11 @@
     /// Returns the heirs, present and to be, that this node must send heartbeats to.
     pub fn heirs(&self) -> Vec<NodeInfo> {
         let peers = self.read(SlotTable::asked_peers).unwrap_or_default();
-        peers.iter().map(node_info).collect()
+        let by_instance: BTreeMap<Arc<str>, PeerId> = peers
+            .into_iter()
+            .map(|(_, peer)| (peer.instance.clone(), peer))
+            .collect();
+        by_instance.values().map(node_info).collect()
     }
 
     /// Decides, as heir, on promises that a holder asks for.
