--- a/crates/dogwoodpier-core/tests/rate_escrow/main.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/main.rs
@@ -123,3 +123,37 @@
     fleet.apply(Step::Wait { ms: 40 });
     fleet.check();
 }
+
+// A claimed slot raises its new holder's cap from then on, not for what accrued before.
+#[test]
+fn claimed_slot_holds_no_earlier_accrual() {
+    let mut fleet = Fleet::new(DRIFTS_PPM, 240);
+    fleet.apply(Step::Wait { ms: 2_980 });
+    fleet.apply(Step::Renew { node: 1 });
+    fleet.apply(Step::Renew { node: 2 });
+    fleet.apply(Step::Drain { node: 0 });
+    fleet.apply(Step::Wait { ms: 25 });
+    fleet.apply(Step::Reclaim { node: 1, slot: 0 });
+    fleet.apply(Step::Wait { ms: 3 });
+    fleet.check();
+    assert_eq!(fleet.spendable(0), 0, "the right of the first holder ended");
+}
+
+// Two requests give back what they did not use; the bucket had room for one of them.
+#[test]
+fn refunds_share_the_room_of_the_bucket() {
+    let mut fleet = Fleet::new([0; NODES], 240);
+    for _ in 0..2 {
+        fleet.apply(Step::Admit {
+            node: 0,
+            tokens: 10,
+        });
+    }
+    fleet.apply(Step::Wait { ms: 130 });
+    fleet.apply(Step::Drain { node: 0 });
+    for index in [2, 1] {
+        fleet.apply(Step::Settle { index, percent: 0 });
+        fleet.check();
+    }
+    assert!(fleet.spendable(0) >= 9, "there was room for one");
+}
