--- a/crates/dogwoodpier-node/src/limits/accounts.rs
+++ b/crates/dogwoodpier-node/src/limits/accounts.rs
@@ -44,7 +44,7 @@
         F: FnOnce(&mut Account, &[Backing]) -> R,
     {
         let config = node.config.current();
-        let limit = limit(&config, workspace)?;
+        let limit = limit(&config, workspace, node.slots.count())?;
         let mut shard = lock(self.shard_of(workspace));
         // Read under the shard's lock, so that no slot is handed over between.
         let backings = node.slots.backings(now);
@@ -81,7 +81,10 @@
             StartLevel::Full => config
                 .workspaces
                 .keys()
-                .filter_map(|name| Some((name.clone(), limit(&config, name)?.burst_floor(slot))))
+                .filter_map(|name| {
+                    let limit = limit(&config, name, node.slots.count())?;
+                    Some((name.clone(), limit.burst_floor(slot)))
+                })
                 .collect(),
         };
         // The slot counts from the next millisecond on.
@@ -149,12 +152,13 @@
     }
 }
 
-fn limit(config: &Effective, workspace: &str) -> Option<Limit> {
+// The number of slots is the one that the node began with, whatever a later configuration says.
+fn limit(config: &Effective, workspace: &str, slot_count: u32) -> Option<Limit> {
     let workspace = config.workspaces.get(workspace)?;
     Some(Limit {
         rate_tokens_per_s: workspace.rate_tokens_per_s,
         burst_tokens: workspace.burst_tokens,
-        slot_count: config.slot_count,
+        slot_count,
     })
 }
 
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -95,6 +95,11 @@
         self.read(heir)?
     }
 
+    /// Returns the number of slots of the fleet, zero while it is unknown.
+    pub fn count(&self) -> u32 {
+        self.read(SlotTable::count).unwrap_or(0)
+    }
+
     /// Returns the slots that back this node's buckets now.
     pub fn backings(&self, now: TimeMs) -> Vec<Backing> {
         let held = self.read(|table| table.all_held(now)).unwrap_or_default();
