Quarantine: stop a request that crashes engines, and answer those beside it

Cause: a request that crashes each upstream that runs it would take the whole pool down, and each crash has about twenty innocent requests beside it. Taken: one crash - run again at once, one copy of the request in the fleet at a time; two crashes - run alone, by a turn that one node gives out for the fleet; a crash alone quarantines. At most two crashes after the first news, whatever the number of nodes that the caller asks, plus the runs that nodes began before the news; a crash is told to every peer at once. Found by the test: two crashes of one engine learned together counted as one; they are told apart by when they were seen, not learned.

--- a/crates/dogwoodpier-core/src/quarantine/suspects.rs
+++ b/crates/dogwoodpier-core/src/quarantine/suspects.rs
@@ -87,6 +87,25 @@
     }
 }
 
+impl SuspectSettings {
+    fn lifetime_ms(&self, alone: bool) -> u64 {
+        match alone {
+            true => self.quarantine_ms,
+            false => self.crash_ms,
+        }
+    }
+
+    // Returns when a crash was seen, whenever the report of it arrived.
+    fn seen_ms(&self, crash: &Crash) -> TimeMs {
+        TimeMs(
+            crash
+                .expires_ms
+                .0
+                .saturating_sub(self.lifetime_ms(crash.alone)),
+        )
+    }
+}
+
 impl SuspectTable {
     /// Returns a table without reports.
     pub fn new(settings: SuspectSettings) -> Self {
@@ -99,15 +118,11 @@
 
     /// Returns a report of a crash that this node has just seen.
     pub fn observe(&self, fingerprint: u64, crash_id: u64, alone: bool, now: TimeMs) -> Crash {
-        let lifetime_ms = match alone {
-            true => self.settings.quarantine_ms,
-            false => self.settings.crash_ms,
-        };
         Crash {
             fingerprint,
             crash_id,
             alone,
-            expires_ms: now.after(lifetime_ms),
+            expires_ms: now.after(self.settings.lifetime_ms(alone)),
         }
     }
 
@@ -115,6 +130,8 @@
     pub fn take(&mut self, crash: Crash, now: TimeMs) -> bool {
         self.expire(now);
         let same_crash_ms = self.settings.same_crash_ms;
+        let settings = self.settings.clone();
+        let seen_ms = settings.seen_ms(&crash);
         let is_full = self.crashes.len() >= self.settings.max_requests;
         if crash.expires_ms <= now || (is_full && !self.crashes.contains_key(&crash.fingerprint)) {
             return false;
@@ -123,7 +140,7 @@
         let same = known.iter_mut().find(|known| {
             known.crash.crash_id == crash.crash_id
                 || (known.crash.upstream() == crash.upstream()
-                    && now.since(known.learned_ms) < same_crash_ms)
+                    && seen_ms.0.abs_diff(settings.seen_ms(&known.crash).0) < same_crash_ms)
         });
         if let Some(same) = same {
             // The same crash seen by the one who ran the request alone says more.
--- a/crates/dogwoodpier-node/src/counters.rs
+++ b/crates/dogwoodpier-node/src/counters.rs
@@ -52,3 +52,5 @@
 pub const CLAIMS_TOTAL: &str = "dogwoodpier_claims_total";
 /// Writes of claims to the platform by whether they were answered.
 pub const CLAIM_WRITES_TOTAL: &str = "dogwoodpier_claim_writes_total";
+/// Requests that were running where an upstream crashed, by whether they ran alone.
+pub const CRASHES_TOTAL: &str = "dogwoodpier_crashed_requests_total";
--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -46,7 +46,7 @@
         // The age goes before the version, which may rise in between.
         platform_contact_age_ms: node.config.platform_contact_age_ms(sent_ms),
         config_version: node.config.current().version,
-        crashes: node.quarantine.reports_for(&instance, sent_ms),
+        crashes: node.quarantine.reports(sent_ms),
         known: node.peers.sample(KNOWN_SAMPLE),
     };
     let answer = node
@@ -83,7 +83,6 @@
 pub fn answer(node: &Node, request: HeartbeatRequest) -> HeartbeatReply {
     let now = clock::now();
     let sender = request.sender.unwrap_or_default();
-    let instance = sender.id.clone().unwrap_or_default().instance;
     node.quarantine.take_reports(&request.crashes, now);
     // Nothing tells how long the request waited for this process, so its age of contact is no news.
     node.config
@@ -107,7 +106,7 @@
         // The age goes before the version, which may rise in between.
         platform_contact_age_ms: node.config.platform_contact_age_ms(now),
         config_version: node.config.current().version,
-        crashes: node.quarantine.reports_for(&instance, now),
+        crashes: node.quarantine.reports(now),
     }
 }
 
--- a/crates/dogwoodpier-node/src/peers/service.rs
+++ b/crates/dogwoodpier-node/src/peers/service.rs
@@ -34,6 +34,8 @@
 use dogwoodpier_proto::ReserveRequest;
 use dogwoodpier_proto::SettleLoansReply;
 use dogwoodpier_proto::SettleLoansRequest;
+use dogwoodpier_proto::TurnReply;
+use dogwoodpier_proto::TurnRequest;
 use dogwoodpier_proto::peer_server::Peer;
 use dogwoodpier_proto::peer_server::PeerServer;
 
@@ -156,6 +158,17 @@
         ))
     }
 
+    async fn take_turn(
+        &self,
+        request: Request<TurnRequest>,
+    ) -> Result<Response<TurnReply>, Status> {
+        Ok(Response::new(
+            self.node
+                .quarantine
+                .take_turn(&request.into_inner(), clock::now()),
+        ))
+    }
+
     async fn reserve(
         &self,
         request: Request<ReserveRequest>,
--- a/crates/dogwoodpier-node/src/pipeline/dispatch.rs
+++ b/crates/dogwoodpier-node/src/pipeline/dispatch.rs
@@ -1,10 +1,12 @@
 //! Calls of plain services: once where a call may not be repeated, else until one is answered.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderName;
 use http::HeaderValue;
 use http::Uri;
+use tokio::net::TcpStream;
 
 use dogwoodpier_config::effective::Route;
 use dogwoodpier_core::Execution;
@@ -29,6 +31,7 @@
 const MAX_TRIES: usize = 3;
 /// Largest body of an upstream's answer, which is held until it is whole.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+const CONNECT_TIME: Duration = Duration::from_millis(500);
 const DEFAULT_PROGRESS_TIMEOUT_MS: u64 = 10_000;
 
 /// Why a request has no answer, and what is known of its execution.
@@ -81,7 +84,6 @@
         // Each try has its own id, so that a late answer of an earlier one is told apart.
         let id = format!("{}-{index}", request.id);
         match call(node, &service, request, route, &id, passage).await {
-            Err(failure) if failure.reason == RefusalReason::Quarantined => return Err(failure),
             Err(failure) => last = worse(last, failure),
             Ok(reply) if reply.status.is_server_error() && index + 1 < count.min(MAX_TRIES) => {
                 last.execution = Execution::Ran;
@@ -91,10 +93,43 @@
         if clock::now() >= request.deadline_ms {
             break;
         }
+        enter_again(node, request, passage).await?;
     }
     Err(last)
 }
 
+// A request whose upstream crashed needs to be let pass anew.
+async fn enter_again(
+    node: &SharedNode,
+    request: &Request,
+    passage: &mut Passage,
+) -> Result<(), Failure> {
+    if !passage.has_crashed() {
+        return Ok(());
+    }
+    // Its turn ends before it asks for the next one.
+    *passage = Passage::default();
+    let entered = node
+        .quarantine
+        .enter_again(node, request.fingerprint, request.deadline_ms)
+        .await;
+    *passage = entered.map_err(|refusal| Failure {
+        reason: refusal.reason,
+        execution: refusal.execution,
+        message: refusal.message,
+    })?;
+    Ok(())
+}
+
+// A cut may also come from the connection alone: a service that takes connections has not crashed.
+async fn has_crashed(service: &Service) -> bool {
+    let connecting = TcpStream::connect(service.client.address());
+    match tokio::time::timeout(CONNECT_TIME, connecting).await {
+        Ok(result) => result.is_err(),
+        Err(_) => true,
+    }
+}
+
 async fn call(
     node: &SharedNode,
     service: &Service,
@@ -104,13 +139,14 @@
     passage: &mut Passage,
 ) -> Result<ServiceReply, Failure> {
     let call = service_call(node, request, route, id)?;
-    let start = node.upstreams.start_of(&service.name);
     let result = service.client.call(call).await;
     if result.is_err() {
         node.upstreams.note_failure(&service.name);
     }
-    if let Err(ServiceError::NoAnswer(SendError::Cut(_))) = &result {
-        passage.crashed(node, &service.name, start, clock::now());
+    if let Err(ServiceError::NoAnswer(SendError::Cut(_))) = &result
+        && has_crashed(service).await
+    {
+        passage.crashed(&service.name, node.upstreams.start_of(&service.name));
     }
     let reply = result.map_err(failed)?;
     check(&reply, id)?;
--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -340,18 +340,14 @@
             return Ok(());
         }
         let fingerprint = self.job.request.fingerprint;
-        let now = clock::now();
         let start = self.node.upstreams.start_of(name);
-        let suspect = self.job.passage.suspect;
-        self.node
-            .quarantine
-            .crashed(fingerprint, name, start, suspect, now);
+        self.job.passage.crashed(name, start);
         // Others that were running there may go first now, or this request not at all.
         self.job.passage = Passage::default();
         self.job.passage = self
             .node
             .quarantine
-            .enter(fingerprint, self.job.request.deadline_ms)
+            .enter_again(self.node, fingerprint, self.job.request.deadline_ms)
             .await?;
         Ok(())
     }
--- a/crates/dogwoodpier-node/src/pipeline/serve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -137,7 +137,7 @@
     request.body = Bytes::new();
     let passage = node
         .quarantine
-        .enter(request.fingerprint, request.deadline_ms)
+        .enter(node, request.fingerprint, request.deadline_ms)
         .await?;
     let cost_tokens = model::cost_tokens(&call);
     let admission =
@@ -205,7 +205,7 @@
     let request = request(&read, workspace, route.timeout_ms);
     let passage = node
         .quarantine
-        .enter(request.fingerprint, request.deadline_ms)
+        .enter(node, request.fingerprint, request.deadline_ms)
         .await?;
     let mut admission = match workspace {
         Some(workspace) if route.cost_tokens.0 > 0 => {
--- a/crates/dogwoodpier-node/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-node/src/quarantine/mod.rs
@@ -1,55 +1,203 @@
-//! Quarantine: stops requests that crash the engines that run them.
+//! Quarantine: stops requests that crash the upstreams that run them.
+//!
+//! The decisions are in [`dogwoodpier_core::quarantine`]. A suspect's turn is given out by one node
+//! for the fleet, picked by rendezvous hash (`turn`), so that the number of crashes doesn't grow with
+//! the number of nodes that its caller asks.
 
+mod passage;
+mod turn;
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use log::warn;
+use metrics::counter;
+use xxhash_rust::xxh3::xxh3_64;
+
+use dogwoodpier_core::Execution;
 use dogwoodpier_core::Refusal;
+use dogwoodpier_core::RefusalReason;
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::quarantine::Crash;
+use dogwoodpier_core::quarantine::Standing;
+use dogwoodpier_core::quarantine::SuspectSettings;
+use dogwoodpier_core::quarantine::SuspectTable;
+use dogwoodpier_core::quarantine::Turn;
+use dogwoodpier_core::quarantine::Turns;
 use dogwoodpier_proto::CrashReport;
 
+use crate::clock;
+use crate::counters;
+use crate::peers;
 use crate::state::SharedNode;
 
-/// Crash reports of the fleet, and suspects that run alone.
-#[derive(Default)]
-pub struct Quarantine {}
+pub use self::passage::Passage;
 
-/// The right of one request to run now. Dropping it lets the next suspect run.
-#[derive(Debug, Default)]
-pub struct Passage {
-    /// True if the request is a suspect and must run alone.
-    pub suspect: bool,
+const CRASH_MS: u64 = 600_000;
+const QUARANTINE_MS: u64 = 3_600_000;
+const SAME_CRASH_MS: u64 = 1_000;
+const SPREAD_MS: u64 = 10_000;
+const MAX_REQUESTS: usize = 10_000;
+const PAUSE: Duration = Duration::from_millis(50);
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Crash reports of the fleet, and the turns of suspects that this node gives out.
+pub struct Quarantine {
+    suspects: Mutex<SuspectTable>,
+    turns: Mutex<Turns>,
 }
 
-impl Passage {
-    /// Records that an upstream crashed while it ran the request.
-    pub fn crashed(&mut self, _node: &SharedNode, _upstream: &str, _start: u64, _now: TimeMs) {}
+impl Default for Quarantine {
+    fn default() -> Self {
+        let settings = SuspectSettings {
+            crash_ms: CRASH_MS,
+            quarantine_ms: QUARANTINE_MS,
+            same_crash_ms: SAME_CRASH_MS,
+            spread_ms: SPREAD_MS,
+            max_requests: MAX_REQUESTS,
+        };
+        Self {
+            suspects: Mutex::new(SuspectTable::new(settings)),
+            turns: Mutex::default(),
+        }
+    }
 }
 
 impl Quarantine {
     /// Lets a request pass, waits for its turn if it is a suspect, or refuses it.
-    pub async fn enter(&self, _fingerprint: u64, _deadline_ms: TimeMs) -> Result<Passage, Refusal> {
-        Ok(Passage::default())
+    pub async fn enter(
+        &self,
+        node: &SharedNode,
+        fingerprint: u64,
+        deadline_ms: TimeMs,
+    ) -> Result<Passage, Refusal> {
+        let mut passage = Passage::new(node, fingerprint);
+        loop {
+            let now = clock::now();
+            let wanted = match lock(&self.suspects).standing(fingerprint, now) {
+                Standing::Clear => None,
+                Standing::OneCopy => Some(Turn::OneCopy(fingerprint)),
+                Standing::Alone => Some(Turn::Alone),
+                Standing::Quarantined { retry_after_ms } => {
+                    return Err(quarantined(retry_after_ms));
+                }
+            };
+            // What the turn's keeper knows may change the standing, so it is looked up again.
+            if passage.has(wanted) {
+                return Ok(passage);
+            }
+            if now >= deadline_ms {
+                return Err(too_late());
+            }
+            match wanted {
+                Some(turn) if passage.ask(turn).await => {}
+                Some(_) => tokio::time::sleep(PAUSE).await,
+                None => passage = Passage::new(node, fingerprint),
+            }
+        }
     }
 
-    /// Records that an engine crashed while it ran the request. `engine_start` tells crashes of one
-    /// engine apart.
-    pub fn crashed(
+    /// Lets a request pass that has crashed an upstream. A refusal says that it may have run.
+    pub async fn enter_again(
         &self,
-        _fingerprint: u64,
-        _engine: &str,
-        _engine_start: u64,
-        _suspect: bool,
-        _now: TimeMs,
-    ) {
+        node: &SharedNode,
+        fingerprint: u64,
+        deadline_ms: TimeMs,
+    ) -> Result<Passage, Refusal> {
+        let entered = self.enter(node, fingerprint, deadline_ms).await;
+        entered.map_err(|refusal| Refusal {
+            execution: Execution::Unknown,
+            ..refusal
+        })
     }
 
-    /// Returns reports that are new for a peer.
-    pub fn reports_for(&self, _peer: &str, _now: TimeMs) -> Vec<CrashReport> {
-        Vec::new()
+    /// Returns the reports for a heartbeat.
+    pub fn reports(&self, now: TimeMs) -> Vec<CrashReport> {
+        let crashes = lock(&self.suspects).reports(now);
+        messages(&crashes, now)
     }
 
     /// Takes in reports from a peer.
-    pub fn take_reports(&self, _reports: &[CrashReport], _now: TimeMs) {}
+    pub fn take_reports(&self, reports: &[CrashReport], now: TimeMs) {
+        let mut suspects = lock(&self.suspects);
+        for report in reports {
+            let crash = Crash {
+                fingerprint: report.fingerprint,
+                crash_id: report.crash_id,
+                alone: report.alone,
+                expires_ms: now.after(report.expires_in_ms.min(QUARANTINE_MS)),
+            };
+            suspects.take(crash, now);
+        }
+    }
 
     /// Returns the state as JSON.
     pub fn dump(&self, _now: TimeMs) -> serde_json::Value {
-        serde_json::Value::Null
+        serde_json::json!({
+            "suspects": lock(&self.suspects).len(),
+            "turns": lock(&self.turns).len(),
+        })
+    }
+
+    // Records a crash that this node has seen, and tells every peer at once: until they know, the
+    // request is no suspect to them.
+    fn crashed(&self, node: &SharedNode, fingerprint: u64, alone: bool, crash_id: u64) {
+        let now = clock::now();
+        let is_new = {
+            let mut suspects = lock(&self.suspects);
+            let crash = suspects.observe(fingerprint, crash_id, alone, now);
+            suspects.take(crash, now)
+        };
+        counter!(counters::CRASHES_TOTAL, "alone" => alone.to_string()).increment(1);
+        if !is_new {
+            return;
+        }
+        warn!("request {fingerprint:016x} was running where an upstream crashed, alone: {alone}");
+        for peer in node.peers.alive(now) {
+            tokio::spawn(peers::beat(node.clone(), peer));
+        }
+    }
+
+    fn reports_of(&self, fingerprint: u64, now: TimeMs) -> Vec<CrashReport> {
+        let crashes = lock(&self.suspects).reports_of(fingerprint, now);
+        messages(&crashes, now)
     }
 }
+
+// Returns the id of a crash: the upstream, and how this node saw it.
+fn crash_id(upstream: &str, observer: u64, upstream_start: u64) -> u64 {
+    let seen = [observer.to_le_bytes(), upstream_start.to_le_bytes()].concat();
+    Crash::id(xxh3_64(upstream.as_bytes()), xxh3_64(&seen))
+}
+
+fn messages(crashes: &[Crash], now: TimeMs) -> Vec<CrashReport> {
+    let message = |crash: &Crash| CrashReport {
+        fingerprint: crash.fingerprint,
+        crash_id: crash.crash_id,
+        expires_in_ms: crash.expires_ms.remaining(now),
+        alone: crash.alone,
+    };
+    crashes.iter().map(message).collect()
+}
+
+fn quarantined(retry_after_ms: u64) -> Refusal {
+    Refusal::not_run(
+        RefusalReason::Quarantined,
+        "earlier runs of this request crashed the upstreams that ran it",
+    )
+    .retry_after(retry_after_ms)
+}
+
+fn too_late() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::DeadlineExceeded,
+        "the request waited for its turn after an upstream had crashed",
+    )
+    .retry_after(RETRY_AFTER_MS)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -85,6 +85,34 @@
     pub alone: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TurnRequest {
+    #[prost(message, optional, tag = "1")]
+    pub sender: ::core::option::Option<NodeId>,
+    #[prost(fixed64, tag = "2")]
+    pub fingerprint: u64,
+    /// Random id of the request's wait and turn.
+    #[prost(fixed64, tag = "3")]
+    pub turn_id: u64,
+    /// True for the turn to be the only suspect that runs alone, false for the turn to be the only
+    /// running copy.
+    #[prost(bool, tag = "4")]
+    pub alone: bool,
+    /// True if the turn is given back.
+    #[prost(bool, tag = "5")]
+    pub done: bool,
+    /// What the sender knows of the request.
+    #[prost(message, repeated, tag = "6")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TurnReply {
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+    /// What the receiver knows of the request.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BorrowRequest {
     #[prost(message, optional, tag = "1")]
     pub borrower: ::core::option::Option<NodeId>,
@@ -775,6 +803,28 @@
                 .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "FetchClaims"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks for the turn of a suspect request, keeps it or gives it back.
+        pub async fn take_turn(
+            &mut self,
+            request: impl tonic::IntoRequest<super::TurnRequest>,
+        ) -> std::result::Result<tonic::Response<super::TurnReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/dogwoodpier.peer.v1.Peer/TakeTurn",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "TakeTurn"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Asks the keeper of a decode engine for a reservation.
         pub async fn reserve(
             &mut self,
@@ -933,6 +983,11 @@
             tonic::Response<super::FetchClaimsReply>,
             tonic::Status,
         >;
+        /// Asks for the turn of a suspect request, keeps it or gives it back.
+        async fn take_turn(
+            &self,
+            request: tonic::Request<super::TurnRequest>,
+        ) -> std::result::Result<tonic::Response<super::TurnReply>, tonic::Status>;
         /// Asks the keeper of a decode engine for a reservation.
         async fn reserve(
             &self,
@@ -1379,6 +1434,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/dogwoodpier.peer.v1.Peer/TakeTurn" => {
+                    #[allow(non_camel_case_types)]
+                    struct TakeTurnSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::TurnRequest>
+                    for TakeTurnSvc<T> {
+                        type Response = super::TurnReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::TurnRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::take_turn(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = TakeTurnSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/dogwoodpier.peer.v1.Peer/Reserve" => {
                     #[allow(non_camel_case_types)]
                     struct ReserveSvc<T: Peer>(pub Arc<T>);
