--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -29,7 +29,12 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        for peer in round(&node) {
+        let peers = round(&node);
+        // All before the first answer, so that answers are seen as a share of the whole round.
+        for peer in &peers {
+            node.peers.note_tried(peer, clock::now());
+        }
+        for peer in peers {
             // Each call has a timeout, so a silent peer delays nobody and nothing piles up.
             tokio::spawn(beat(node.clone(), peer));
         }
@@ -74,6 +79,8 @@
             reply.platform_contact_age_ms,
             sent_ms,
         );
+        node.config
+            .take_witness(&instance, reply.attests_outage, sent_ms);
         node.peers.take_heard(sender, now);
     }
     true
@@ -92,13 +99,7 @@
         .grant_promises(&sender, &request.promise_requests, now);
     node.peers.take_heard(sender, now);
     for info in request.known {
-        if info
-            .id
-            .as_ref()
-            .is_some_and(|id| id.instance != *node.settings.instance)
-        {
-            node.peers.take_known(info, now);
-        }
+        node.peers.take_known(info, now);
     }
     HeartbeatReply {
         sender: Some(node.info()),
@@ -107,6 +108,7 @@
         platform_contact_age_ms: node.config.platform_contact_age_ms(now),
         config_version: node.config.current().version,
         crashes: node.quarantine.reports(now),
+        attests_outage: node.config.attests_outage(now),
     }
 }
 
@@ -119,7 +121,14 @@
         LARGE_FLEET_FANOUT
     };
     let sample = node.peers.sample(fanout);
-    for info in node.slots.heirs().into_iter().chain(sample) {
+    let own = node.id();
+    // This node can be the heir of a slot that it hands over.
+    let heirs = node
+        .slots
+        .heirs()
+        .into_iter()
+        .filter(|info| info.id.as_ref() != Some(&own));
+    for info in heirs.chain(sample) {
         chosen.insert(info.peer_address.clone(), info);
     }
     chosen.into_values().collect()
@@ -138,6 +147,11 @@
         self.lock().count()
     }
 
+    fn note_tried(&self, peer: &NodeInfo, now: TimeMs) {
+        let instance = peer.id.as_ref().map_or("", |id| id.instance.as_str());
+        self.lock().note_tried(instance, now);
+    }
+
     fn note_call(&self, instance: &str, answered: bool, now: TimeMs) {
         self.lock().note_call(instance, answered, now);
     }
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -52,6 +52,9 @@
     pub platform_contact_age_ms: u64,
     #[prost(message, repeated, tag = "5")]
     pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
+    /// The sender asks the platform in vain, and has relied on its keys ever since it had news.
+    #[prost(bool, tag = "6")]
+    pub attests_outage: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SlotRef {
@@ -132,6 +135,9 @@
     /// Configuration version whose limits the borrower applies.
     #[prost(uint64, tag = "3")]
     pub config_version: u64,
+    /// True if requests wait for the tokens, false if they are asked for ahead of demand.
+    #[prost(bool, tag = "4")]
+    pub is_urgent: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BorrowReply {
