Quarantine: prove with real nodes that poison stops at three crashes

Cause: the decisions were proved in the core only. After: poison_calls with three nodes: a prompt that crashes prefills, one that crashes decodes, beside 24 innocent prompts, and an order that crashes services. Three crashes each, then refused at every node; all 24 answered whole. Found: a cut of a call on a connection of its own counted as a crash only if the service took no connections afterwards, so one that is restarted at once was never counted (4 crashes instead of 3).

--- a/crates/dogwoodpier-node/src/pipeline/dispatch.rs
+++ b/crates/dogwoodpier-node/src/pipeline/dispatch.rs
@@ -121,7 +121,8 @@
     Ok(())
 }
 
-// A cut may also come from the connection alone: a service that takes connections has not crashed.
+// A pooled connection may also be cut because it was idle: a service that takes connections has not
+// crashed. On a connection of its own a cut counts as a crash: the service may be up again already.
 async fn has_crashed(service: &Service) -> bool {
     let connecting = TcpStream::connect(service.client.address());
     match tokio::time::timeout(CONNECT_TIME, connecting).await {
@@ -144,7 +145,7 @@
         node.upstreams.note_failure(&service.name);
     }
     if let Err(ServiceError::NoAnswer(SendError::Cut(_))) = &result
-        && has_crashed(service).await
+        && (!route.idempotent || has_crashed(service).await)
     {
         passage.crashed(&service.name, node.upstreams.start_of(&service.name));
     }
--- /dev/null
+++ b/crates/dogwoodpier-node/tests/poison_calls.rs
@@ -0,0 +1,146 @@
+//! A prompt that crashes each engine is stopped over the whole fleet, and those beside it are
+//! answered.
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Method;
+use http::StatusCode;
+
+use dogwoodpier_core::RefusalReason;
+use dogwoodpier_fakes::caller::Caller;
+use dogwoodpier_fakes::caller::Completion;
+use dogwoodpier_fakes::caller::StreamedAnswer;
+use dogwoodpier_fakes::engine::EngineOptions;
+use dogwoodpier_fakes::engine::EngineRole;
+use dogwoodpier_fakes::engine::EngineStats;
+use dogwoodpier_fakes::engine::text::CRASH_DECODE_MARKER;
+use dogwoodpier_fakes::engine::text::CRASH_MARKER;
+use dogwoodpier_fakes::engine::text::expected_answer;
+use dogwoodpier_fakes::fleet::EXAMPLE_DECLARATIONS;
+use dogwoodpier_fakes::fleet::EXAMPLE_MODEL_KEY;
+use dogwoodpier_fakes::fleet::EXAMPLE_ORDER_KEY;
+use dogwoodpier_fakes::fleet::Fleet;
+use dogwoodpier_fakes::fleet::FleetPlan;
+use dogwoodpier_fakes::service;
+use dogwoodpier_fakes::service::ServiceStats;
+
+const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
+// Of each role.
+const ENGINES: usize = 6;
+const INNOCENTS: usize = 24;
+const MAX_TOKENS: u64 = 40;
+// One run before the news, one as the only copy, one alone.
+const MAX_CRASHES: usize = 3;
+
+fn plan() -> FleetPlan {
+    let mut plan = FleetPlan::new(env!("CARGO_BIN_EXE_dogwoodpier"), NODES.len(), 2);
+    for number in 1..=ENGINES {
+        let prefill = EngineOptions::new(EngineRole::Prefill);
+        let decode = EngineOptions::new(EngineRole::Decode);
+        plan = plan
+            .engine(&format!("prefill-{number}"), "quotes-prefill", prefill)
+            .engine(&format!("decode-{number}"), "quotes-decode", decode);
+    }
+    plan.declarations = EXAMPLE_DECLARATIONS.to_owned();
+    plan
+}
+
+async fn complete(fleet: &Fleet, node: &str, prompt: &str) -> StreamedAnswer {
+    let caller = Caller::new(fleet.node(node).caller_address, Some(EXAMPLE_MODEL_KEY));
+    let completion = Completion {
+        model: "quotes".to_owned(),
+        prompt: prompt.to_owned(),
+        max_tokens: MAX_TOKENS,
+        deadline_ms: None,
+    };
+    caller.complete(&completion).await
+}
+
+async fn count_crashed(fleet: &Fleet) -> usize {
+    let mut crashed = 0;
+    for pool in ["quotes-prefill", "quotes-decode"] {
+        for engine in fleet.pool(pool) {
+            let stats = fleet.stats::<EngineStats>(&engine).await;
+            crashed += usize::from(stats.is_err());
+        }
+    }
+    crashed
+}
+
+fn reason(answer: &StreamedAnswer) -> Option<String> {
+    answer.refused.as_ref().map(|refused| refused.code.clone())
+}
+
+async fn assert_stopped(marker: &str) {
+    let fleet = Fleet::start(plan()).await.expect("the fleet starts");
+    let poison = format!("tender {marker}");
+    let prompts: Vec<String> = (0..INNOCENTS)
+        .map(|number| format!("tender {number}"))
+        .collect();
+    let innocents = join_all(
+        prompts
+            .iter()
+            .enumerate()
+            .map(|(number, prompt)| complete(&fleet, NODES[number % NODES.len()], prompt)),
+    );
+    let (poisoned, innocents) = tokio::join!(complete(&fleet, NODES[0], &poison), innocents);
+    assert!(!poisoned.is_whole(), "{poisoned:?}");
+    for (prompt, answer) in prompts.iter().zip(&innocents) {
+        assert!(answer.is_whole(), "{prompt}: {answer:?}");
+        assert_eq!(answer.text(), expected_answer(prompt, MAX_TOKENS));
+    }
+
+    // Its caller sends it again, through every node at once.
+    let quarantined = serde_json::to_value(RefusalReason::Quarantined).expect("a name");
+    for _ in 0..2 {
+        let again = join_all(NODES.map(|node| complete(&fleet, node, &poison))).await;
+        for answer in again {
+            assert_eq!(
+                reason(&answer).as_deref(),
+                quarantined.as_str(),
+                "{answer:?}"
+            );
+        }
+    }
+    let crashed = count_crashed(&fleet).await;
+    assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
+}
+
+#[tokio::test]
+async fn a_poison_of_prefills_is_stopped() {
+    assert_stopped(CRASH_MARKER).await;
+}
+
+#[tokio::test]
+async fn a_poison_of_decodes_is_stopped() {
+    assert_stopped(CRASH_DECODE_MARKER).await;
+}
+
+#[tokio::test]
+async fn a_poison_of_services_is_stopped() {
+    let mut plan = plan();
+    for number in 1..=ENGINES {
+        plan = plan.service(&format!("orders-{number}"), "order-service");
+    }
+    let fleet = Fleet::start(plan).await.expect("the fleet starts");
+    let body = Bytes::from(format!("{{\"order\":\"{}\"}}", service::CRASH_MARKER));
+    let mut statuses = Vec::new();
+    for turn in 0..MAX_CRASHES * 2 {
+        let node = fleet.node(NODES[turn % NODES.len()]);
+        let caller = Caller::new(node.caller_address, Some(EXAMPLE_ORDER_KEY));
+        let answer = caller
+            .call(Method::POST, "/orders", &[], body.clone())
+            .await;
+        statuses.push(answer.expect("the node answers").status);
+    }
+    let expected = [
+        [StatusCode::BAD_GATEWAY; MAX_CRASHES],
+        [StatusCode::UNPROCESSABLE_ENTITY; MAX_CRASHES],
+    ];
+    assert_eq!(statuses, expected.concat());
+    let mut crashed = 0;
+    for service in fleet.pool("order-service") {
+        crashed += usize::from(fleet.stats::<ServiceStats>(&service).await.is_err());
+    }
+    assert_eq!(crashed, MAX_CRASHES);
+}
