Engines: look twice before a cut counts as no crash

The engine's stand-in answers on other connections for a moment after it has cut one, so a crash was not counted. Change: after a cut, an engine that still answers is asked again 50 ms later.

--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -49,6 +49,7 @@
 const BUFFERED_OUTPUTS: usize = 1_024;
 const RETRY_AFTER_MS: u64 = 1_000;
 const NO_ENGINE_MS: u64 = 1_000;
+const CRASH_RECHECK: Duration = Duration::from_millis(50);
 const POLL: Duration = Duration::from_millis(25);
 
 /// A part of an answer.
@@ -354,10 +355,15 @@
 
     // A cut may also come from the connection alone: an engine that still answers has not crashed.
     async fn has_crashed(&self, name: &str) -> bool {
-        match self.node.upstreams.engine(name) {
-            Some(engine) => engine.client.load().await.is_err(),
-            None => true,
+        let Some(engine) = self.node.upstreams.engine(name) else {
+            return true;
+        };
+        if engine.client.load().await.is_err() {
+            return true;
         }
+        // An engine that is going down may still answer on another connection.
+        tokio::time::sleep(CRASH_RECHECK).await;
+        engine.client.load().await.is_err()
     }
 
     fn wanted(&self) -> Wanted {
