Test silent connections and fresh fleets with real nodes

Running streams come whole and right, orders run once, a withdrawn key stops. A silence is noticed within one progress timeout of the pool (the call's own timeout for short calls and for the platform); the pool then drops all of its connections.

Ports: a node of a test could not bind its peer_address, since another fleet on this host had chosen the same port before either was bound. Fleets now lock a file for each port that they choose. whole_path has the order path as well.

--- a/crates/dogwoodpier-fakes/src/fleet/node.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/node.rs
@@ -18,6 +18,7 @@
 use crate::control;
 use crate::fleet::plan::NodePlan;
 use crate::fleet::ports;
+use crate::fleet::ports::ReservedAddress;
 use crate::fleet::process::Process;
 use crate::wait;
 
@@ -39,6 +40,7 @@
     settings_file: PathBuf,
     log: PathBuf,
     process: Process,
+    _reserved: [ReservedAddress; 3],
 }
 
 impl NodeProcess {
@@ -50,9 +52,13 @@
         platform_address: SocketAddr,
         more_settings: &str,
     ) -> anyhow::Result<Self> {
-        let caller_address = ports::free_address()?;
-        let operator_address = ports::free_address()?;
-        let peer_address = ports::free_address()?;
+        let reserved = [
+            ports::reserve_address()?,
+            ports::reserve_address()?,
+            ports::reserve_address()?,
+        ];
+        let [caller_address, operator_address, peer_address] =
+            reserved.each_ref().map(|reserved| reserved.address);
         let settings = format!(
             "instance = \"{}\"\n\
              data_centre = \"{}\"\n\
@@ -77,6 +83,7 @@
             settings_file,
             log,
             process,
+            _reserved: reserved,
         })
     }
 
--- a/crates/dogwoodpier-fakes/src/fleet/plan.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/plan.rs
@@ -18,6 +18,9 @@
     pub nodes: Vec<NodePlan>,
     /// Engines and plain services.
     pub upstreams: Vec<UpstreamPlan>,
+    /// True if nodes reach the platform and the upstreams over relays in this process, whose open
+    /// connections can go silent.
+    pub relays: bool,
     /// Time until a change of the instance list is published.
     pub instances_lag_ms: u64,
     /// Declarations in TOML.
@@ -90,6 +93,7 @@
             placement: Placement::InProcess,
             nodes,
             upstreams: Vec::new(),
+            relays: false,
             instances_lag_ms: 200,
             declarations: String::new(),
             node_settings: String::new(),
--- a/crates/dogwoodpier-fakes/src/fleet/ports.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/ports.rs
@@ -1,5 +1,6 @@
 //! Ports for processes that must know theirs before they start.
 
+use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 
@@ -9,15 +10,36 @@
 const FIRST_PORT: u16 = 12_000;
 const LAST_PORT: u16 = 31_999;
 const MAX_TRIES: u32 = 1_000;
+const LOCKS_DIRECTORY: &str = "dogwoodpier-ports";
 
-/// Returns an address of this host that nobody listens on.
-pub fn free_address() -> std::io::Result<SocketAddr> {
+/// An address of this host that nobody listens on and no other fleet takes.
+pub struct ReservedAddress {
+    /// The address.
+    pub address: SocketAddr,
+    // Locked until it is dropped or the process ends.
+    _lock: File,
+}
+
+/// Reserves an address. Fleets of other processes on this host respect it, so that none takes the
+/// port before the process that it is for has started.
+pub fn reserve_address() -> std::io::Result<ReservedAddress> {
+    let directory = std::env::temp_dir().join(LOCKS_DIRECTORY);
+    std::fs::create_dir_all(&directory)?;
     let mut last_error = std::io::Error::other("no port was tried");
     for _ in 0..MAX_TRIES {
         let port = rand::rng().random_range(FIRST_PORT..=LAST_PORT);
+        let lock = File::create(directory.join(port.to_string()))?;
+        if lock.try_lock().is_err() {
+            continue;
+        }
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         match TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
+            Ok(_) => {
+                return Ok(ReservedAddress {
+                    address,
+                    _lock: lock,
+                });
+            }
             Err(error) => last_error = error,
         }
     }
--- a/crates/dogwoodpier-fakes/src/fleet/running.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/running.rs
@@ -30,6 +30,7 @@
 use crate::fleet::plan::Placement;
 use crate::fleet::plan::UpstreamKind;
 use crate::fleet::plan::UpstreamPlan;
+use crate::fleet::upstream::Reachable;
 use crate::fleet::upstream::StandIn;
 
 const PLATFORM_TIMEOUT_MS: u64 = 5_000;
@@ -40,7 +41,7 @@
 /// A running fleet. All of its processes and servers end when it is dropped.
 pub struct Fleet {
     plan: FleetPlan,
-    platform: StandIn,
+    platform: Reachable,
     client: Client,
     upstreams: BTreeMap<String, Upstream>,
     nodes: BTreeMap<String, NodeProcess>,
@@ -50,7 +51,7 @@
 
 struct Upstream {
     plan: UpstreamPlan,
-    stand_in: StandIn,
+    reachable: Reachable,
 }
 
 impl Fleet {
@@ -60,8 +61,9 @@
         let directory = TempDir::new()?;
         let platform =
             StandIn::platform(&plan.placement, directory.path(), plan.instances_lag_ms).await?;
+        let platform = Reachable::new(platform, plan.relays).await?;
         let client = Client::new(ClientOptions {
-            address: platform.address(),
+            address: platform.stand_in.address(),
             timeout_ms: PLATFORM_TIMEOUT_MS,
         });
         let mut fleet = Self {
@@ -96,7 +98,16 @@
 
     /// Returns the address of the platform.
     pub fn platform_address(&self) -> SocketAddr {
-        self.platform.address()
+        self.platform.stand_in.address()
+    }
+
+    /// Makes all open connections of nodes to the platform and the upstreams silent for good. New
+    /// ones work. Needs a plan with relays.
+    pub fn silence_open_connections(&self) {
+        self.platform.silence_open_connections();
+        for upstream in self.upstreams.values() {
+            upstream.reachable.silence_open_connections();
+        }
     }
 
     /// Sets the platform's faults, in place of those in force.
@@ -104,12 +115,12 @@
     where
         T: Serialize,
     {
-        Ok(control::set_faults(self.platform.address(), faults).await?)
+        Ok(control::set_faults(self.platform_address(), faults).await?)
     }
 
     /// Returns the platform's calls by operation.
     pub async fn platform_calls(&self) -> anyhow::Result<BTreeMap<String, u64>> {
-        Ok(control::get(self.platform.address(), "/control/stats").await?)
+        Ok(control::get(self.platform_address(), "/control/stats").await?)
     }
 
     /// Puts declarations in force on top of whatever is; returns their version.
@@ -176,7 +187,7 @@
 
     /// Returns the address of an upstream.
     pub fn upstream_address(&self, name: &str) -> anyhow::Result<SocketAddr> {
-        Ok(self.upstream(name)?.stand_in.address())
+        Ok(self.upstream(name)?.reachable.stand_in.address())
     }
 
     /// Sets an upstream's faults, in place of those in force.
@@ -203,14 +214,14 @@
     /// Ends an upstream without notice. The platform's list still has it.
     pub async fn kill_upstream(&mut self, name: &str) -> anyhow::Result<()> {
         let upstream = self.upstreams.get_mut(name).context("no such upstream")?;
-        upstream.stand_in.kill().await
+        upstream.reachable.stand_in.kill().await
     }
 
     /// Starts an upstream again at its old address.
     pub async fn restart_upstream(&mut self, name: &str) -> anyhow::Result<()> {
         let upstream = self.upstreams.get_mut(name).context("no such upstream")?;
-        upstream.stand_in.kill().await?;
-        let address = Some(upstream.stand_in.address());
+        upstream.reachable.stand_in.kill().await?;
+        let address = Some(upstream.reachable.stand_in.address());
         let mut tries_left = RESTART_TRIES;
         loop {
             let started = StandIn::upstream(
@@ -223,7 +234,7 @@
             .await;
             match started {
                 Ok(stand_in) => {
-                    upstream.stand_in = stand_in;
+                    upstream.reachable.stand_in = stand_in;
                     return Ok(());
                 }
                 Err(error) if tries_left == 0 => return Err(error),
@@ -290,17 +301,18 @@
         let directory = self.directory.path();
         let stand_in =
             StandIn::upstream(placement, directory, &plan.name, &plan.kind, None).await?;
+        let reachable = Reachable::new(stand_in, self.plan.relays).await?;
         self.list(Instance {
             name: plan.name.as_str().into(),
             role: instance_role(&plan.kind),
-            address: stand_in.address().to_string().into(),
+            address: reachable.address().to_string().into(),
             data_centre: plan.data_centre.as_str().into(),
             pool: plan.pool.as_str().into(),
             state: InstanceState::Live,
         });
         let upstream = Upstream {
             plan: plan.clone(),
-            stand_in,
+            reachable,
         };
         self.upstreams.insert(plan.name.clone(), upstream);
         Ok(())
@@ -314,7 +326,7 @@
         let list = InstanceList {
             instances: self.instances.values().cloned().collect(),
         };
-        let address = self.platform.address();
+        let address = self.platform_address();
         control::put(address, Method::PUT, "/control/instances", &list).await?;
         Ok(())
     }
--- a/crates/dogwoodpier-fakes/src/fleet/upstream.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/upstream.rs
@@ -12,6 +12,7 @@
 use crate::fleet::process::Process;
 use crate::platform::Platform;
 use crate::platform::PlatformOptions;
+use crate::relay::Relay;
 use crate::server::Server;
 use crate::service::Service;
 use crate::service::ServiceOptions;
@@ -106,6 +107,39 @@
     }
 }
 
+/// A stand-in with the address at which nodes reach it.
+pub struct Reachable {
+    /// The stand-in.
+    pub stand_in: StandIn,
+    relay: Option<Relay>,
+}
+
+impl Reachable {
+    /// Puts a relay before a stand-in if `relayed`.
+    pub async fn new(stand_in: StandIn, relayed: bool) -> anyhow::Result<Self> {
+        let relay = match relayed {
+            true => Some(Relay::start(stand_in.address()).await?),
+            false => None,
+        };
+        Ok(Self { stand_in, relay })
+    }
+
+    /// Returns the address at which nodes reach the stand-in.
+    pub fn address(&self) -> SocketAddr {
+        match &self.relay {
+            Some(relay) => relay.address(),
+            None => self.stand_in.address(),
+        }
+    }
+
+    /// Makes the connections that are open now silent for good. Without a relay nothing happens.
+    pub fn silence_open_connections(&self) {
+        if let Some(relay) = &self.relay {
+            relay.silence_open_connections();
+        }
+    }
+}
+
 async fn in_process(kind: &UpstreamKind, address: SocketAddr) -> anyhow::Result<StandIn> {
     let crash = Crash::stop_server();
     let server = match kind {
--- a/crates/dogwoodpier-node/tests/whole_path.rs
+++ b/crates/dogwoodpier-node/tests/whole_path.rs
@@ -1,5 +1,8 @@
 //! Requests go from caller to upstream and back over several nodes.
 
+use http::Method;
+use http::StatusCode;
+
 use dogwoodpier_fakes::caller::Caller;
 use dogwoodpier_fakes::caller::Completion;
 use dogwoodpier_fakes::engine::EngineOptions;
@@ -8,8 +11,10 @@
 use dogwoodpier_fakes::engine::text::expected_answer;
 use dogwoodpier_fakes::fleet::Fleet;
 use dogwoodpier_fakes::fleet::FleetPlan;
+use dogwoodpier_fakes::service::ServiceStats;
 
 const KEY: &str = "sales-key";
+const DESK_KEY: &str = "order-desk-key";
 const MAX_TOKENS: u64 = 20;
 
 fn plan() -> FleetPlan {
@@ -50,8 +55,21 @@
             .await;
         assert!(answer.is_whole(), "{answer:?}");
         assert_eq!(answer.text(), expected_answer(&prompt, MAX_TOKENS));
+
+        let order = format!("order {number}");
+        let key = format!("order-key-{number}");
+        let headers = [("idempotency-key", key.as_str())];
+        let desk = Caller::new(node.caller_address, Some(DESK_KEY));
+        let answer = desk
+            .call(Method::POST, "/orders", &headers, order.into())
+            .await
+            .expect("the node answers");
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     }
 
+    let service: ServiceStats = fleet.stats("orders-1").await.expect("the service answers");
+    assert_eq!(service.runs, 3);
+    assert!(service.runs_by_body.values().all(|runs| *runs == 1));
     let mut held = Vec::new();
     for engine in ["prefill-1", "decode-1", "decode-2"] {
         let stats: EngineStats = fleet.stats(engine).await.expect("the engine answers");
