--- a/crates/dogwoodpier-node/src/keeper/mod.rs
+++ b/crates/dogwoodpier-node/src/keeper/mod.rs
@@ -56,12 +56,16 @@
 
 /// Returns the peer that keeps an engine, or `None` if this node does.
 pub fn keeper_of(node: &SharedNode, engine: &str) -> Option<NodeInfo> {
+    let own_name = &*node.settings.instance;
     let alive = node.peers.alive(clock::now());
-    let own = (!node.drain.is_draining()).then_some(&*node.settings.instance);
+    let own = (!node.drain.is_draining()).then_some(own_name);
     let names = alive
         .iter()
         .filter_map(|info| info.id.as_ref().map(|id| id.instance.as_str()));
     let picked = rendezvous::pick(engine, names.chain(own))?;
+    if picked == own_name {
+        return None;
+    }
     alive
         .iter()
         .find(|info| info.id.as_ref().is_some_and(|id| id.instance == picked))
