--- a/crates/dogwoodpier-core/src/claims/copies.rs
+++ b/crates/dogwoodpier-core/src/claims/copies.rs
@@ -14,7 +14,7 @@
 pub struct KeepMessage {
     /// Version of the slot at which the holder acts.
     pub version: u64,
-    /// First version of the holder's tenure.
+    /// Version of the slot that the holder's tenure replaced; it names the tenure.
     pub tenure_version: u64,
     /// True if the records are all that the platform lacks, so that older copies can go.
     pub baseline: bool,
@@ -78,6 +78,13 @@
         true
     }
 
+    /// Drops the copies that a holder gave for a hand-over at `version`, which did not come about.
+    pub fn withdraw(&mut self, version: u64) {
+        if self.version == version {
+            *self = Self::default();
+        }
+    }
+
     /// Returns the records if they are all that the platform may lack of what was granted up to
     /// `version`.
     pub fn complete_at(&self, version: u64) -> Option<Handover> {
--- a/crates/dogwoodpier-core/src/slots/record.rs
+++ b/crates/dogwoodpier-core/src/slots/record.rs
@@ -45,10 +45,13 @@
     pub levels: BTreeMap<Arc<str>, MicroTokens>,
     /// Random id of the write, by which its author knows it again.
     pub write_id: u64,
-    /// Version that the write replaced by which the holder became holder, zero if it created the
-    /// object. Later writes of the same holder leave it as it is.
+    /// Version that the write by which the holder became holder replaced, zero if it created the
+    /// object. Renewals and changes of heir leave it as it is, so it names the tenure.
     #[serde(default)]
-    pub superseded_version: u64,
+    pub replaced_version: u64,
+    /// `replaced_version` of the tenure before, zero if there was none or it was the first.
+    #[serde(default)]
+    pub replaced_tenure: u64,
     /// Number of times that the holder has renewed its lease.
     #[serde(default)]
     pub renewals: u64,
--- a/crates/dogwoodpier-node/src/peers/members.rs
+++ b/crates/dogwoodpier-node/src/peers/members.rs
@@ -1,6 +1,7 @@
 //! Members of the fleet: the platform's list joined with heartbeats.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_derive::plain;
@@ -11,6 +12,7 @@
 
 /// What is known of the other nodes.
 pub struct Members {
+    own_instance: Arc<str>,
     member_timeout_ms: u64,
     by_instance: BTreeMap<String, Member>,
 }
@@ -31,9 +33,11 @@
 }
 
 impl Members {
-    /// Returns an empty set. A member counts as alive for `member_timeout_ms` after a sign of life.
-    pub fn new(member_timeout_ms: u64) -> Self {
+    /// Returns an empty set. It never takes in `own_instance`, which is no peer of itself. A member
+    /// counts as alive for `member_timeout_ms` after a sign of life.
+    pub fn new(own_instance: Arc<str>, member_timeout_ms: u64) -> Self {
         Self {
+            own_instance,
             member_timeout_ms,
             by_instance: BTreeMap::new(),
         }
@@ -102,6 +106,13 @@
         }
     }
 
+    /// Notes that a call to the member is about to be made.
+    pub fn note_tried(&mut self, instance: &str, now: TimeMs) {
+        if let Some(member) = self.by_instance.get_mut(instance) {
+            member.tried_ms = Some(now);
+        }
+    }
+
     /// Notes that a call to the member was made, and whether it was answered.
     pub fn note_call(&mut self, instance: &str, answered: bool, now: TimeMs) {
         if let Some(member) = self.by_instance.get_mut(instance) {
@@ -155,6 +166,15 @@
         })
     }
 
+    /// Returns how many members were tried lately.
+    pub fn tried(&self, now: TimeMs) -> usize {
+        let tried_lately = |time_ms: TimeMs| now.since(time_ms) <= self.member_timeout_ms;
+        self.by_instance
+            .values()
+            .filter(|member| member.tried_ms.is_some_and(tried_lately))
+            .count()
+    }
+
     /// Returns the share of the members tried lately that answered.
     pub fn reach(&self, now: TimeMs) -> Option<f64> {
         let window_ms = self.member_timeout_ms;
@@ -193,6 +213,9 @@
 
     fn add(&mut self, info: NodeInfo, heard_ms: Option<TimeMs>, listed: bool, now: TimeMs) {
         let instance = info.id.clone().unwrap_or_default().instance;
+        if instance == *self.own_instance {
+            return;
+        }
         let member = Member {
             info,
             heard_ms,
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -52,6 +52,9 @@
     pub platform_contact_age_ms: u64,
     #[prost(message, repeated, tag = "5")]
     pub crashes: ::prost::alloc::vec::Vec<CrashReport>,
+    /// The sender asks the platform in vain, and has relied on its keys ever since it had news.
+    #[prost(bool, tag = "6")]
+    pub attests_outage: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SlotRef {
@@ -104,6 +107,9 @@
     /// Configuration version whose limits the borrower applies.
     #[prost(uint64, tag = "3")]
     pub config_version: u64,
+    /// True if requests wait for the tokens, false if they are asked for ahead of demand.
+    #[prost(bool, tag = "4")]
+    pub is_urgent: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BorrowReply {
@@ -256,7 +262,7 @@
     pub slot: ::core::option::Option<SlotRef>,
     #[prost(message, repeated, tag = "3")]
     pub claims: ::prost::alloc::vec::Vec<KeptClaim>,
-    /// First version of the holder's tenure.
+    /// Version that the holder's tenure replaced; it names the tenure.
     #[prost(uint64, tag = "4")]
     pub tenure_version: u64,
     /// True if the claims are all that the platform lacks.
@@ -273,6 +279,9 @@
     /// Time for which the holder itself may lack claims.
     #[prost(uint64, tag = "9")]
     pub blocked_ms: u64,
+    /// True if the copies at this version no longer count, since the holder goes on granting.
+    #[prost(bool, tag = "10")]
+    pub withdrawn: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct KeptClaim {
@@ -305,6 +314,9 @@
     /// The version that the sender's claim of the slot replaced.
     #[prost(message, optional, tag = "2")]
     pub slot: ::core::option::Option<SlotRef>,
+    /// The tenure that ended with it, named by the version that it had replaced.
+    #[prost(uint64, tag = "3")]
+    pub tenure: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FetchClaimsReply {
