--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod follow;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -94,6 +95,11 @@
         self.read(heir)?
     }
 
+    /// Returns the number of slots of the fleet, zero while it is unknown.
+    pub fn count(&self) -> u32 {
+        self.read(SlotTable::count).unwrap_or(0)
+    }
+
     /// Returns the slots that back this node's buckets now.
     pub fn backings(&self, now: TimeMs) -> Vec<Backing> {
         let held = self.read(|table| table.all_held(now)).unwrap_or_default();
@@ -111,7 +117,11 @@
     /// Returns the heirs, present and to be, that this node must send heartbeats to.
     pub fn heirs(&self) -> Vec<NodeInfo> {
         let peers = self.read(SlotTable::asked_peers).unwrap_or_default();
-        peers.iter().map(node_info).collect()
+        let by_instance: BTreeMap<Arc<str>, PeerId> = peers
+            .into_iter()
+            .map(|(_, peer)| (peer.instance.clone(), peer))
+            .collect();
+        by_instance.values().map(node_info).collect()
     }
 
     /// Decides, as heir, on promises that a holder asks for.
