--- a/crates/dogwoodpier-config/src/check.rs
+++ b/crates/dogwoodpier-config/src/check.rs
@@ -50,20 +50,22 @@
     (field.min..=field.max).contains(&value)
 }
 
+// Values in place of defaults: field and value, by name.
+type ByName<'d> = BTreeMap<&'d str, Vec<(&'d str, i64)>>;
+
 /// The exceptions of declarations by what they change.
 pub struct Exceptions<'d> {
     declarations: &'d Declarations,
-    // By kind and name.
-    by_target: BTreeMap<&'d str, BTreeMap<&'d str, Vec<(&'d str, i64)>>>,
+    by_kind: BTreeMap<&'d str, ByName<'d>>,
 }
 
 impl<'d> Exceptions<'d> {
     /// Returns the exceptions of declarations.
     pub fn new(declarations: &'d Declarations) -> Self {
-        let mut by_target: BTreeMap<&str, BTreeMap<&str, Vec<(&str, i64)>>> = BTreeMap::new();
+        let mut by_kind: BTreeMap<&str, ByName<'_>> = BTreeMap::new();
         for exception in &declarations.exceptions {
             if let Some(target) = split(exception) {
-                by_target
+                by_kind
                     .entry(target.kind)
                     .or_default()
                     .entry(target.name)
@@ -73,7 +75,7 @@
         }
         Self {
             declarations,
-            by_target,
+            by_kind,
         }
     }
 
@@ -105,7 +107,7 @@
     }
 
     fn of(&self, kind: &str, name: &str) -> &[(&'d str, i64)] {
-        self.by_target
+        self.by_kind
             .get(kind)
             .and_then(|by_name| by_name.get(name))
             .map_or(&[], Vec::as_slice)
