Go on when the root was deleted, and show listed nodes only in status

Cause: deleted_root_reverts_nothing, new, restarts all nodes after the root was deleted: they got version 1 from each other, took the lack of a root for an old read, and were Stale 3 s later. Weighed: an old read from before the first version can't be told from a deleted root, but reads are taken to lag by a bounded time anyway. Stopping the service for a deleted object would cost more. status also asked registrations of instances that are gone; it now asks those that the platform lists. Before: left 'Stale', right 'Fresh'. A first try, which set the version once after the listing, failed the same way, since a new process has no version by then; it was replaced. Conclusion: a deleted root stops nothing, and the next apply goes on above the history.

--- a/crates/dogwoodpier-ctl/src/nodes.rs
+++ b/crates/dogwoodpier-ctl/src/nodes.rs
@@ -1,6 +1,7 @@
 //! What operators ask of nodes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -38,12 +39,20 @@
     pub config: std::result::Result<Value, String>,
 }
 
-/// Returns the nodes that are registered on the platform, and whether the platform's list of
-/// instances still has them.
+/// Returns the nodes that are registered on the platform and that its list of instances has.
+/// Registrations outlive their instances.
 pub async fn registered(client: &Client) -> Result<Vec<NodeAddress>> {
     let listing = client.list(NODES_KIND, "").await.map_err(Error::Platform)?;
+    let instances = client.instances().await.map_err(Error::Platform)?.instances;
+    let listed: BTreeSet<Arc<str>> = instances
+        .into_iter()
+        .map(|instance| instance.name)
+        .collect();
     let mut nodes = BTreeMap::new();
     for object in listing.items {
+        if !listed.contains(&object.name) {
+            continue;
+        }
         let address = object.value["operator_address"]
             .as_str()
             .and_then(|address| address.parse::<SocketAddr>().ok());
--- a/crates/dogwoodpier-node/src/config/source.rs
+++ b/crates/dogwoodpier-node/src/config/source.rs
@@ -52,6 +52,7 @@
     for object in &listing.items {
         version = consider(node, object, version, sent_ms).await?;
     }
+    take_news(node, version, sent_ms);
     let wait_ms = node.settings.tuning.freshness_ms / WATCHES_PER_PERIOD;
     loop {
         skip_turns(node, wait_ms).await;
@@ -69,10 +70,21 @@
         for change in changes.changes.iter().filter(|change| !change.deleted) {
             version = consider(node, &change.object, version, sent_ms).await?;
         }
-        node.config.lock().take_news(version, sent_ms);
+        take_news(node, version, sent_ms);
     }
 }
 
+// Takes in that the platform had a version, zero if it had none: then the root was never written or
+// was deleted, and either way there is nothing newer than what is in force.
+fn take_news(node: &SharedNode, version: u64, sent_ms: TimeMs) {
+    let mut knowledge = node.config.lock();
+    let version = match version {
+        0 => knowledge.versions.keys(),
+        _ => version,
+    };
+    knowledge.take_news(version, sent_ms);
+}
+
 // Lets only some nodes of a large fleet watch at a time, since the platform counts each watch. A
 // node that hears no news of the others asks itself.
 async fn skip_turns(node: &SharedNode, wait_ms: u64) {
--- a/crates/dogwoodpier-node/tests/config_rollout.rs
+++ b/crates/dogwoodpier-node/tests/config_rollout.rs
@@ -10,6 +10,9 @@
 use http::Method;
 use tokio::time::Instant;
 
+use dogwoodpier_config::storage;
+use dogwoodpier_ctl::cli;
+use dogwoodpier_ctl::commands;
 use dogwoodpier_fakes::caller::Caller;
 use dogwoodpier_fakes::caller::PlainAnswer;
 use dogwoodpier_fakes::fleet::EXAMPLE_DECLARATIONS;
@@ -20,6 +23,7 @@
 use dogwoodpier_fakes::platform::PlatformFaults;
 use dogwoodpier_fakes::platform::faults::Outage;
 use dogwoodpier_fakes::wait;
+use dogwoodpier_platform::Expect;
 
 const NODES: usize = 4;
 const FRESHNESS: Duration = Duration::from_millis(3_000);
@@ -105,6 +109,12 @@
         assert_eq!(code(node, WITHDRAWN_KEY).await, "invalid_key");
         assert_eq!(code(node, EXAMPLE_MODEL_KEY).await, "");
     }
+    let platform = fleet.platform_address().to_string();
+    let line = ["dogwoodpierctl", "--platform", &platform, "status"];
+    let shown = commands::run(&cli::command().get_matches_from(line)).await;
+    let shown = shown.expect("the platform and the nodes answer");
+    let in_force = format!("version {version}, keys fresh");
+    assert_eq!(shown.matches(&in_force).count(), NODES, "{shown}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -224,3 +234,40 @@
     .await
     .expect("they are");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deleted_root_reverts_nothing() {
+    let mut fleet = start().await;
+    fleet
+        .platform()
+        .delete(storage::ROOT_KIND, storage::ROOT_NAME, Expect::Any)
+        .await
+        .expect("it is deleted");
+    let names: Vec<String> = fleet.nodes().keys().cloned().collect();
+    for name in &names {
+        let node = fleet.node_mut(name);
+        node.kill().await.expect("it is killed");
+        node.restart().expect("it starts again");
+        wait_version(fleet.node(name), 1).await;
+        wait_trust(fleet.node(name), "Fresh").await;
+    }
+    let restarted_at = Instant::now();
+    wait::until("all news from before is too old", || async {
+        restarted_at.elapsed() > FRESHNESS
+    })
+    .await
+    .expect("time passes");
+    for node in fleet.nodes().values() {
+        let dump = node.dump().await.expect("it answers");
+        assert_eq!(dump["config"]["key_trust"], "Fresh");
+    }
+    // Above the history, so that no node takes it for an old one.
+    let version = fleet
+        .declare(&without_key(), "withdraw the order desk's key")
+        .await
+        .expect("it is put in force");
+    assert_eq!(version, 2);
+    for node in fleet.nodes().values() {
+        wait_version(node, version).await;
+    }
+}
