Open accounts when their workspace is declared

Cause: an account was opened, empty, with the first request at a node, so that after a restart of the fleet a workspace that had been idle for hours was refused its burst. Now each node opens the accounts of all declared workspaces, so that they accrue from then on. No test: the core can't see it; noted.

rate_fleet was seen failing with each node holding the whole limit: "440 tokens ran in 0.159370662 s", of which 432 were allowed.

--- a/crates/dogwoodpier-core/src/escrow/account.rs
+++ b/crates/dogwoodpier-core/src/escrow/account.rs
@@ -192,9 +192,12 @@
 
     /// Returns how much to borrow ahead of demand.
     pub fn wanted_ahead(&mut self, backings: &[Backing], now: TimeMs) -> Tokens {
-        self.advance(backings, now);
         let burst = self.bucket.limit().burst_tokens;
         let expected = self.demand.expect(AHEAD_MS, now).min(burst);
+        if expected.0 == 0 {
+            return expected;
+        }
+        self.advance(backings, now);
         let at_hand = self.spendable() + self.bucket.accrual(AHEAD_MS, backings, now);
         expected.saturating_sub(at_hand.whole())
     }
--- a/crates/dogwoodpier-node/src/limits/accounts.rs
+++ b/crates/dogwoodpier-node/src/limits/accounts.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use dogwoodpier_config::Effective;
 use dogwoodpier_core::TimeMs;
@@ -27,12 +29,15 @@
 /// The accounts of all workspaces. Locks are taken in the order: shards by number, then slots.
 pub(super) struct Accounts {
     shards: Vec<Mutex<Shard>>,
+    // Version of the configuration whose workspaces all have an account.
+    opened_version: AtomicU64,
 }
 
 impl Default for Accounts {
     fn default() -> Self {
         Self {
             shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            opened_version: AtomicU64::new(0),
         }
     }
 }
@@ -55,6 +60,19 @@
         Some(act(account, &backings))
     }
 
+    /// Opens an account for each workspace that has none, so that it accrues from now on and not only
+    /// from its first request.
+    pub(super) fn open_all(&self, node: &Node, now: TimeMs) {
+        let config = node.config.current();
+        let ready = node.slots.count() > 0;
+        if !ready || self.opened_version.swap(config.version, Ordering::Relaxed) == config.version {
+            return;
+        }
+        for workspace in config.workspaces.keys() {
+            self.with(node, workspace, now, |_, _| ());
+        }
+    }
+
     /// Runs `act` on the accounts of all workspaces, and forgets those that no longer exist.
     pub(super) fn for_each<F>(&self, node: &Node, now: TimeMs, mut act: F)
     where
--- a/crates/dogwoodpier-node/src/limits/borrow.rs
+++ b/crates/dogwoodpier-node/src/limits/borrow.rs
@@ -299,6 +299,7 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
+        node.limits.accounts.open_all(&node, clock::now());
         return_loans(&node, Account::settle_due).await;
         if !node.drain.is_draining() {
             borrow_ahead(&node).await;
