Orders: claim before quarantine and admission; bound recorded answers by bytes

Cause: a refusal of a repeated order by quarantine or rate said not-run although an earlier one with its key may have run, and a repeat was charged; recorded answers had no bound by bytes. After: the claim comes first, a refusal after it frees the key; 8 MiB of answers a slot.

--- a/crates/dogwoodpier-core/src/claims/record.rs
+++ b/crates/dogwoodpier-core/src/claims/record.rs
@@ -78,14 +78,18 @@
 const JSON_BYTES_PER_BYTE: usize = 4;
 
 impl Record {
+    /// Returns the bytes of the recorded answer.
+    pub fn outcome_bytes(&self) -> usize {
+        match &self.state {
+            RecordState::Finished(outcome) => outcome.size_bytes(),
+            RecordState::Pending | RecordState::NotRun => 0,
+        }
+    }
+
     /// Returns an estimate from above of the record's size on the platform.
     pub fn size_bytes(&self) -> usize {
         let names = self.key.workspace.len() + self.key.idempotency_key.len();
-        let outcome = match &self.state {
-            RecordState::Finished(outcome) => outcome.size_bytes() * JSON_BYTES_PER_BYTE,
-            RecordState::Pending | RecordState::NotRun => 0,
-        };
-        RECORD_BYTES + names + outcome
+        RECORD_BYTES + names + self.outcome_bytes() * JSON_BYTES_PER_BYTE
     }
 }
 
--- a/crates/dogwoodpier-core/src/claims/table.rs
+++ b/crates/dogwoodpier-core/src/claims/table.rs
@@ -24,6 +24,8 @@
     pub dispatch_ms: u64,
     /// Most keys that a slot knows at once.
     pub max_keys: usize,
+    /// Most bytes of recorded answers; further ones are recorded without their body.
+    pub max_outcome_bytes: usize,
 }
 
 /// What an attempt asks.
@@ -75,6 +77,7 @@
     expiries: BTreeSet<(TimeMs, ClaimKey)>,
     // Latest records that the platform lacks, by revision.
     log: BTreeMap<u64, ClaimKey>,
+    outcome_bytes: usize,
     last_revision: u64,
     platform_revision: u64,
     heir: HeirProgress,
@@ -119,6 +122,7 @@
             entries: BTreeMap::new(),
             expiries: BTreeSet::new(),
             log: BTreeMap::new(),
+            outcome_bytes: 0,
             last_revision: 0,
             platform_revision: 0,
             heir: HeirProgress::default(),
@@ -246,7 +250,7 @@
             return self.is_kept(&entry.record.stamp, held_version);
         }
         let record = Record {
-            state,
+            state: self.bounded(state),
             ..entry.record.clone()
         };
         self.write(record, now);
@@ -357,6 +361,15 @@
             .collect()
     }
 
+    fn bounded(&self, mut state: RecordState) -> RecordState {
+        if let RecordState::Finished(outcome) = &mut state
+            && self.outcome_bytes + outcome.size_bytes() > self.settings.max_outcome_bytes
+        {
+            outcome.body = None;
+        }
+        state
+    }
+
     // Makes a record the latest of its key, and notes that it is kept nowhere else yet.
     fn write(&mut self, mut record: Record, now: TimeMs) {
         self.last_revision += 1;
@@ -379,12 +392,14 @@
         if record.stamp.tenure_version == self.tenure_version {
             self.log.insert(record.stamp.revision, key.clone());
         }
+        self.outcome_bytes += record.outcome_bytes();
         self.entries.insert(key, Entry { record, expires_ms });
     }
 
     fn remove(&mut self, key: &ClaimKey) {
         if let Some(entry) = self.entries.remove(key) {
             self.expiries.remove(&(entry.expires_ms, key.clone()));
+            self.outcome_bytes -= entry.record.outcome_bytes();
             // Revisions of other tenures are other numbers.
             if entry.record.stamp.tenure_version == self.tenure_version {
                 self.log.remove(&entry.record.stamp.revision);
--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -96,6 +96,7 @@
         window_ms: WINDOW_MS,
         dispatch_ms: DISPATCH_MS,
         max_keys: 1_000,
+        max_outcome_bytes: 10,
     }
 }
 
--- a/crates/dogwoodpier-node/src/claims/loading.rs
+++ b/crates/dogwoodpier-node/src/claims/loading.rs
@@ -24,6 +24,7 @@
 /// Kind of the claims' groups on the platform.
 pub const KIND: &str = "claims";
 const MAX_KEYS: usize = 100_000;
+const MAX_OUTCOME_BYTES: usize = 8 * 1024 * 1024;
 const MAX_GROUP_BYTES: usize = 64 * 1024;
 const MIN_WRITE_INTERVAL_MS: u64 = 100;
 // Writes a second that nobody waits for, over all slots.
@@ -66,6 +67,7 @@
         window_ms,
         dispatch_ms: DISPATCH_MS,
         max_keys: MAX_KEYS,
+        max_outcome_bytes: MAX_OUTCOME_BYTES,
     };
     let table = ClaimTable::take_over(settings, held.replaced_version, records, handover, now);
     *lock(&claims.tenure) = Some(Tenure {
--- a/crates/dogwoodpier-node/src/claims/requester.rs
+++ b/crates/dogwoodpier-node/src/claims/requester.rs
@@ -39,7 +39,7 @@
 const LONG_RETRY_MS: u64 = 5_000;
 const RETRY_AFTER_MS: u64 = 1_000;
 // Longest time for which an answer waits for its record.
-const RECORD_WAIT: Duration = Duration::from_millis(200);
+const RECORD_WAIT: Duration = Duration::from_secs(1);
 const RECORD_PAUSE: Duration = Duration::from_millis(250);
 // Time for which an outcome is reported; after it the claim stays without one.
 const RECORD_MS: u64 = 60_000;
--- a/crates/dogwoodpier-node/src/pipeline/forward.rs
+++ b/crates/dogwoodpier-node/src/pipeline/forward.rs
@@ -19,6 +19,8 @@
 use crate::quarantine::Passage;
 use crate::state::SharedNode;
 
+use super::admit;
+use super::admit::Admission;
 use super::dispatch;
 use super::dispatch::Failure;
 use super::request::Request;
@@ -28,24 +30,58 @@
 /// Largest body that is recorded for a repeated request.
 const MAX_RECORDED_BYTES: usize = 4 * 1024;
 
-/// Sends the request to an upstream of the route's pool and returns the answer. The caller lets it
-/// run to its end even if the client has left.
+/// What a request needs before it is dispatched.
+pub struct Admitted {
+    passage: Passage,
+    admission: Option<Admission>,
+}
+
+/// Returns whether a request must claim its idempotency key.
+pub fn needs_claim(request: &Request, route: &Route) -> bool {
+    !route.idempotent && request.idempotency_key.is_some()
+}
+
+/// Lets a request pass the quarantine and takes its tokens.
+pub async fn admit(
+    node: &SharedNode,
+    request: &Request,
+    route: &Route,
+) -> Result<Admitted, Refusal> {
+    let deadline_ms = request.deadline_ms;
+    let passage = node
+        .quarantine
+        .enter(node, request.fingerprint, deadline_ms)
+        .await?;
+    let admission = match &request.workspace {
+        Some(workspace) if route.cost_tokens.0 > 0 => {
+            Some(admit::admit(node, workspace, route.cost_tokens, deadline_ms).await?)
+        }
+        _ => None,
+    };
+    Ok(Admitted { passage, admission })
+}
+
+/// Sends an admitted request to an upstream of the route's pool and returns the answer. The caller
+/// lets it run to its end even if the client has left.
 pub async fn forward(
     node: &SharedNode,
-    request: Request,
+    request: &Request,
+    route: &Route,
+    admitted: Admitted,
+) -> Result<Response<Body>, Refusal> {
+    let result = run(node, request, route, &request.id, admitted).await;
+    result.map(respond).map_err(Refusal::from)
+}
+
+/// Claims the request's idempotency key, then admits and sends it. A request that ran before gets
+/// its recorded answer. The caller lets it run to its end even if the client has left.
+pub async fn forward_claimed(
+    node: &SharedNode,
+    request: &Request,
     route: &Route,
-    passage: &mut Passage,
 ) -> Result<Response<Body>, Refusal> {
-    if route.idempotent {
-        let result = dispatch::repeatable(node, &request, route, passage).await;
-        return result.map(respond).map_err(Refusal::from);
-    }
-    let Some(key) = request.idempotency_key.clone() else {
-        let id = request.id.clone();
-        let result = dispatch::once(node, &request, route, &id, passage).await;
-        return result.map(respond).map_err(Refusal::from);
-    };
     let workspace = request.workspace.clone().unwrap_or_default();
+    let key = request.idempotency_key.clone().unwrap_or_default();
     let claimed = node
         .claims
         .claim(
@@ -57,18 +93,24 @@
         )
         .await?;
     match claimed {
-        Claimed::Granted(grant) => dispatch_granted(node, request, route, grant, passage).await,
+        Claimed::Granted(grant) => forward_granted(node, request, route, grant).await,
         Claimed::Recorded(outcome) => replay(outcome),
     }
 }
 
-async fn dispatch_granted(
+async fn forward_granted(
     node: &SharedNode,
-    request: Request,
+    request: &Request,
     route: &Route,
     grant: Grant,
-    passage: &mut Passage,
 ) -> Result<Response<Body>, Refusal> {
+    let admitted = match admit(node, request, route).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            node.claims.record(node, grant, not_run());
+            return Err(refusal);
+        }
+    };
     // The process may have been paused since the claim was granted.
     if !grant.may_dispatch(clock::now()) {
         node.claims.record(node, grant, not_run());
@@ -78,13 +120,36 @@
         ));
     }
     let id = format!("{:016x}", grant.attempt_id);
-    let result = dispatch::once(node, &request, route, &id, passage).await;
+    let result = run(node, request, route, &id, admitted).await;
     if let Some(outcome) = outcome(&result) {
         node.claims.record_before_answer(node, grant, outcome).await;
     }
     result.map(respond).map_err(Refusal::from)
 }
 
+// Dispatches a request and settles its tokens.
+async fn run(
+    node: &SharedNode,
+    request: &Request,
+    route: &Route,
+    id: &str,
+    mut admitted: Admitted,
+) -> Result<ServiceReply, Failure> {
+    let passage = &mut admitted.passage;
+    let result = match route.idempotent {
+        true => dispatch::repeatable(node, request, route, passage).await,
+        false => dispatch::once(node, request, route, id, passage).await,
+    };
+    let has_run = match &result {
+        Ok(_) => true,
+        Err(failure) => failure.execution != Execution::NotRun,
+    };
+    if let (true, Some(admission)) = (has_run, &mut admitted.admission) {
+        admission.use_tokens(route.cost_tokens);
+    }
+    result
+}
+
 // Returns what is certain of a dispatch, or `None` if it may or may not have run.
 fn outcome(result: &Result<ServiceReply, Failure>) -> Option<RecordedOutcome> {
     match result {
--- a/crates/dogwoodpier-node/src/pipeline/serve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -211,31 +211,21 @@
     }
     let workspace = authenticated.as_ref().map(|known| &known.name);
     let request = request(&read, workspace, route.timeout_ms);
-    let passage = node
-        .quarantine
-        .enter(node, request.fingerprint, request.deadline_ms)
-        .await?;
-    let mut admission = match workspace {
-        Some(workspace) if route.cost_tokens.0 > 0 => {
-            Some(admit::admit(node, workspace, route.cost_tokens, request.deadline_ms).await?)
-        }
-        _ => None,
+    // An order is claimed first: one that ran before gets its recorded answer at no cost, and a
+    // refusal of any other is true of all that came with its key.
+    let admitted = match forward::needs_claim(&request, &route) {
+        true => None,
+        false => Some(forward::admit(node, &request, &route).await?),
     };
     let node = node.clone();
     let guard = read.guard;
     // Runs to its end even if the caller leaves, so that its outcome is known.
     let task = tokio::spawn(async move {
         let _held = guard;
-        let mut passage = passage;
-        let result = forward::forward(&node, request, &route, &mut passage).await;
-        let has_run = match &result {
-            Ok(_) => true,
-            Err(refusal) => refusal.execution != Execution::NotRun,
-        };
-        if let (true, Some(admission)) = (has_run, &mut admission) {
-            admission.use_tokens(route.cost_tokens);
+        match admitted {
+            Some(admitted) => forward::forward(&node, &request, &route, admitted).await,
+            None => forward::forward_claimed(&node, &request, &route).await,
         }
-        result
     });
     task.await.unwrap_or_else(|_| {
         Err(Refusal::new(
--- a/crates/dogwoodpier-node/tests/fleet_limit.rs
+++ b/crates/dogwoodpier-node/tests/fleet_limit.rs
@@ -19,8 +19,8 @@
 use dogwoodpier_fakes::fleet::EXAMPLE_ORDER_KEY;
 use dogwoodpier_fakes::fleet::Fleet;
 use dogwoodpier_fakes::fleet::FleetPlan;
-use dogwoodpier_fakes::platform::faults::Outage;
 use dogwoodpier_fakes::platform::PlatformFaults;
+use dogwoodpier_fakes::platform::faults::Outage;
 use dogwoodpier_fakes::service::ServiceStats;
 
 const NODES: usize = 4;
