--- a/crates/dogwoodpier-node/tests/fleet_limit.rs
+++ b/crates/dogwoodpier-node/tests/fleet_limit.rs
@@ -1,5 +1,5 @@
-//! The rate and burst of a workspace hold over real nodes while nodes die and pause and the platform
-//! is out.
+//! The rate and burst of a workspace hold over real nodes with two faults at once: one node paused
+//! past its deadlines while another dies, and a platform that hangs.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
