Keeper: estimate waits by tags, let small requests pass, count holds once

Three causes found by reading: the estimate counted one request of each other workspace ahead, whatever their tags; it divided by the engine's sequences although pieces run out first (a tender takes about 900 of 4,000); a large request that was next stopped smaller ones that would have fit. Also: holds found by an audit counted until the next one although they had been released, and the queue's deadline left no time for the prefill. Change: waits from the order of service and from what runs; a blocked request lets smaller ones pass for 500 ms, then none; a release ends a found hold; the reservation is due a prefill's price before the first token. Not measured yet: goodput with this change.

--- a/crates/dogwoodpier-core/src/fair_queue.rs
+++ b/crates/dogwoodpier-core/src/fair_queue.rs
@@ -107,6 +107,33 @@
         Some(waiting)
     }
 
+    /// Removes the first request, in the order of service, for which `fits` is true, and charges its
+    /// workspace.
+    pub fn pop_where<F>(&mut self, mut fits: F) -> Option<Waiting<T>>
+    where
+        F: FnMut(&Waiting<T>) -> bool,
+    {
+        let mut lines: Vec<(u128, Arc<str>)> = self
+            .lines
+            .iter()
+            .map(|(name, line)| (line.tag, name.clone()))
+            .collect();
+        lines.sort();
+        for (_, name) in lines {
+            let line = self.lines.get_mut(&name)?;
+            let found = line.waiting.iter().find(|(_, waiting)| fits(waiting));
+            let Some(key) = found.map(|(key, _)| *key) else {
+                continue;
+            };
+            let waiting = line.waiting.remove(&key)?;
+            line.tag += tag_step(waiting.cost_tokens, line.weight);
+            self.len -= 1;
+            self.forget_idle();
+            return Some(waiting);
+        }
+        None
+    }
+
     /// Charges a workspace for service that it got without waiting.
     pub fn charge(&mut self, workspace: &Arc<str>, weight: u32, cost_tokens: Tokens) {
         let current_tag = self.current_tag;
@@ -155,22 +182,32 @@
             .any(|waiting| visit(&mut waiting.item))
     }
 
-    /// Returns an estimate of how many requests are served before one that joins now.
+    /// Returns how many requests would be served before one that joins now, if no other joined.
     pub fn ahead(&self, workspace: &str, weight: u32, deadline_ms: TimeMs) -> u64 {
-        let weight = u64::from(weight.max(1));
-        let own = self.lines.get(workspace).map_or(0, |line| {
-            line.waiting.range(..=(deadline_ms, u64::MAX)).count()
-        }) as u64;
-        let others: u64 = self
-            .lines
-            .iter()
-            .filter(|(name, _)| ***name != *workspace)
-            .map(|(_, line)| {
-                let share = ((own + 1) * u64::from(line.weight)).div_ceil(weight);
-                share.min(line.waiting.len() as u64)
-            })
-            .sum();
-        own + others
+        let weight = weight.max(1);
+        let mut ahead = 0;
+        let mut own_tag = self.current_tag;
+        if let Some(line) = self.lines.get(workspace) {
+            own_tag = own_tag.max(line.tag);
+            for (_, waiting) in line.waiting.range(..=(deadline_ms, u64::MAX)) {
+                own_tag += tag_step(waiting.cost_tokens, weight);
+                ahead += 1;
+            }
+        }
+        for (name, line) in &self.lines {
+            if **name == *workspace {
+                continue;
+            }
+            let mut tag = line.tag;
+            for waiting in line.waiting.values() {
+                if tag >= own_tag {
+                    break;
+                }
+                tag += tag_step(waiting.cost_tokens, line.weight);
+                ahead += 1;
+            }
+        }
+        ahead
     }
 
     /// Returns the number of waiting requests by workspace.
--- a/crates/dogwoodpier-core/src/reservations.rs
+++ b/crates/dogwoodpier-core/src/reservations.rs
@@ -18,6 +18,8 @@
 const PLACE_MS: u64 = 2_000;
 // A reservation that the engine doesn't show this long after it was granted was never used.
 const UNUSED_MS: u64 = 3_000;
+// A request that is next but too large for the free room lets smaller ones pass for this long.
+const BYPASS_MS: u64 = 500;
 // The mean time of a reservation moves by one part in this many with each release.
 const MEAN_WEIGHT: u64 = 16;
 
@@ -104,6 +106,12 @@
     granted_ms: TimeMs,
 }
 
+#[plain]
+struct Blocked {
+    hold: HoldId,
+    bypass_deadline_ms: TimeMs,
+}
+
 #[derive(Clone, Debug)]
 struct Place {
     hold: HoldId,
@@ -116,9 +124,11 @@
 pub struct EngineBook {
     capacity: Room,
     reserved: BTreeMap<HoldId, Reservation>,
-    // Room of holds at the engine that are not in the book.
-    foreign: Room,
+    // Holds at the engine that are not in the book.
+    foreign: BTreeMap<HoldId, Room>,
     queue: FairQueue<Place>,
+    // The request that is next but has no room, and until when smaller ones may pass it.
+    blocked: Option<Blocked>,
     mean_hold_ms: u64,
 }
 
@@ -151,7 +161,8 @@
         if self.keep_place(ask.hold, now) {
             return Verdict::Waiting;
         }
-        if self.queue.is_empty() && self.free().fits(ask.room) {
+        // Whatever waits and may pass has passed already.
+        if self.may_bypass(now) && self.free().fits(ask.room) {
             self.queue
                 .charge(&ask.workspace, ask.weight, ask.cost_tokens);
             self.reserve(ask.hold, ask.room, now);
@@ -177,6 +188,7 @@
 
     /// Takes a reservation or a place in the queue back.
     pub fn release(&mut self, hold: HoldId, now: TimeMs) {
+        self.foreign.remove(&hold);
         if let Some(reservation) = self.reserved.remove(&hold) {
             let held_ms = now.since(reservation.granted_ms);
             self.mean_hold_ms = if self.mean_hold_ms == 0 {
@@ -196,13 +208,24 @@
         self.queue
             .remove_where(|waiting| waiting.deadline_ms <= now || waiting.item.lapses_ms <= now);
         while let Some(next) = self.queue.peek() {
-            if !self.free().fits(next.item.room) {
-                break;
-            }
-            if let Some(granted) = self.queue.pop() {
-                self.reserve(granted.item.hold, granted.item.room, now);
-            }
+            let next_hold = next.item.hold;
+            let free = self.free();
+            let granted = if free.fits(next.item.room) {
+                self.blocked = None;
+                self.queue.pop()
+            } else {
+                self.note_blocked(next_hold, now);
+                if !self.may_bypass(now) {
+                    return;
+                }
+                self.queue.pop_where(|waiting| free.fits(waiting.item.room))
+            };
+            let Some(granted) = granted else {
+                return;
+            };
+            self.reserve(granted.item.hold, granted.item.room, now);
         }
+        self.blocked = None;
     }
 
     /// Takes in what the engine holds, as of some moment before `now`. Reservations that were
@@ -211,7 +234,8 @@
         self.foreign = held
             .iter()
             .filter(|entry| !self.reserved.contains_key(&entry.hold))
-            .fold(Room::default(), |sum, entry| sum.plus(entry.room));
+            .map(|entry| (entry.hold, entry.room))
+            .collect();
         self.reserved.retain(|hold, reservation| {
             now.since(reservation.granted_ms) < UNUSED_MS
                 || held.iter().any(|entry| entry.hold == *hold)
@@ -224,7 +248,9 @@
         let used = self
             .reserved
             .values()
-            .fold(self.foreign, |sum, reservation| sum.plus(reservation.room));
+            .map(|reservation| reservation.room)
+            .chain(self.foreign.values().copied())
+            .fold(Room::default(), Room::plus);
         self.capacity.minus(used)
     }
 
@@ -236,7 +262,30 @@
     /// Returns an estimate of the wait of a request that joins the queue now.
     pub fn estimate_wait_ms(&self, workspace: &str, weight: u32, deadline_ms: TimeMs) -> u64 {
         let ahead = self.queue.ahead(workspace, weight, deadline_ms);
-        (ahead + 1) * self.mean_hold_ms / u64::from(self.capacity.sequences.max(1))
+        // Pieces may run out before sequences do, so what runs now is what frees room.
+        let running = (self.reserved.len() + self.foreign.len()).max(1) as u64;
+        (ahead + 1) * self.mean_hold_ms / running
+    }
+
+    fn note_blocked(&mut self, hold: HoldId, now: TimeMs) {
+        if self
+            .blocked
+            .as_ref()
+            .is_none_or(|blocked| blocked.hold != hold)
+        {
+            self.blocked = Some(Blocked {
+                hold,
+                bypass_deadline_ms: now.after(BYPASS_MS),
+            });
+        }
+    }
+
+    // Whether a request may be served although others wait.
+    fn may_bypass(&self, now: TimeMs) -> bool {
+        match &self.blocked {
+            Some(blocked) => now < blocked.bypass_deadline_ms,
+            None => self.queue.is_empty(),
+        }
     }
 
     fn reserve(&mut self, hold: HoldId, room: Room, now: TimeMs) {
--- a/crates/dogwoodpier-node/src/keeper/audit.rs
+++ b/crates/dogwoodpier-node/src/keeper/audit.rs
@@ -71,11 +71,12 @@
             })
         })
         .collect();
-    let owners = owners(node, &held).await;
-    let now = clock::now();
+    // At once: what the list shows is out of date as soon as holds end.
     if let Some(capacity) = node.upstreams.capacity(name) {
-        node.keeper.take_audit(name, &held, capacity, now);
+        node.keeper.take_audit(name, &held, capacity, clock::now());
     }
+    let owners = owners(node, &held).await;
+    let now = clock::now();
     let orphans = node
         .keeper
         .lock()
--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -17,6 +17,7 @@
 use dogwoodpier_core::delivery::Delivery;
 use dogwoodpier_core::reservations::Room;
 use dogwoodpier_core::selection::PrefillHint;
+use dogwoodpier_core::selection::price_ms;
 use dogwoodpier_upstream::engine::EngineError;
 use dogwoodpier_upstream::prefix::count_pieces;
 use dogwoodpier_upstream::prefix::count_tokens;
@@ -372,7 +373,7 @@
             .tokens_per_piece(&self.job.model.decode_pool);
         // An answer that has begun is worth waiting for to the end.
         let deadline_ms = if self.delivery.delivered_tokens() == 0 {
-            self.job.queue_deadline_ms
+            self.reserve_deadline_ms()
         } else {
             self.job.request.deadline_ms
         };
@@ -389,6 +390,17 @@
         }
     }
 
+    // The prefill must still fit before the first token is due.
+    fn reserve_deadline_ms(&self) -> TimeMs {
+        let now = clock::now();
+        let queue_deadline_ms = self.job.queue_deadline_ms;
+        let prompt_tokens = self.job.call.prompt_tokens;
+        let price_ms = prefill::choose(self.node, &self.prompt(), &self.unfit)
+            .map_or(0, |hint| price_ms(&hint, prompt_tokens));
+        let left_ms = queue_deadline_ms.remaining(now);
+        now.after(left_ms.saturating_sub(price_ms).max(left_ms / 2))
+    }
+
     fn prompt(&self) -> Prompt {
         let text: Arc<str> = if self.delivery.delivered_tokens() == 0 {
             self.job.call.prompt.clone()
--- a/crates/dogwoodpier-node/tests/models/mod.rs
+++ b/crates/dogwoodpier-node/tests/models/mod.rs
@@ -26,7 +26,10 @@
     }
     // Rates that no test here comes near.
     plan.declarations = include_str!("../../../../examples/declarations.toml")
-        .replace("rate_tokens_per_s = 20_000\n", "rate_tokens_per_s = 20_000_000\n")
+        .replace(
+            "rate_tokens_per_s = 20_000\n",
+            "rate_tokens_per_s = 20_000_000\n",
+        )
         .replace("burst_tokens = 80_000\n", "burst_tokens = 80_000_000\n");
     plan
 }
