Charge a prompt from its dispatch, once, whatever becomes of the request

Cause: found by reading. A prompt was charged only when its prefill had ended and nothing had failed before: a caller that left during the prefill, or whose first engine died, had its prompt for nothing, and a workspace could run prompts above its rate by leaving early. Ruled out: charging each prefill, since a repeated one is the system's failure. There is no test yet that counts the charge of a caller that leaves.

--- a/crates/dogwoodpier-node/src/pipeline/admit.rs
+++ b/crates/dogwoodpier-node/src/pipeline/admit.rs
@@ -14,6 +14,7 @@
 pub struct Admission {
     node: SharedNode,
     permit: Option<Permit>,
+    prompt_tokens: Tokens,
     used_tokens: Tokens,
 }
 
@@ -31,11 +32,18 @@
     Ok(Admission {
         node: node.clone(),
         permit: Some(permit),
+        prompt_tokens: Tokens(0),
         used_tokens: Tokens(0),
     })
 }
 
 impl Admission {
+    /// Sets the tokens of the prompt that an upstream has, or may have, worked on. A prompt counts
+    /// once, however often it had to be sent.
+    pub fn set_prompt_tokens(&mut self, tokens: Tokens) {
+        self.prompt_tokens = tokens;
+    }
+
     /// Notes that an upstream has worked on this many of the tokens.
     pub fn use_tokens(&mut self, tokens: Tokens) {
         self.used_tokens = self.used_tokens + tokens;
@@ -44,10 +52,11 @@
 
 impl Drop for Admission {
     fn drop(&mut self) {
+        let actual_tokens = self.prompt_tokens + self.used_tokens;
         if let Some(permit) = self.permit.take() {
             self.node
                 .limits
-                .settle(&self.node, permit, self.used_tokens, clock::now());
+                .settle(&self.node, permit, actual_tokens, clock::now());
         }
     }
 }
--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -214,14 +214,10 @@
         let before = self.execution;
         // Until the engine says otherwise: a caller may leave at any moment.
         self.ran(Execution::Unknown);
+        let prompt_tokens = Tokens(self.job.call.prompt_tokens);
+        self.job.admission.set_prompt_tokens(prompt_tokens);
         match prefill::prefill(self.node, &prompt, &hint).await {
-            Ok(computed) => {
-                let used_tokens = Tokens(self.job.call.prompt_tokens);
-                if self.delivery.delivered_tokens() == 0 && self.failures == 0 {
-                    self.job.admission.use_tokens(used_tokens);
-                }
-                Ok(computed)
-            }
+            Ok(computed) => Ok(computed),
             Err(failure) => {
                 let is_certain = matches!(
                     failure.error,
@@ -230,6 +226,9 @@
                 if is_certain {
                     self.execution = before;
                 }
+                if self.execution == Execution::NotRun {
+                    self.job.admission.set_prompt_tokens(Tokens(0));
+                }
                 Err(Failure::Engine(failure.engine, failure.error))
             }
         }
