--- a/crates/dogwoodpier-node/src/config/mod.rs
+++ b/crates/dogwoodpier-node/src/config/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use log::debug;
 use log::error;
 use log::info;
 use log::warn;
@@ -28,6 +29,7 @@
 use dogwoodpier_config::resolve;
 use dogwoodpier_config::storage;
 use dogwoodpier_config::storage::Root;
+use dogwoodpier_config::storage::StorageError;
 use dogwoodpier_core::Refusal;
 use dogwoodpier_core::RefusalReason;
 use dogwoodpier_core::TimeMs;
@@ -206,11 +208,18 @@
     }
 
     /// Puts a version in force if it is higher than what is in force and its parts are whole and
-    /// readable. `source` names where it came from in metrics.
-    fn take(&self, root: Root, parts: Parts, source: &'static str) {
+    /// readable. `source` names where it came from in metrics. Returns false if it is to be fetched
+    /// again, since parts were missing or damaged.
+    fn take(&self, root: Root, parts: Parts, source: &'static str) -> bool {
         let find = |hash: &str| parts.get(hash).cloned();
         let generation = root.generation;
-        let resolved = storage::join(&root, find)
+        let joined = storage::join(&root, find);
+        if let Err(error @ (StorageError::Missing(_) | StorageError::Corrupt(_))) = &joined {
+            debug!("configuration {generation} from {source} is not whole: {error}");
+            counter!(counters::CONFIGS_REJECTED_TOTAL, "reason" => "not_whole").increment(1);
+            return false;
+        }
+        let resolved = joined
             .map_err(|error| error.to_string())
             .and_then(|declarations| {
                 resolve::resolve(&declarations, generation).map_err(|findings| {
@@ -225,6 +234,7 @@
             Ok(effective) => self.put_in_force(root, parts, effective, source),
             Err(reason) => self.reject(&root, &parts, &reason),
         }
+        true
     }
 
     fn check_slots(&self, effective: Effective) -> Result<Effective, String> {
@@ -284,7 +294,7 @@
             })
             .is_some_and(|rejected| rejected.version == version);
         drop(knowledge);
-        counter!(counters::CONFIGS_REJECTED_TOTAL).increment(1);
+        counter!(counters::CONFIGS_REJECTED_TOTAL, "reason" => "unreadable").increment(1);
         if !known {
             error!("configuration {version} is not taken, the former stays in force: {reason}");
         }
--- a/crates/dogwoodpier-node/src/config/source.rs
+++ b/crates/dogwoodpier-node/src/config/source.rs
@@ -122,7 +122,9 @@
     let _fetching = node.config.fetching.lock().await;
     if node.config.lock().versions.see(generation) {
         let parts = fetch_parts(node, &root).await?;
-        node.config.take(root, parts, "platform");
+        if !node.config.take(root, parts, "platform") {
+            return Err(Error::Protocol(format!("parts of version {generation}")));
+        }
     }
     Ok(version.max(generation))
 }
--- a/crates/dogwoodpier-node/tests/unreadable_config.rs
+++ b/crates/dogwoodpier-node/tests/unreadable_config.rs
@@ -19,7 +19,7 @@
 use dogwoodpier_platform::Expect;
 
 const WITHDRAWN_KEY_NAME: &str = "order-desk-2026";
-const REJECTED: &str = "dogwoodpier_configs_rejected_total";
+const REJECTED: &str = "dogwoodpier_configs_rejected_total{reason=\"unreadable\"}";
 
 async fn start() -> Fleet {
     let plan = FleetPlan::example(env!("CARGO_BIN_EXE_dogwoodpier"), 2);
