--- a/crates/dogwoodpier-node/tests/unreadable_config.rs
+++ b/crates/dogwoodpier-node/tests/unreadable_config.rs
@@ -146,3 +146,54 @@
         assert_eq!(code(node, EXAMPLE_MODEL_KEY).await, "keys_stale");
     }
 }
+
+#[tokio::test]
+async fn damaged_part_is_fetched_again() {
+    let fleet = start().await;
+    let platform = fleet.platform();
+    let current = store::read_current(platform).await.unwrap().unwrap();
+    let mut declarations = store::read_declarations(platform, &current.root)
+        .await
+        .unwrap();
+    declarations.keys.remove(WITHDRAWN_KEY_NAME);
+    let parts = storage::split(&declarations);
+    let put = async |hash: &str, text: &str| {
+        let stored = StoredPart {
+            text: text.into(),
+            written_unix_s: 0,
+        };
+        let stored = serde_json::to_value(stored).unwrap();
+        let written = platform.put(storage::PARTS_KIND, hash, &stored, Expect::Any);
+        written.await.unwrap();
+    };
+    for part in &parts {
+        put(&part.hash, "damaged").await;
+    }
+    let root = Root {
+        generation: 2,
+        parts: parts.iter().map(|part| part.hash.clone()).collect(),
+        ..current.root
+    };
+    let root = serde_json::to_value(root).unwrap();
+    let written = platform.put(storage::ROOT_KIND, storage::ROOT_NAME, &root, Expect::Any);
+    written.await.unwrap();
+    for node in fleet.nodes().values() {
+        node.wait_for("the version is known", |dump| {
+            dump["config"]["highest_seen_version"] == 2
+        })
+        .await
+        .unwrap();
+        assert_eq!(node.dump().await.unwrap()["config"]["version"], 1);
+    }
+    for part in &parts {
+        put(&part.hash, &part.text).await;
+    }
+    for node in fleet.nodes().values() {
+        node.wait_for("the version is in force", |dump| {
+            dump["config"]["version"] == 2 && dump["config"]["key_trust"] == "Fresh"
+        })
+        .await
+        .unwrap();
+        assert_eq!(code(node, EXAMPLE_ORDER_KEY).await, "invalid_key");
+    }
+}
