Slots: hand over in a task of its own

Cause: order_delivery failed at times with one or two slots that named a holder which did not act on them for a minute, the platform up. The server drops a hand-over call when its caller gives up after a second; dropped between stopping and the write's answer, the write counted as under way for ever, and the holder planned no other. Ruled out: claims that block (none were), a missing heir (confirmed).

--- a/crates/dogwoodpier-node/src/slots/balance.rs
+++ b/crates/dogwoodpier-node/src/slots/balance.rs
@@ -106,7 +106,11 @@
         if reply.slots.len() as u32 >= wanted {
             break;
         }
-        if let Some(version) = give(node, slot, &successor).await {
+        // A task of its own: the server drops this call when its caller gives up, and a write whose
+        // answer is never taken in would stop the slot for good.
+        let (node, successor) = (node.clone(), successor.clone());
+        let given = tokio::spawn(async move { give(&node, slot, &successor).await });
+        if let Ok(Some(version)) = given.await {
             reply.slots.push(SlotRef { slot, version });
         }
     }
