Take no more with a slot than its floor under the present limit

A hand-over on its way carried the level of a limit that fell meanwhile; its receiver, having spent its own level, filled up to its whole cap with it. Ruled out: the model; the same can happen between real nodes. Now a slot brings at most its floor under the receiver's limit.

Before: handed_level_is_within_the_floor_of_the_new_limit fails without the line (6 tokens, 5 allowed).

--- a/crates/dogwoodpier-core/examples/escrow_report/fleet.rs
+++ b/crates/dogwoodpier-core/examples/escrow_report/fleet.rs
@@ -176,7 +176,14 @@
             let backings: Vec<Backing> =
                 (0..scenario.slot_count).filter(own).map(backing).collect();
             let mut account = Account::new(limit(scenario.slot_count), now);
-            account.receive(Tokens(scenario.burst_tokens).into(), &backings, now);
+            for held in &backings {
+                account.receive(
+                    held.slot,
+                    Tokens(scenario.burst_tokens).into(),
+                    &backings,
+                    now,
+                );
+            }
             Peer {
                 account,
                 backings,
@@ -191,7 +198,12 @@
         });
         let central_backings = vec![backing(0)];
         let mut central = Account::new(limit(1), now);
-        central.receive(Tokens(scenario.burst_tokens).into(), &central_backings, now);
+        central.receive(
+            0,
+            Tokens(scenario.burst_tokens).into(),
+            &central_backings,
+            now,
+        );
         Self {
             scenario,
             rng: StdRng::seed_from_u64(seed),
--- a/crates/dogwoodpier-core/src/escrow/account.rs
+++ b/crates/dogwoodpier-core/src/escrow/account.rs
@@ -214,9 +214,9 @@
     }
 
     /// Adds the level that came with a slot.
-    pub fn receive(&mut self, level: MicroTokens, backings: &[Backing], now: TimeMs) {
+    pub fn receive(&mut self, slot: u32, level: MicroTokens, backings: &[Backing], now: TimeMs) {
         self.advance(backings, now);
-        self.bucket.receive(level, backings, now);
+        self.bucket.receive(slot, level, backings, now);
     }
 
     /// Returns the whole tokens that this node could spend, as of the last call.
--- a/crates/dogwoodpier-core/src/escrow/bucket.rs
+++ b/crates/dogwoodpier-core/src/escrow/bucket.rs
@@ -190,8 +190,10 @@
         self.take(share.min(floor))
     }
 
-    /// Adds the level that came with a slot. The caller has advanced the bucket with the slot.
-    pub fn receive(&mut self, level: MicroTokens, backings: &[Backing], now: TimeMs) {
+    /// Adds the level that came with a slot, at most its floor, since the limit may have fallen on the
+    /// way. The caller has advanced the bucket with the slot.
+    pub fn receive(&mut self, slot: u32, level: MicroTokens, backings: &[Backing], now: TimeMs) {
+        let level = level.min(self.limit.burst_floor(slot));
         let room = self
             .cap(in_force(backings, now), now)
             .saturating_sub(self.outstanding());
--- a/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
@@ -131,7 +131,9 @@
             let now = fleet.now(node);
             let peer = &mut fleet.peers[node];
             let full = limit.burst_tokens.into();
-            peer.account.receive(full, &peer.backings, now);
+            for slot in 0..SLOTS {
+                peer.account.receive(slot, full, &peer.backings, now);
+            }
         }
         fleet.note_bounds();
         fleet
@@ -341,7 +343,8 @@
                     self.renew_slot(slot);
                     let peer = &mut self.peers[to];
                     // The slot counts from the next millisecond on.
-                    peer.account.receive(level, &peer.backings, now.after(1));
+                    peer.account
+                        .receive(slot, level, &peer.backings, now.after(1));
                 }
                 None
             }
--- a/crates/dogwoodpier-core/tests/rate_escrow/main.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/main.rs
@@ -176,3 +176,26 @@
     }
     assert!(fleet.spendable(0) >= 9, "there was room for one");
 }
+
+// A hand-over carries a level from before the limit fell.
+#[test]
+fn handed_level_is_within_the_floor_of_the_new_limit() {
+    let mut fleet = Fleet::new([0; NODES], 240);
+    fleet.apply(Step::HandOver {
+        to: 1,
+        slot: 0,
+        at_once: false,
+    });
+    fleet.apply(Step::ChangeLimit {
+        rate: 1,
+        burst: 5,
+        everywhere: true,
+    });
+    fleet.apply(Step::Wait { ms: 2_001 });
+    fleet.apply(Step::DrainAll);
+    fleet.apply(Step::Deliver {
+        index: 0,
+        repeat: false,
+    });
+    fleet.check();
+}
--- a/crates/dogwoodpier-node/src/limits/accounts.rs
+++ b/crates/dogwoodpier-node/src/limits/accounts.rs
@@ -109,7 +109,7 @@
         let now = now.after(1);
         for (workspace, level) in levels {
             self.with(node, &workspace, now, |account, backings| {
-                account.receive(level, backings, now);
+                account.receive(slot, level, backings, now);
             });
         }
     }
