Give a node that starts in an outage the upstreams that its peers know

Cause: such a node got its configuration and trust from peers but no list of upstreams, and answered `no_upstream` until the platform was back; config_rollout had to allow for it. Weighed: the list in the heartbeat (goes to everybody all the time), and a call that is made only while the own list is empty and the platform gives none; the latter was taken. Change: FetchUpstreams. config_rollout again asks that the restarted node serves.

Left behind: the seed handling of four state machines stood twice, they use the shared one now (20,000 shrink steps everywhere, same seeds and cases); whole_path uses the example fleet; `serve` builds its internal error once.

--- a/crates/dogwoodpier-core/tests/answer_delivery.rs
+++ b/crates/dogwoodpier-core/tests/answer_delivery.rs
@@ -4,8 +4,6 @@
 //! resumed. The oracle is the list of expected tokens: what the caller got is always a prefix of
 //! it, and the whole of it if and only if the answer was called whole.
 
-// Not every test needs all that the tests share.
-#[allow(dead_code)]
 mod common;
 
 use std::sync::Arc;
--- a/crates/dogwoodpier-core/tests/common/mod.rs
+++ b/crates/dogwoodpier-core/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! What the tests of this crate share.
+//! How the state machines of this crate are run.
 
 use std::env;
 use std::str::FromStr;
@@ -13,7 +13,7 @@
         rng_seed: RngSeed::Fixed(from_env("DOGWOODPIER_TEST_SEED").unwrap_or(seed)),
         cases: from_env("PROPTEST_CASES").unwrap_or(cases),
         failure_persistence: None,
-        max_shrink_iters: 4_000,
+        max_shrink_iters: 20_000,
         ..Config::default()
     }
 }
@@ -24,10 +24,3 @@
 {
     env::var(name).ok()?.parse().ok()
 }
-
-/// Returns the reading of a clock whose rate is off by `drift_ppm`, at a true time.
-pub fn clock(true_ms: u64, offset_ms: u64, drift_ppm: i64) -> u64 {
-    let drift = i128::from(true_ms) * i128::from(drift_ppm) / 1_000_000;
-    let reading = i128::from(offset_ms) + i128::from(true_ms) + drift;
-    u64::try_from(reading).expect("clocks start well above zero")
-}
--- a/crates/dogwoodpier-core/tests/config_versions.rs
+++ b/crates/dogwoodpier-core/tests/config_versions.rs
@@ -3,10 +3,10 @@
 //! Operators race, reads are old, answers late, peers relay, processes pause and are replaced. The
 //! oracle is the list of accepted versions.
 
+mod common;
 mod config_fleet;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -73,21 +73,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    let seed = std::env::var("DOGWOODPIER_TEST_SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok())
-        .unwrap_or(SEED);
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..ProptestConfig::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(common::config(SEED, 256))]
     #[test]
     fn versions_never_revert(sequential 1..100 => ConfigVersions);
 }
--- a/crates/dogwoodpier-core/tests/engine_holds.rs
+++ b/crates/dogwoodpier-core/tests/engine_holds.rs
@@ -5,7 +5,6 @@
 //! oracle knows which requests live. The engine is its plain model: it frees what is cancelled and
 //! refuses cancelled tags.
 
-#[allow(dead_code)]
 mod common;
 
 use std::collections::BTreeMap;
--- a/crates/dogwoodpier-core/tests/fair_queue.rs
+++ b/crates/dogwoodpier-core/tests/fair_queue.rs
@@ -3,7 +3,6 @@
 //! The oracle sums the service that each workspace got, divided by its weight, while two of them
 //! wait: in every interval the sums of the two differ by no more than one request of each.
 
-#[allow(dead_code)]
 mod common;
 
 use std::collections::BTreeMap;
--- a/crates/dogwoodpier-core/tests/key_freshness.rs
+++ b/crates/dogwoodpier-core/tests/key_freshness.rs
@@ -4,10 +4,10 @@
 //! Each version withdraws a key. The oracle is the time at which each version was accepted. Cuts never
 //! take a majority of the nodes off a platform that is up: that case can't be told from an outage.
 
+mod common;
 mod config_fleet;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -81,21 +81,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    let seed = std::env::var("DOGWOODPIER_TEST_SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok())
-        .unwrap_or(SEED);
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..ProptestConfig::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(common::config(SEED, 256))]
     #[test]
     fn withdrawn_keys_stop(sequential 1..100 => KeyFreshness);
 }
--- a/crates/dogwoodpier-core/tests/order_claims.rs
+++ b/crates/dogwoodpier-core/tests/order_claims.rs
@@ -5,9 +5,9 @@
 //! The oracle is the list of dispatches of each key.
 
 mod claim_fleet;
+mod common;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -82,21 +82,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    let seed = std::env::var("DOGWOODPIER_TEST_SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok())
-        .unwrap_or(0x6f72_6465_7273);
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..ProptestConfig::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(common::config(0x6f72_6465_7273, 256))]
     #[test]
     fn keys_are_dispatched_once(sequential 1..120 => OrderClaims);
 }
--- a/crates/dogwoodpier-core/tests/poison_requests.rs
+++ b/crates/dogwoodpier-core/tests/poison_requests.rs
@@ -4,8 +4,9 @@
 //! The nodes' tables and the turns are the real ones; engines and the news between nodes are a model.
 //! The oracle counts crashes.
 
+mod common;
+
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -290,21 +291,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    let seed = std::env::var("DOGWOODPIER_TEST_SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok())
-        .unwrap_or(0x706f_6973_6f6e);
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..ProptestConfig::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(common::config(0x706f_6973_6f6e, 256))]
     #[test]
     fn a_poison_is_stopped_after_a_bounded_number_of_crashes(
         sequential 1..150 => PoisonRequests
--- a/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
@@ -13,7 +13,7 @@
 use dogwoodpier_core::escrow::ReceivedLoan;
 use dogwoodpier_core::slots::lease;
 
-use super::common;
+use super::clock;
 use super::oracle::Bounds;
 use super::steps::Step;
 
@@ -140,7 +140,7 @@
     }
 
     pub fn now(&self, node: usize) -> TimeMs {
-        TimeMs(common::clock(
+        TimeMs(clock::reading(
             self.true_ms,
             HOUR_MS * (node as u64 + 1),
             self.drifts_ppm[node],
--- a/crates/dogwoodpier-core/tests/rate_escrow/main.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/main.rs
@@ -3,6 +3,8 @@
 //! A few accounts exchange loans and slots over a network that delays, loses, repeats and crosses
 //! messages. The oracle sums the tokens run: in every interval at most burst + rate * interval.
 
+#[path = "../common/clock.rs"]
+mod clock;
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
--- a/crates/dogwoodpier-core/tests/slot_lease/fleet.rs
+++ b/crates/dogwoodpier-core/tests/slot_lease/fleet.rs
@@ -13,7 +13,7 @@
 use dogwoodpier_core::slots::Timing;
 use dogwoodpier_core::slots::Write;
 
-use super::common;
+use super::clock;
 use super::steps::Step;
 
 pub const NODES: usize = 3;
@@ -233,7 +233,7 @@
 
     fn now(&self, node: usize) -> TimeMs {
         let offset_ms = HOUR_MS * (node as u64 + 1);
-        TimeMs(common::clock(self.true_ms, offset_ms, DRIFTS_PPM[node]))
+        TimeMs(clock::reading(self.true_ms, offset_ms, DRIFTS_PPM[node]))
     }
 
     fn new_id(&mut self) -> u64 {
--- a/crates/dogwoodpier-core/tests/slot_lease/main.rs
+++ b/crates/dogwoodpier-core/tests/slot_lease/main.rs
@@ -1,5 +1,7 @@
 //! One node at most acts on a slot at any time, and a slot that lost its holder is soon held again.
 
+#[path = "../common/clock.rs"]
+mod clock;
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
--- a/crates/dogwoodpier-node/src/peers/service.rs
+++ b/crates/dogwoodpier-node/src/peers/service.rs
@@ -20,6 +20,8 @@
 use dogwoodpier_proto::FetchClaimsRequest;
 use dogwoodpier_proto::FetchConfigReply;
 use dogwoodpier_proto::FetchConfigRequest;
+use dogwoodpier_proto::FetchUpstreamsReply;
+use dogwoodpier_proto::FetchUpstreamsRequest;
 use dogwoodpier_proto::HandOverReply;
 use dogwoodpier_proto::HandOverRequest;
 use dogwoodpier_proto::HeartbeatReply;
@@ -208,4 +210,11 @@
             self.node.config.fetch(request.into_inner().newer_than),
         ))
     }
+
+    async fn fetch_upstreams(
+        &self,
+        _request: Request<FetchUpstreamsRequest>,
+    ) -> Result<Response<FetchUpstreamsReply>, Status> {
+        Ok(Response::new(self.node.upstreams.listed_reply()))
+    }
 }
--- a/crates/dogwoodpier-node/src/pipeline/serve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -227,13 +227,7 @@
             None => forward::forward_claimed(&node, &request, &route).await,
         }
     });
-    task.await.unwrap_or_else(|_| {
-        Err(Refusal::new(
-            RefusalReason::Internal,
-            Execution::Unknown,
-            "the node failed while it served the request",
-        ))
-    })
+    task.await.unwrap_or_else(|_| Err(cut()))
 }
 
 fn request(read: &Read, workspace: Option<&Arc<str>>, timeout_ms: u64) -> Request {
--- a/crates/dogwoodpier-node/src/upstreams/directory.rs
+++ b/crates/dogwoodpier-node/src/upstreams/directory.rs
@@ -109,6 +109,15 @@
         });
     }
 
+    /// Returns the upstreams that the platform lists.
+    pub fn listed(&self) -> Vec<Instance> {
+        let listed = self
+            .entries
+            .values()
+            .filter(|entry| entry.unlisted_ms.is_none());
+        listed.map(|entry| entry.instance.clone()).collect()
+    }
+
     /// Returns whether an upstream is known, listed or not.
     pub fn contains(&self, name: &str) -> bool {
         self.entries.contains_key(name)
--- a/crates/dogwoodpier-node/src/upstreams/mod.rs
+++ b/crates/dogwoodpier-node/src/upstreams/mod.rs
@@ -16,7 +16,6 @@
 
 use tokio::sync::Notify;
 
-use self::directory::Directory;
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::holds::HoldId;
 use dogwoodpier_core::holds::HoldLedger;
@@ -26,9 +25,12 @@
 use dogwoodpier_core::selection::PrefillHint;
 use dogwoodpier_proto::CheckHoldsReply;
 use dogwoodpier_proto::CheckHoldsRequest;
+use dogwoodpier_proto::FetchUpstreamsReply;
 use dogwoodpier_proto::NodeId;
 use dogwoodpier_proto::ReleaseItem;
 
+use self::directory::Directory;
+
 pub use directory::Engine;
 pub use directory::Service;
 pub use hold::Hold;
@@ -47,6 +49,16 @@
 }
 
 impl Upstreams {
+    /// Returns the platform's list of upstreams for a peer that has none.
+    pub fn listed_reply(&self) -> FetchUpstreamsReply {
+        let listed = self.directory().listed();
+        let known = !listed.is_empty();
+        let upstreams = known.then(|| serde_json::to_vec(&listed).unwrap_or_default());
+        FetchUpstreamsReply {
+            upstreams: upstreams.unwrap_or_default(),
+        }
+    }
+
     /// Returns the plain services of a pool that may get new work, in random order.
     pub fn services(&self, pool: &str) -> Vec<Service> {
         self.directory().services(pool)
--- a/crates/dogwoodpier-node/src/upstreams/polling.rs
+++ b/crates/dogwoodpier-node/src/upstreams/polling.rs
@@ -8,6 +8,7 @@
 
 use dogwoodpier_platform::wire::Instance;
 use dogwoodpier_platform::wire::InstanceRole;
+use dogwoodpier_proto::FetchUpstreamsRequest;
 use dogwoodpier_proto::NodeId;
 use dogwoodpier_proto::NodeInfo;
 
@@ -30,7 +31,11 @@
 
 async fn follow_instances(node: &SharedNode) {
     loop {
-        if let Ok(list) = node.platform.instances().await {
+        let list = node.platform.instances().await;
+        if list.is_err() && node.upstreams.directory().listed().is_empty() {
+            fetch_from_peers(node).await;
+        }
+        if let Ok(list) = list {
             let now = clock::now();
             let (nodes, upstreams): (Vec<Instance>, Vec<Instance>) = list
                 .instances
@@ -43,6 +48,32 @@
     }
 }
 
+// A node that starts while the platform is out knows no upstreams; any peer's list, however old, is
+// better than none.
+async fn fetch_from_peers(node: &SharedNode) {
+    for peer in node.peers.alive(clock::now()) {
+        let answer = node
+            .peers
+            .transport()
+            .call(
+                "fetch_upstreams",
+                &peer.peer_address,
+                FetchUpstreamsRequest {},
+                |mut client, request| async move { client.fetch_upstreams(request).await },
+            )
+            .await;
+        let Ok(reply) = answer else {
+            continue;
+        };
+        if let Ok(upstreams) = serde_json::from_slice::<Vec<Instance>>(&reply.upstreams) {
+            node.upstreams
+                .directory()
+                .take_listed(upstreams, clock::now());
+            return;
+        }
+    }
+}
+
 fn listed_peers(node: &SharedNode, nodes: Vec<Instance>) -> Vec<NodeInfo> {
     nodes
         .into_iter()
--- a/crates/dogwoodpier-node/tests/config_rollout.rs
+++ b/crates/dogwoodpier-node/tests/config_rollout.rs
@@ -152,12 +152,16 @@
         node.kill().await.expect("it is killed");
         node.restart().expect("it starts again");
         wait_trust(fleet.node("node-1"), "Outage").await;
-        // It may know no upstreams yet, but not for want of trust in the key.
-        let code = code(fleet.node("node-1"), EXAMPLE_MODEL_KEY).await;
-        assert!(
-            !["keys_stale", "invalid_key"].contains(&code.as_str()),
-            "{code}"
-        );
+        let knows_upstreams = |dump: &serde_json::Value| {
+            let known = dump["upstreams"]["upstreams"].as_array();
+            known.is_some_and(|upstreams| !upstreams.is_empty())
+        };
+        fleet
+            .node("node-1")
+            .wait_for("it has the upstreams from its peers", knows_upstreams)
+            .await
+            .expect("it fetches them");
+        assert_eq!(code(fleet.node("node-1"), EXAMPLE_MODEL_KEY).await, "");
     }
 }
 
--- a/crates/dogwoodpier-node/tests/whole_path.rs
+++ b/crates/dogwoodpier-node/tests/whole_path.rs
@@ -5,45 +5,23 @@
 
 use dogwoodpier_fakes::caller::Caller;
 use dogwoodpier_fakes::caller::Completion;
-use dogwoodpier_fakes::engine::EngineOptions;
-use dogwoodpier_fakes::engine::EngineRole;
 use dogwoodpier_fakes::engine::EngineStats;
 use dogwoodpier_fakes::engine::text::expected_answer;
+use dogwoodpier_fakes::fleet::EXAMPLE_MODEL_KEY;
+use dogwoodpier_fakes::fleet::EXAMPLE_ORDER_KEY;
 use dogwoodpier_fakes::fleet::Fleet;
 use dogwoodpier_fakes::fleet::FleetPlan;
 use dogwoodpier_fakes::service::ServiceStats;
 
-const KEY: &str = "sales-key";
-const DESK_KEY: &str = "order-desk-key";
 const MAX_TOKENS: u64 = 20;
 
-fn plan() -> FleetPlan {
-    let mut plan = FleetPlan::new(env!("CARGO_BIN_EXE_dogwoodpier"), 3, 2)
-        .engine(
-            "prefill-1",
-            "quotes-prefill",
-            EngineOptions::new(EngineRole::Prefill),
-        )
-        .engine(
-            "decode-1",
-            "quotes-decode",
-            EngineOptions::new(EngineRole::Decode),
-        )
-        .engine(
-            "decode-2",
-            "quotes-decode",
-            EngineOptions::new(EngineRole::Decode),
-        )
-        .service("orders-1", "order-service");
-    plan.declarations = include_str!("../../../examples/declarations.toml").to_owned();
-    plan
-}
-
 #[tokio::test]
 async fn each_node_serves() {
-    let fleet = Fleet::start(plan()).await.expect("the fleet starts");
+    let fleet = Fleet::start(FleetPlan::example(env!("CARGO_BIN_EXE_dogwoodpier"), 3))
+        .await
+        .expect("the fleet starts");
     for (number, node) in fleet.nodes().values().enumerate() {
-        let caller = Caller::new(node.caller_address, Some(KEY));
+        let caller = Caller::new(node.caller_address, Some(EXAMPLE_MODEL_KEY));
         let prompt = format!("tender number {number}");
         let answer = caller
             .complete(&Completion {
@@ -59,7 +37,7 @@
         let order = format!("order {number}");
         let key = format!("order-key-{number}");
         let headers = [("idempotency-key", key.as_str())];
-        let desk = Caller::new(node.caller_address, Some(DESK_KEY));
+        let desk = Caller::new(node.caller_address, Some(EXAMPLE_ORDER_KEY));
         let answer = desk
             .call(Method::POST, "/orders", &headers, order.into())
             .await
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -445,6 +445,14 @@
     #[prost(bytes = "vec", tag = "2")]
     pub declarations: ::prost::alloc::vec::Vec<u8>,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchUpstreamsRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchUpstreamsReply {
+    /// JSON of the listed upstreams, empty if the receiver has no list.
+    #[prost(bytes = "vec", tag = "1")]
+    pub upstreams: ::prost::alloc::vec::Vec<u8>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum ClaimVerdict {
@@ -925,6 +933,31 @@
                 .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "FetchConfig"));
             self.inner.unary(req, path, codec).await
         }
+        /// Fetches the platform's list of upstreams as the receiver knows it.
+        pub async fn fetch_upstreams(
+            &mut self,
+            request: impl tonic::IntoRequest<super::FetchUpstreamsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::FetchUpstreamsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/dogwoodpier.peer.v1.Peer/FetchUpstreams",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "FetchUpstreams"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1017,6 +1050,14 @@
             tonic::Response<super::FetchConfigReply>,
             tonic::Status,
         >;
+        /// Fetches the platform's list of upstreams as the receiver knows it.
+        async fn fetch_upstreams(
+            &self,
+            request: tonic::Request<super::FetchUpstreamsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::FetchUpstreamsReply>,
+            tonic::Status,
+        >;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -1655,6 +1696,51 @@
                     };
                     Box::pin(fut)
                 }
+                "/dogwoodpier.peer.v1.Peer/FetchUpstreams" => {
+                    #[allow(non_camel_case_types)]
+                    struct FetchUpstreamsSvc<T: Peer>(pub Arc<T>);
+                    impl<
+                        T: Peer,
+                    > tonic::server::UnaryService<super::FetchUpstreamsRequest>
+                    for FetchUpstreamsSvc<T> {
+                        type Response = super::FetchUpstreamsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::FetchUpstreamsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::fetch_upstreams(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FetchUpstreamsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
