Peers: remove a look-up that nobody calls

Cause: Members::find and Peers::find were written for callers that in the end ask for `alive` or `all`. Change: both are gone; no behaviour changes. Result: fmt, style, and clippy on all targets of dogwoodpier-node are clean.

--- a/crates/dogwoodpier-node/src/peers/members.rs
+++ b/crates/dogwoodpier-node/src/peers/members.rs
@@ -150,14 +150,6 @@
         self.by_instance.len()
     }
 
-    /// Returns a member that is presumed alive.
-    pub fn find(&self, instance: &str, now: TimeMs) -> Option<NodeInfo> {
-        self.by_instance
-            .get(instance)
-            .filter(|member| member.presumed_alive(now, self.member_timeout_ms))
-            .map(|member| member.info.clone())
-    }
-
     /// Returns whether an incarnation may still live.
     pub fn may_live(&self, incarnation: u64, silence_ms: u64, now: TimeMs) -> bool {
         self.by_instance.values().any(|member| {
--- a/crates/dogwoodpier-node/src/peers/mod.rs
+++ b/crates/dogwoodpier-node/src/peers/mod.rs
@@ -46,11 +46,6 @@
         self.lock().all()
     }
 
-    /// Returns the peer with an instance name, if it is presumed alive.
-    pub fn find(&self, instance: &str, now: TimeMs) -> Option<NodeInfo> {
-        self.lock().find(instance, now)
-    }
-
     /// Returns whether the incarnation may still live. False for incarnations that nobody has
     /// registered or that a later process of the same instance has replaced, and for those that
     /// have been silent for `silence_ms` since a call to them failed.
