--- a/crates/dogwoodpier-config/src/reader.rs
+++ b/crates/dogwoodpier-config/src/reader.rs
@@ -231,6 +231,21 @@
         integer
     }
 
+    /// Returns a number, whole or not, if there is one.
+    pub fn number(&mut self, field: &'static str, report: &mut Report<'_>) -> Option<f64> {
+        let path = self.path_of(field);
+        let value = self.value(field, report)?;
+        let number = match value.get_ref() {
+            DeValue::Integer(digits) => digits.as_str().parse().ok(),
+            DeValue::Float(digits) => digits.as_str().parse().ok(),
+            _ => None,
+        };
+        if number.is_none() {
+            report.add(wrong_type(&path, "a number", value));
+        }
+        number
+    }
+
     /// Returns `true` or `false`, if there is one.
     pub fn flag(&mut self, field: &'static str, report: &mut Report<'_>) -> Option<bool> {
         let path = self.path_of(field);
--- /dev/null
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -0,0 +1,234 @@
+//! The choice of an upstream.
+//!
+//! Load pattern: upstreams of one service differ in speed, some fail part of their requests while
+//! they look healthy, and some reject because they are full. The choice weighs the requests that
+//! all instances have at an upstream with how it answered lately. A bad record fades, so that an
+//! upstream that recovered is tried again.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dogwoodpier_derive::plain;
+
+use crate::TimeMs;
+
+use super::exchange::Use;
+use super::upstreams::Upstream;
+
+// Weight of a new observation in an average.
+const SMOOTHING: f64 = 0.2;
+// Time in which half of a bad record is forgotten. A few heartbeats of an upstream.
+const FORGET_HALF_LIFE_MS: f64 = 2_000.0;
+// Success share below which an upstream isn't trusted less: it must still be tried at times.
+const MIN_SUCCESS: f64 = 0.05;
+// First and longest time for which an upstream that can't be reached is avoided.
+const AVOID_FIRST_MS: u64 = 300;
+const AVOID_MAX_MS: u64 = 3_000;
+// Time for which an upstream that rejected a request as full gets no further one.
+const FULL_MS: u64 = 60;
+// Cost of an upstream in another data centre over one in the same, in parts of a free upstream.
+const REMOTE_COST: f64 = 0.15;
+
+/// How a send to an upstream ended.
+#[plain]
+#[derive(Copy, Eq)]
+pub enum Outcome {
+    /// It answered; the time is that of the whole answer or of the first event.
+    Answered {
+        /// Time from the send.
+        elapsed_ms: u64,
+    },
+    /// It answered with a failure of its own, or not properly.
+    Failed,
+    /// It can't be reached or went silent.
+    Unreachable,
+    /// It rejected the request without running it.
+    Full,
+}
+
+#[derive(Debug)]
+struct Record {
+    // Moving average of the time of an answer; 0 before the first one.
+    elapsed_ms: f64,
+    success: f64,
+    updated_ms: TimeMs,
+    avoid_deadline_ms: TimeMs,
+    avoided: u32,
+}
+
+/// How upstreams answered lately, by id.
+#[derive(Debug, Default)]
+pub struct Records {
+    records: BTreeMap<Arc<str>, Record>,
+}
+
+impl Records {
+    /// Notes how a send ended.
+    pub fn note(&mut self, upstream: &Arc<str>, outcome: Outcome, now: TimeMs) {
+        let record = self.records.entry(upstream.clone()).or_insert(Record {
+            elapsed_ms: 0.0,
+            success: 1.0,
+            updated_ms: now,
+            avoid_deadline_ms: TimeMs::default(),
+            avoided: 0,
+        });
+        record.success = faded(record, now);
+        record.updated_ms = now;
+        match outcome {
+            Outcome::Answered { elapsed_ms } => {
+                let elapsed_ms = elapsed_ms as f64;
+                if record.elapsed_ms == 0.0 {
+                    record.elapsed_ms = elapsed_ms;
+                }
+                record.elapsed_ms += SMOOTHING * (elapsed_ms - record.elapsed_ms);
+                record.success += SMOOTHING * (1.0 - record.success);
+                record.avoided = 0;
+            }
+            Outcome::Failed => record.success -= SMOOTHING * record.success,
+            Outcome::Unreachable => {
+                record.success -= SMOOTHING * record.success;
+                let avoid_ms = (AVOID_FIRST_MS << record.avoided.min(8)).min(AVOID_MAX_MS);
+                record.avoided += 1;
+                record.avoid_deadline_ms = now.after(avoid_ms);
+            }
+            Outcome::Full => {
+                record.avoid_deadline_ms = record.avoid_deadline_ms.max(now.after(FULL_MS));
+            }
+        }
+    }
+
+    /// Forgets an upstream.
+    pub fn forget(&mut self, upstream: &str) {
+        self.records.remove(upstream);
+    }
+
+    /// Returns whether an upstream is to be avoided for now.
+    pub fn is_avoided(&self, upstream: &str, now: TimeMs) -> bool {
+        self.records
+            .get(upstream)
+            .is_some_and(|record| record.avoid_deadline_ms > now)
+    }
+
+    /// Returns the share of sends that succeeded lately.
+    pub fn success(&self, upstream: &str, now: TimeMs) -> f64 {
+        self.records
+            .get(upstream)
+            .map_or(1.0, |record| faded(record, now))
+            .max(MIN_SUCCESS)
+    }
+
+    // Average time of an answer, or that of the service's other upstreams if there was none yet.
+    fn elapsed_ms(&self, upstream: &str, of_service: f64) -> f64 {
+        match self.records.get(upstream) {
+            Some(record) if record.elapsed_ms > 0.0 => record.elapsed_ms,
+            _ => of_service,
+        }
+    }
+}
+
+fn faded(record: &Record, now: TimeMs) -> f64 {
+    let halvings = now.since(record.updated_ms) as f64 / FORGET_HALF_LIFE_MS;
+    1.0 - (1.0 - record.success) * 0.5_f64.powf(halvings)
+}
+
+/// An upstream that may be chosen, with what all instances have there.
+#[plain]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// Requests of all instances there.
+    pub used: Use,
+}
+
+/// Who asks, and where it is.
+pub struct Chooser<'a> {
+    /// Data centre of this instance.
+    pub data_centre: &'a str,
+    /// How upstreams answered.
+    pub records: &'a Records,
+    /// Time.
+    pub now: TimeMs,
+}
+
+impl Chooser<'_> {
+    /// Returns the upstream of a plain service with the lowest expected time of an answer.
+    pub fn plain(&self, candidates: &[Candidate]) -> Option<usize> {
+        let known: Vec<f64> = candidates
+            .iter()
+            .filter_map(|candidate| self.records.records.get(&candidate.upstream.id))
+            .map(|record| record.elapsed_ms)
+            .filter(|elapsed_ms| *elapsed_ms > 0.0)
+            .collect();
+        let of_service = if known.is_empty() {
+            1.0
+        } else {
+            known.iter().sum::<f64>() / known.len() as f64
+        };
+        self.least(candidates, |candidate| {
+            let upstream = &candidate.upstream;
+            let slots = f64::from(upstream.slots.max(1));
+            // Up to its slots an upstream works at full speed; beyond, requests wait in turn.
+            let turns = (f64::from(candidate.used.requests) + 1.0) / slots;
+            let load = 0.5 + turns.max(turns * turns);
+            load * self.records.elapsed_ms(&upstream.id, of_service)
+        })
+    }
+
+    /// Returns the engine to decode on: one with a free slot and room for `kv_tokens`, the least
+    /// loaded.
+    pub fn decode(
+        &self,
+        candidates: &[Candidate],
+        kv_tokens: u64,
+        capacity_kv_tokens: u64,
+    ) -> Option<usize> {
+        let usable: Vec<bool> = candidates
+            .iter()
+            .map(|candidate| {
+                let used = candidate.used;
+                used.requests < candidate.upstream.slots
+                    && (used.requests == 0 || used.kv_tokens + kv_tokens <= capacity_kv_tokens)
+            })
+            .collect();
+        self.least_where(candidates, &usable, |candidate| {
+            1.0 + f64::from(candidate.used.requests) / f64::from(candidate.upstream.slots.max(1))
+        })
+    }
+
+    /// Returns the engine to prefill on: the one with the fewest tokens to read before.
+    pub fn prefill(&self, candidates: &[Candidate], prompt_tokens: u64) -> Option<usize> {
+        self.least(candidates, |candidate| {
+            (candidate.used.prefill_tokens + prompt_tokens.max(1)) as f64
+        })
+    }
+
+    fn least<C>(&self, candidates: &[Candidate], cost: C) -> Option<usize>
+    where
+        C: Fn(&Candidate) -> f64,
+    {
+        self.least_where(candidates, &vec![true; candidates.len()], cost)
+    }
+
+    // Avoided upstreams are taken only if there is no other.
+    fn least_where<C>(&self, candidates: &[Candidate], usable: &[bool], cost: C) -> Option<usize>
+    where
+        C: Fn(&Candidate) -> f64,
+    {
+        let weighed = candidates
+            .iter()
+            .enumerate()
+            .filter(|(place, _)| usable[*place])
+            .map(|(place, candidate)| {
+                let upstream = &candidate.upstream;
+                let remote = *upstream.data_centre != *self.data_centre;
+                let distance = if remote { 1.0 + REMOTE_COST } else { 1.0 };
+                let success = self.records.success(&upstream.id, self.now);
+                let avoided = self.records.is_avoided(&upstream.id, self.now);
+                let cost = cost(candidate) * distance / (success * success);
+                (avoided, cost, place)
+            });
+        weighed
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_, _, place)| place)
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-core/src/gateway/quota.rs
@@ -0,0 +1,142 @@
+//! Quotas of workspaces over all instances.
+//!
+//! Load pattern: one workspace sends several times its rate, spread unevenly over the instances.
+//! Each instance charges what it admits at once, and what its peers report that they admitted, to
+//! one bucket a workspace that has the fleet's rate. A peer that has gone silent may be admitting
+//! unseen, so the bucket leaves an equal share of the rate to each silent peer. An instance that
+//! hears nobody is left with its own equal share, and the sum stays within the rate.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dogwoodpier_derive::plain;
+
+use crate::TimeMs;
+
+use super::routes::Workspace;
+
+/// How many instances serve, and how many of them were heard lately, this one included.
+#[plain]
+#[derive(Copy, Eq)]
+pub struct Hearing {
+    /// Instances that may be admitting requests.
+    pub members: u32,
+    /// Those of them whose reports are fresh.
+    pub heard: u32,
+}
+
+impl Hearing {
+    /// The hearing of an instance that serves alone.
+    pub const ALONE: Self = Self {
+        members: 1,
+        heard: 1,
+    };
+
+    // Share of the fleet's rate that the heard instances may use together.
+    fn share(self) -> f64 {
+        f64::from(self.heard.max(1)) / f64::from(self.members.max(self.heard).max(1))
+    }
+}
+
+/// Result of a request to admit.
+#[plain]
+#[derive(Copy, Eq)]
+pub enum Decision {
+    /// Within the quota, and charged.
+    Admitted,
+    /// Over the quota.
+    Rejected {
+        /// Time until the quota would allow it, if nothing else were admitted.
+        retry_after_ms: u64,
+    },
+}
+
+// Units that may be used now, as of a time. Negative after peers reported more than was left.
+#[derive(Debug)]
+struct Bucket {
+    level: f64,
+    updated_ms: TimeMs,
+}
+
+/// The quotas as one instance sees them.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    buckets: BTreeMap<Arc<str>, Bucket>,
+    admitted: BTreeMap<Arc<str>, u64>,
+}
+
+impl Quotas {
+    /// Admits a request that costs `units`, or says when to come back.
+    pub fn admit(
+        &mut self,
+        workspace: &Workspace,
+        units: u64,
+        hearing: Hearing,
+        now: TimeMs,
+    ) -> Decision {
+        if workspace.rate_per_s == 0 {
+            return Decision::Admitted;
+        }
+        let rate_per_ms = workspace.rate_per_s as f64 * hearing.share() / 1_000.0;
+        let cap = workspace.burst as f64 * hearing.share();
+        let bucket = self.refilled(workspace, hearing, now);
+        // A request larger than the burst is admitted by a full bucket.
+        let needed = (units as f64).min(cap);
+        if bucket.level < needed {
+            let missing = needed - bucket.level;
+            return Decision::Rejected {
+                retry_after_ms: (missing / rate_per_ms).ceil() as u64,
+            };
+        }
+        bucket.level -= units as f64;
+        *self.admitted.entry(workspace.name.clone()).or_default() += units;
+        Decision::Admitted
+    }
+
+    /// Charges what a peer admitted.
+    pub fn charge(&mut self, workspace: &Workspace, units: u64, hearing: Hearing, now: TimeMs) {
+        if workspace.rate_per_s == 0 {
+            return;
+        }
+        self.refilled(workspace, hearing, now).level -= units as f64;
+    }
+
+    /// Returns the units admitted here since the start, by workspace.
+    pub fn admitted(&self) -> &BTreeMap<Arc<str>, u64> {
+        &self.admitted
+    }
+
+    /// Returns the level of a workspace's bucket as of its last use.
+    pub fn level(&self, workspace: &str) -> Option<f64> {
+        self.buckets.get(workspace).map(|bucket| bucket.level)
+    }
+
+    // A bucket is empty at first: what was used before this instance started is not known.
+    fn refilled(&mut self, workspace: &Workspace, hearing: Hearing, now: TimeMs) -> &mut Bucket {
+        let rate_per_ms = workspace.rate_per_s as f64 * hearing.share() / 1_000.0;
+        let cap = workspace.burst as f64 * hearing.share();
+        let bucket = self
+            .buckets
+            .entry(workspace.name.clone())
+            .or_insert(Bucket {
+                level: 0.0,
+                updated_ms: now,
+            });
+        let gained = now.since(bucket.updated_ms) as f64 * rate_per_ms;
+        bucket.level = (bucket.level + gained).min(cap);
+        bucket.updated_ms = bucket.updated_ms.max(now);
+        bucket
+    }
+
+    /// Moves every bucket on to `now`, creating those of new workspaces.
+    pub fn advance<'a, W>(&mut self, workspaces: W, hearing: Hearing, now: TimeMs)
+    where
+        W: IntoIterator<Item = &'a Arc<Workspace>>,
+    {
+        for workspace in workspaces {
+            if workspace.rate_per_s > 0 {
+                self.refilled(workspace, hearing, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -0,0 +1,144 @@
+//! The upstreams that an instance knows of.
+//!
+//! Entries come from a store that can be away. While it is away the last entries hold. Entries may
+//! lapse in the meantime, so an entry that is missing when the store has just returned keeps its
+//! upstream for a grace time, and only then counts as gone.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dogwoodpier_derive::plain;
+
+use crate::TimeMs;
+
+/// What a model engine does.
+#[plain]
+#[derive(Copy, Eq)]
+pub enum Stage {
+    /// Computes the KV cache of prompts for other engines.
+    Prefill,
+    /// Generates tokens.
+    Decode,
+    /// Both.
+    Colocated,
+}
+
+/// An upstream as its entry tells it.
+#[plain]
+#[derive(Eq)]
+pub struct Upstream {
+    /// Identity of this incarnation's entry.
+    pub id: Arc<str>,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub accepts_work: bool,
+    /// Present for a model engine.
+    pub stage: Option<Stage>,
+    /// Wall clock of its start, if it tells: another value is another incarnation.
+    pub started_unix_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    upstream: Arc<Upstream>,
+    // Set while the entry is missing and its absence may be due to an outage of the store.
+    gone_deadline_ms: Option<TimeMs>,
+}
+
+/// All known upstreams.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    entries: BTreeMap<Arc<str>, Entry>,
+}
+
+impl Upstreams {
+    /// Adds or replaces an upstream. Returns whether anything changed.
+    pub fn put(&mut self, upstream: Upstream) -> bool {
+        let id = upstream.id.clone();
+        if let Some(entry) = self.entries.get_mut(&id)
+            && *entry.upstream == upstream
+        {
+            return entry.gone_deadline_ms.take().is_some();
+        }
+        let entry = Entry {
+            upstream: Arc::new(upstream),
+            gone_deadline_ms: None,
+        };
+        self.entries.insert(id, entry);
+        true
+    }
+
+    /// Removes an upstream, at once or once `keep_deadline_ms` has passed. Returns whether it was
+    /// known.
+    pub fn remove(&mut self, id: &str, keep_deadline_ms: Option<TimeMs>) -> bool {
+        match keep_deadline_ms {
+            None => self.entries.remove(id).is_some(),
+            Some(deadline_ms) => {
+                let Some(entry) = self.entries.get_mut(id) else {
+                    return false;
+                };
+                entry.gone_deadline_ms.get_or_insert(deadline_ms);
+                true
+            }
+        }
+    }
+
+    /// Replaces all entries by a listing; those missing there go as with [`Self::remove`].
+    pub fn replace<L>(&mut self, listing: L, keep_deadline_ms: Option<TimeMs>)
+    where
+        L: IntoIterator<Item = Upstream>,
+    {
+        let mut missing: Vec<Arc<str>> = self.entries.keys().cloned().collect();
+        for upstream in listing {
+            missing.retain(|id| *id != upstream.id);
+            self.put(upstream);
+        }
+        for id in missing {
+            self.remove(&id, keep_deadline_ms);
+        }
+    }
+
+    /// Removes the upstreams whose grace time is over, and returns their ids.
+    pub fn expire(&mut self, now: TimeMs) -> Vec<Arc<str>> {
+        let expired: Vec<Arc<str>> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| {
+                entry
+                    .gone_deadline_ms
+                    .is_some_and(|deadline| deadline <= now)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &expired {
+            self.entries.remove(id);
+        }
+        expired
+    }
+
+    /// Returns an upstream.
+    pub fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
+        self.entries.get(id).map(|entry| &entry.upstream)
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Upstream>> {
+        self.entries
+            .values()
+            .map(|entry| &entry.upstream)
+            .filter(move |upstream| upstream.accepts_work && *upstream.service == *service)
+    }
+
+    /// Returns all upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.entries.values().map(|entry| &entry.upstream)
+    }
+}
--- a/crates/dogwoodpier-core/src/lib.rs
+++ b/crates/dogwoodpier-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod escrow;
 pub mod fair_queue;
 pub mod freshness;
+pub mod gateway;
 pub mod holds;
 pub mod links;
 pub mod quarantine;
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -0,0 +1,199 @@
+//! From a request's head to an admitted request: route, key, body and quota.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Incoming;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::routes::Configuration;
+use dogwoodpier_core::gateway::routes::QuotaUnit;
+use dogwoodpier_core::gateway::routes::Route;
+use dogwoodpier_core::gateway::routes::Workspace;
+use dogwoodpier_process::clock;
+
+use crate::headers;
+use crate::reject::Reason;
+use crate::reject::Rejection;
+use crate::request::ClientRequest;
+use crate::request::HeldBytes;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+
+// Time after which a client may try again while the instance has no configuration.
+const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
+// Time after which held bodies are likely gone.
+const NO_MEMORY_RETRY_MS: u64 = 500;
+
+/// Admits a request, or says why not. Nothing of a rejected request reaches an upstream.
+pub async fn admit(
+    gateway: &SharedGateway,
+    request: Request<Incoming>,
+    received_ms: TimeMs,
+) -> Result<ClientRequest, Rejection> {
+    let Some(configuration) = gateway.configuration.load_full() else {
+        return Err(Rejection::come_back(
+            Reason::NoConfiguration,
+            NO_CONFIGURATION_RETRY_MS,
+            u64::MAX,
+        ));
+    };
+    let (head, body) = request.into_parts();
+    let names = &gateway.dialect.headers;
+    let id = head.headers.get(&names.request_id).cloned();
+    let id = id.ok_or(Rejection::new(Reason::Malformed))?;
+    let route = find_route(&configuration, &head)?;
+    let workspace = find_workspace(gateway, &configuration, &route, &head.headers)?;
+    let client_wait_ms = number(&head.headers, &names.remaining_ms).unwrap_or(route.timeout_ms);
+    let deadline_ms = received_ms.after(client_wait_ms.min(route.timeout_ms));
+    let service = route
+        .target(rand::random())
+        .and_then(|name| configuration.services.get(name))
+        .cloned()
+        .ok_or(Rejection::new(Reason::NoUpstream))?;
+    let limit = configuration.limits.max_body_bytes;
+    let body = read_body(gateway, body, limit, deadline_ms).await?;
+    let prompt = (gateway.dialect.decode_prompt_size)(&head.headers);
+    let mut forwarded = headers::to_upstream(&head.headers, names);
+    if let Some(workspace) = &workspace {
+        let value = HeaderValue::from_str(&workspace.name)
+            .map_err(|_| Rejection::new(Reason::Malformed))?;
+        forwarded.insert(&names.workspace, value);
+    }
+    let priority = workspace
+        .as_ref()
+        .and_then(|workspace| workspace.priority)
+        .unwrap_or(route.priority);
+    let request = ClientRequest {
+        id,
+        method: head.method,
+        target: head.uri,
+        headers: forwarded,
+        held: HeldBytes::new(gateway, body.len()),
+        body,
+        route,
+        service,
+        workspace,
+        priority,
+        prompt,
+        received_ms,
+        client_wait_ms,
+        deadline_ms,
+    };
+    charge_quota(gateway, &request)?;
+    Ok(request)
+}
+
+fn find_route(configuration: &Configuration, head: &Parts) -> Result<Arc<Route>, Rejection> {
+    let mut hosts = head.headers.get_all(header::HOST).iter();
+    let host = hosts.next().and_then(|host| host.to_str().ok());
+    let (Some(host), None) = (host, hosts.next()) else {
+        return Err(Rejection::new(Reason::Malformed));
+    };
+    configuration
+        .route(host, head.uri.path())
+        .cloned()
+        .ok_or(Rejection::new(Reason::NoRoute))
+}
+
+// Returns the workspace that a request belongs to, or a rejection if its route needs a key and the
+// request brings none that is known.
+fn find_workspace(
+    gateway: &Gateway,
+    configuration: &Configuration,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Workspace>>, Rejection> {
+    let workspace = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix(gateway.dialect.key_prefix))
+        .and_then(|key| configuration.workspace_of(key.trim()))
+        .cloned();
+    let needs_key = !configuration.workspaces.is_empty() && !route.public;
+    if needs_key && workspace.is_none() {
+        return Err(Rejection::new(Reason::UnknownKey));
+    }
+    Ok(workspace)
+}
+
+async fn read_body(
+    gateway: &Gateway,
+    mut body: Incoming,
+    max_bytes: usize,
+    deadline_ms: TimeMs,
+) -> Result<Bytes, Rejection> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(Rejection::new(Reason::BodyTooLarge));
+    }
+    let held = gateway.buffered_bytes.load(Ordering::Relaxed);
+    if held > gateway.settings.load().max_buffered_bytes {
+        return Err(Rejection::come_back(
+            Reason::NoMemory,
+            NO_MEMORY_RETRY_MS,
+            u64::MAX,
+        ));
+    }
+    let limit = Duration::from_millis(deadline_ms.remaining(clock::now()));
+    let read = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return Err(Rejection::new(Reason::Malformed));
+            };
+            // Trailers are not forwarded.
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if whole.len() + data.len() > max_bytes {
+                return Err(Rejection::new(Reason::BodyTooLarge));
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    };
+    tokio::time::timeout(limit, read)
+        .await
+        .unwrap_or(Err(Rejection::new(Reason::BodyTimeout)))
+}
+
+fn charge_quota(gateway: &Gateway, request: &ClientRequest) -> Result<(), Rejection> {
+    let Some(workspace) = &request.workspace else {
+        return Ok(());
+    };
+    let units = match workspace.unit {
+        QuotaUnit::Requests => 1,
+        QuotaUnit::Tokens { default_tokens } => request.prompt.map_or(default_tokens, |prompt| {
+            prompt.prompt_tokens + prompt.max_output_tokens
+        }),
+    };
+    let now = clock::now();
+    let mut beliefs = gateway.beliefs();
+    let hearing = beliefs.exchange.hearing(now);
+    match beliefs.quotas.admit(workspace, units, hearing, now) {
+        Decision::Admitted => Ok(()),
+        Decision::Rejected { retry_after_ms } => Err(Rejection::come_back(
+            Reason::OverQuota,
+            retry_after_ms,
+            request.client_wait_ms,
+        )),
+    }
+}
+
+fn number(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/body.rs
@@ -0,0 +1,91 @@
+//! The body of an answer to a client.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use dogwoodpier_process::drain::InFlight;
+
+use crate::stream::Cut;
+use crate::stream::UpstreamBody;
+use crate::traffic::Busy;
+
+enum Content {
+    Full(Full<Bytes>),
+    Streamed(Box<UpstreamBody>),
+}
+
+/// The body of an answer: whole, or as an upstream sends it.
+pub struct AnswerBody {
+    content: Content,
+    // Counts that last until the answer was sent.
+    in_flight: Option<InFlight>,
+    busy: Option<Busy>,
+}
+
+impl AnswerBody {
+    /// Returns a body whose bytes are all here.
+    pub fn full(bytes: Bytes) -> Self {
+        Self {
+            content: Content::Full(Full::new(bytes)),
+            in_flight: None,
+            busy: None,
+        }
+    }
+
+    /// Returns a body that is forwarded as it comes.
+    pub fn streamed(body: UpstreamBody) -> Self {
+        Self {
+            content: Content::Streamed(Box::new(body)),
+            in_flight: None,
+            busy: None,
+        }
+    }
+
+    /// Ties the count of a request in flight to its answer.
+    pub fn hold(&mut self, in_flight: InFlight) {
+        self.in_flight = Some(in_flight);
+    }
+
+    /// Ties the count of a connection's requests to the answer.
+    pub fn hold_busy(&mut self, busy: Busy) {
+        self.busy = Some(busy);
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match &mut self.content {
+            Content::Full(full) => Pin::new(full)
+                .poll_frame(context)
+                .map_err(|never| match never {}),
+            Content::Streamed(body) => body.poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.content {
+            Content::Full(full) => full.is_end_stream(),
+            Content::Streamed(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Full(full) => full.size_hint(),
+            Content::Streamed(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -0,0 +1,24 @@
+//! Names of the metrics.
+
+/// Requests by route kind and outcome.
+pub const REQUESTS_TOTAL: &str = "dogwoodpier_gateway_requests_total";
+/// Answers of the gateway itself, by reason.
+pub const REJECTED_TOTAL: &str = "dogwoodpier_gateway_rejected_total";
+/// Sends to upstreams by result.
+pub const SENDS_TOTAL: &str = "dogwoodpier_gateway_sends_total";
+/// New connections to upstreams.
+pub const CONNECTIONS_TOTAL: &str = "dogwoodpier_gateway_upstream_connections_total";
+/// Time in the line for an engine.
+pub const WAIT_MS: &str = "dogwoodpier_gateway_wait_ms";
+/// Time from a request's head to the head of its answer.
+pub const FIRST_BYTE_MS: &str = "dogwoodpier_gateway_first_byte_ms";
+/// Time of a send until the head of its answer.
+pub const SEND_MS: &str = "dogwoodpier_gateway_send_ms";
+/// Version of the configuration in force.
+pub const CONFIG_VERSION: &str = "dogwoodpier_gateway_config_version";
+/// Entries of the store that can't be used.
+pub const UNREADABLE_TOTAL: &str = "dogwoodpier_gateway_unreadable_entries_total";
+/// Log lines lost because standard output was too slow.
+pub const LOG_LINES_LOST: &str = "dogwoodpier_gateway_log_lines_lost";
+/// Calls to the store that failed.
+pub const STORE_FAILURES_TOTAL: &str = "dogwoodpier_gateway_store_failures_total";
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -0,0 +1,122 @@
+//! What a deployment calls things: headers, paths and the form of its entries.
+//!
+//! An adapter fills these structs in; nothing else knows the names.
+
+use std::net::SocketAddr;
+
+use http::HeaderMap;
+use http::HeaderName;
+use serde_json::Value;
+use thiserror::Error;
+
+use dogwoodpier_core::gateway::routes::Configuration;
+use dogwoodpier_core::gateway::upstreams::Upstream;
+use dogwoodpier_platform::Protocol;
+
+/// Why an entry can't be used.
+#[derive(Clone, Debug, Error, PartialEq)]
+#[error("{field}: {problem}")]
+pub struct DecodeError {
+    /// Field that is wrong.
+    pub field: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl DecodeError {
+    /// Returns an error about a field.
+    pub fn new<F, P>(field: F, problem: P) -> Self
+    where
+        F: Into<String>,
+        P: Into<String>,
+    {
+        Self {
+            field: field.into(),
+            problem: problem.into(),
+        }
+    }
+}
+
+/// Names of the headers that the gateway reads or sets.
+#[derive(Clone, Debug)]
+pub struct HeaderNames {
+    /// Identifies a request; upstreams repeat it in their answers.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender of a request will wait.
+    pub remaining_ms: HeaderName,
+    /// Name of the workspace, set by the gateway.
+    pub workspace: HeaderName,
+    /// Identity of the upstream that is to run a request; any other rejects it.
+    pub expected_upstream: HeaderName,
+    /// Proof of an upstream that an answer is its own.
+    pub signature: HeaderName,
+    /// Present in an answer of an upstream that has not run the request.
+    pub not_executed: HeaderName,
+    /// Asks an engine for one part of the work only.
+    pub stage: HeaderName,
+    /// Names the engine and the KV cache to go on from.
+    pub cache_source: HeaderName,
+    /// Last event that a client has, or from which an engine is to go on.
+    pub last_event_id: HeaderName,
+    /// Headers that describe the request itself and always reach the upstream.
+    pub end_to_end: Vec<HeaderName>,
+    /// Headers that only the gateway may set; they are dropped from clients' requests.
+    pub gateway_only: Vec<HeaderName>,
+}
+
+/// Size of a generation request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptSize {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens to generate.
+    pub max_output_tokens: u64,
+}
+
+/// KV cache of a prompt that an engine holds for another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CacheHandle {
+    /// Identifies it at the engine.
+    pub id: String,
+}
+
+/// Kinds and names of objects in the store.
+#[derive(Clone, Copy, Debug)]
+pub struct ObjectNames {
+    /// Kind of the configuration.
+    pub config_kind: &'static str,
+    /// Name of the configuration's object.
+    pub config_name: &'static str,
+    /// Kind of the upstreams' entries.
+    pub upstream_kind: &'static str,
+    /// Kind of the instances' own registrations.
+    pub instance_kind: &'static str,
+}
+
+/// Names and formats of a deployment.
+pub struct Dialect {
+    /// Header names.
+    pub headers: HeaderNames,
+    /// Path at which a balancer asks whether the instance takes requests.
+    pub readiness_path: &'static str,
+    /// Scheme of the header that carries a key, with the space after it.
+    pub key_prefix: &'static str,
+    /// Objects in the store.
+    pub objects: ObjectNames,
+    /// How the store is spoken to.
+    pub store: &'static Protocol,
+    /// Value of the stage header for a request that is only prefilled.
+    pub prefill_stage: &'static str,
+    /// Decodes a configuration.
+    pub decode_configuration: fn(&Value) -> Result<Configuration, DecodeError>,
+    /// Decodes the entry of the upstream with a name.
+    pub decode_upstream: fn(&str, &Value) -> Result<Upstream, DecodeError>,
+    /// Reads the size of a generation request from its headers.
+    pub decode_prompt_size: fn(&HeaderMap) -> Option<PromptSize>,
+    /// Reads the answer to a request that was only prefilled.
+    pub decode_cache_handle: fn(&[u8]) -> Option<CacheHandle>,
+    /// Returns the value of the cache source header for a handle at an engine.
+    pub cache_source: fn(SocketAddr, &CacheHandle) -> String,
+    /// Returns the path of the call that frees a handle.
+    pub free_handle_path: fn(&CacheHandle) -> String,
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/dispatch.rs
@@ -0,0 +1,97 @@
+//! The way of one request through the gateway.
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_process::clock;
+
+use crate::admission;
+use crate::body::AnswerBody;
+use crate::counters;
+use crate::engines;
+use crate::plain;
+use crate::reject::Reason;
+use crate::reject::Rejection;
+use crate::request::ClientRequest;
+use crate::state::SharedGateway;
+
+// Time after which a client that meets a stopping instance finds another one.
+const STOPPING_RETRY_MS: u64 = 100;
+
+/// Serves a request of a client.
+pub async fn serve(gateway: SharedGateway, request: Request<Incoming>) -> Response<AnswerBody> {
+    let received_ms = clock::now();
+    let Some(in_flight) = gateway.drain.enter() else {
+        return Rejection::come_back(Reason::ShuttingDown, STOPPING_RETRY_MS, u64::MAX).response();
+    };
+    let id = request
+        .headers()
+        .get(&gateway.dialect.headers.request_id)
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let result = match admission::admit(&gateway, request, received_ms).await {
+        Ok(request) => forward(&gateway, &request).await,
+        Err(rejection) => Err(rejection),
+    };
+    log_result(&gateway, &id, &result, received_ms);
+    let mut response = result.unwrap_or_else(Rejection::response);
+    response.body_mut().hold(in_flight);
+    response
+}
+
+async fn forward(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+) -> Result<Response<AnswerBody>, Rejection> {
+    let now = clock::now();
+    let settings = gateway.settings.load_full();
+    gateway
+        .beliefs()
+        .retries
+        .count_request(&request.service.name, &settings.retries, now);
+    match &request.service.engine {
+        Some(spec) => engines::generate(gateway, request, spec).await,
+        None => plain::forward(gateway, request).await,
+    }
+}
+
+fn log_result(
+    gateway: &SharedGateway,
+    id: &str,
+    result: &Result<Response<AnswerBody>, Rejection>,
+    received_ms: TimeMs,
+) {
+    let elapsed_ms = clock::now().since(received_ms);
+    metrics::histogram!(counters::FIRST_BYTE_MS).record(elapsed_ms as f64);
+    match result {
+        Ok(response) => {
+            metrics::counter!(counters::REQUESTS_TOTAL, "outcome" => "answered").increment(1);
+            gateway.events.write(
+                "answered",
+                serde_json::json!({
+                    "request_id": id,
+                    "status": response.status().as_u16(),
+                    "elapsed_ms": elapsed_ms,
+                }),
+            );
+        }
+        Err(rejection) => {
+            let reason = rejection.reason.as_str();
+            metrics::counter!(counters::REQUESTS_TOTAL, "outcome" => "rejected").increment(1);
+            metrics::counter!(counters::REJECTED_TOTAL, "reason" => reason).increment(1);
+            gateway.events.write(
+                "rejected",
+                serde_json::json!({
+                    "request_id": id,
+                    "reason": reason,
+                    "status": rejection.reason.status().as_u16(),
+                    "retry_after_ms": rejection.retry_after_ms,
+                    "elapsed_ms": elapsed_ms,
+                }),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/headers.rs
@@ -0,0 +1,70 @@
+//! Which headers go on to an upstream and back to a client.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+use crate::dialect::HeaderNames;
+
+// Headers of one connection (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHORIZATION,
+];
+const HOP_BY_HOP_NAMES: [&str; 2] = ["keep-alive", "proxy-connection"];
+
+/// Returns the headers of a client's request that an upstream gets, without those that the gateway
+/// sets for each send.
+pub fn to_upstream(headers: &HeaderMap, names: &HeaderNames) -> HeaderMap {
+    let mut forwarded = without_hop_by_hop(headers, &names.end_to_end);
+    // The body is sent with its own length, and a key never leaves the gateway.
+    for name in [
+        &header::CONTENT_LENGTH,
+        &header::EXPECT,
+        &header::AUTHORIZATION,
+    ] {
+        forwarded.remove(name);
+    }
+    for name in names.gateway_only.iter().chain([
+        &names.workspace,
+        &names.expected_upstream,
+        &names.remaining_ms,
+        &names.stage,
+        &names.cache_source,
+    ]) {
+        forwarded.remove(name);
+    }
+    forwarded
+}
+
+/// Returns the headers of an upstream's answer that a client gets.
+pub fn to_client(headers: &HeaderMap) -> HeaderMap {
+    without_hop_by_hop(headers, &[])
+}
+
+fn without_hop_by_hop(headers: &HeaderMap, keep: &[HeaderName]) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|option| option.trim().parse().ok())
+        // A sender can't have these dropped: they belong to the message.
+        .filter(|name| *name != header::HOST && *name != header::CONTENT_TYPE)
+        .filter(|name| !keep.contains(name))
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let dropped = HOP_BY_HOP.contains(name)
+            || HOP_BY_HOP_NAMES.contains(&name.as_str())
+            || named.contains(name);
+        if !dropped {
+            kept.append(name, value.clone());
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -0,0 +1,33 @@
+//! The HTTP gateway of dogwoodpier.
+//!
+//! Forwards requests of clients to upstreams that an operator declares in an object store and that
+//! register themselves there. The names and formats of a deployment are handed in as a [`Dialect`];
+//! the decisions are those of `dogwoodpier_core::gateway`.
+
+#![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod body;
+pub mod counters;
+pub mod dialect;
+pub mod dispatch;
+pub mod engines;
+pub mod exchange;
+pub mod forwarding;
+pub mod headers;
+pub mod operators;
+pub mod plain;
+pub mod readiness;
+pub mod registry;
+pub mod reject;
+pub mod request;
+pub mod server;
+pub mod settings;
+pub mod start;
+pub mod state;
+pub mod store;
+pub mod stream;
+pub mod traffic;
+
+pub use dialect::Dialect;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -0,0 +1,76 @@
+//! What operators can ask an instance for: metrics and a dump of its state.
+
+use std::sync::OnceLock;
+
+use anyhow::Context;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use dogwoodpier_process::clock;
+
+use crate::counters;
+use crate::state::Gateway;
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder that keeps the metrics.
+pub fn start_metrics() -> anyhow::Result<()> {
+    let handle = PrometheusBuilder::new()
+        .install_recorder()
+        .context("a metrics recorder is installed already")?;
+    // Only this function sets it, and the recorder can be installed once.
+    let _ = METRICS.set(handle);
+    Ok(())
+}
+
+/// Returns all metrics in the Prometheus text format.
+pub fn metrics(gateway: &Gateway) -> String {
+    metrics::gauge!(counters::LOG_LINES_LOST).set(gateway.events.lines_lost() as f64);
+    METRICS
+        .get()
+        .map(PrometheusHandle::render)
+        .unwrap_or_default()
+}
+
+/// Returns what the instance believes, as JSON.
+pub fn state(gateway: &Gateway) -> String {
+    let now = clock::now();
+    let configuration = gateway.configuration.load();
+    let beliefs = gateway.beliefs();
+    let hearing = beliefs.exchange.hearing(now);
+    let upstreams: Vec<serde_json::Value> = beliefs
+        .upstreams
+        .all()
+        .map(|upstream| {
+            let own = beliefs.uses.get(&upstream.id).copied().unwrap_or_default();
+            serde_json::json!({
+                "id": &*upstream.id,
+                "service": &*upstream.service,
+                "address": upstream.address.to_string(),
+                "accepts_work": upstream.accepts_work,
+                "avoided": beliefs.records.is_avoided(&upstream.id, now),
+                "success": beliefs.records.success(&upstream.id, now),
+                "own_use": own,
+                "peers_use": beliefs.exchange.use_of(&upstream.id, now),
+            })
+        })
+        .collect();
+    let lines: Vec<serde_json::Value> = gateway
+        .lines
+        .lengths()
+        .iter()
+        .map(|(service, length)| serde_json::json!({ "service": &**service, "waiting": length }))
+        .collect();
+    serde_json::json!({
+        "instance": &*gateway.settings.load().instance,
+        "incarnation": gateway.incarnation,
+        "configuration_version": configuration.as_ref().map(|current| current.version),
+        "members": hearing.members,
+        "heard": hearing.heard,
+        "in_flight": gateway.drain.in_flight(),
+        "draining": gateway.drain.is_draining(),
+        "upstreams": upstreams,
+        "lines": lines,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -0,0 +1,245 @@
+//! Requests to plain services: one whole answer each.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::exchange::Use;
+use dogwoodpier_core::gateway::placement::Chooser;
+use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::gateway::upstreams::Upstream;
+use dogwoodpier_http::Reply;
+use dogwoodpier_process::clock;
+
+use crate::body::AnswerBody;
+use crate::forwarding;
+use crate::forwarding::Sent;
+use crate::headers;
+use crate::reject::Reason;
+use crate::reject::Rejection;
+use crate::request::ClientRequest;
+use crate::state::SharedGateway;
+use crate::state::UseGuard;
+
+// Sends for one request, those that were rejected included. More would only move load around.
+const MAX_SENDS: u32 = 3;
+// Largest answer that is held back until it is whole.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+// Time after which a rejecting service is likely to have room: a few of its usual answers.
+const NOT_RUN_RETRY_MS: u64 = 300;
+
+/// A whole answer of an upstream.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Answer {
+    fn into_response(self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::full(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = headers::to_client(&self.headers);
+        response
+    }
+}
+
+/// What became of a request so far.
+struct Progress {
+    sends: u32,
+    runs: u32,
+    timed_out: bool,
+    tried: Vec<std::sync::Arc<str>>,
+    // An upstream's own failure, given to the client if nothing better comes.
+    failure: Option<Answer>,
+}
+
+/// Forwards a request and returns the answer.
+pub async fn forward(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+) -> Result<Response<AnswerBody>, Rejection> {
+    let mut progress = Progress {
+        sends: 0,
+        runs: 0,
+        timed_out: false,
+        tried: Vec::new(),
+        failure: None,
+    };
+    loop {
+        let Some(guard) = choose(gateway, request, &progress.tried) else {
+            return finish(request, progress, Reason::NoUpstream);
+        };
+        progress.sends += 1;
+        progress.tried.push(guard.upstream().id.clone());
+        match attempt(gateway, request, &guard, &mut progress).await {
+            Some(answer) => return Ok(answer.into_response()),
+            None if may_retry(gateway, request, &progress) => {}
+            None => return finish(request, progress, Reason::NotRun),
+        }
+    }
+}
+
+fn finish(
+    request: &ClientRequest,
+    progress: Progress,
+    not_run: Reason,
+) -> Result<Response<AnswerBody>, Rejection> {
+    if let Some(failure) = progress.failure {
+        return Ok(failure.into_response());
+    }
+    let now = clock::now();
+    if progress.runs > 0 {
+        let expired = progress.timed_out;
+        return Err(Rejection::new(if expired {
+            Reason::ExpiredMayHaveRun
+        } else {
+            Reason::AnswerLost
+        }));
+    }
+    Err(Rejection::come_back(
+        not_run,
+        NOT_RUN_RETRY_MS,
+        request.deadline_ms.remaining(now),
+    ))
+}
+
+fn may_retry(gateway: &SharedGateway, request: &ClientRequest, progress: &Progress) -> bool {
+    let now = clock::now();
+    let repeatable = progress.runs == 0
+        || (request.route.repeat.is_idempotent() && progress.runs < request.route.max_attempts);
+    if !repeatable || progress.sends >= MAX_SENDS || request.deadline_ms <= now {
+        return false;
+    }
+    let settings = gateway.settings.load();
+    let mut beliefs = gateway.beliefs();
+    let members = beliefs.exchange.hearing(now).members;
+    beliefs
+        .retries
+        .take_retry(&request.service.name, &settings.retries, members, now)
+}
+
+fn choose(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+    tried: &[std::sync::Arc<str>],
+) -> Option<UseGuard> {
+    let upstream = {
+        let settings = gateway.settings.load();
+        let beliefs = gateway.beliefs();
+        let mut candidates = beliefs.candidates(&request.service.name);
+        if candidates
+            .iter()
+            .any(|candidate| !tried.contains(&candidate.upstream.id))
+        {
+            candidates.retain(|candidate| !tried.contains(&candidate.upstream.id));
+        }
+        let chooser = Chooser {
+            data_centre: &settings.data_centre,
+            records: &beliefs.records,
+            now: clock::now(),
+        };
+        let place = chooser.plain(&candidates)?;
+        candidates.swap_remove(place).upstream
+    };
+    let used = Use {
+        requests: 1,
+        ..Use::default()
+    };
+    Some(gateway.begin_use(&upstream, used))
+}
+
+// Sends a request once. Returns the answer for the client, or notes in `progress` what happened.
+async fn attempt(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+    guard: &UseGuard,
+    progress: &mut Progress,
+) -> Option<Answer> {
+    let upstream = guard.upstream();
+    let started_ms = clock::now();
+    let limit_ms = send_limit(request, progress.runs, started_ms);
+    let sent = forwarding::send(gateway, request, upstream, Vec::new(), limit_ms).await;
+    if sent.has_not_run() {
+        return None;
+    }
+    progress.runs += 1;
+    progress.timed_out = matches!(sent, Sent::TimedOut);
+    let Sent::Answered(reply) = sent else {
+        return None;
+    };
+    let Some(answer) = read_whole(reply, limit_ms).await else {
+        note_failure(gateway, request, upstream, "the answer was cut");
+        return None;
+    };
+    if !forwarding::is_genuine(gateway, answer.status, &answer.headers) {
+        note_failure(gateway, request, upstream, "the answer isn't genuine");
+        return None;
+    }
+    if answer.status.is_server_error() {
+        gateway.note(upstream, Outcome::Failed);
+        progress.failure = Some(answer);
+        return None;
+    }
+    let elapsed_ms = clock::now().since(started_ms);
+    gateway.note(upstream, Outcome::Answered { elapsed_ms });
+    Some(answer)
+}
+
+// A request that may be repeated leaves time for another upstream.
+fn send_limit(request: &ClientRequest, runs: u32, now: TimeMs) -> TimeMs {
+    if !request.route.repeat.is_idempotent() || runs + 1 >= request.route.max_attempts {
+        return request.deadline_ms;
+    }
+    request
+        .deadline_ms
+        .min(now.after(request.route.objective_ms))
+}
+
+fn note_failure(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+    upstream: &Upstream,
+    detail: &str,
+) {
+    gateway.note(upstream, Outcome::Failed);
+    gateway.events.write(
+        "answer_unusable",
+        serde_json::json!({
+            "request_id": request.id_text(),
+            "upstream": &*upstream.id,
+            "detail": detail,
+        }),
+    );
+}
+
+// Reads an answer to its end, or returns `None` if it was cut or is too large.
+async fn read_whole(reply: Reply, limit_ms: TimeMs) -> Option<Answer> {
+    let status = reply.status;
+    let headers = reply.headers.clone();
+    let (mut body, returning) = reply.into_body();
+    let limit = std::time::Duration::from_millis(limit_ms.remaining(clock::now()));
+    let read = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.ok()?.into_data() {
+                whole.extend_from_slice(&data);
+            }
+            if whole.len() > MAX_ANSWER_BYTES {
+                return None;
+            }
+        }
+        Some(whole.freeze())
+    };
+    let body = tokio::time::timeout(limit, read).await.ok()??;
+    returning.give_back();
+    Some(Answer {
+        status,
+        headers,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/readiness.rs
@@ -0,0 +1,92 @@
+//! Answers to the balancer's question whether the instance takes requests, and to operators.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::operators;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+
+type Page = Response<Full<Bytes>>;
+
+/// Returns whether the instance takes requests: it knows what to do with them and isn't stopping.
+pub fn is_ready(gateway: &Gateway) -> bool {
+    let informed = gateway.configuration.load().is_some() && gateway.beliefs().upstreams_known;
+    informed && !gateway.drain.is_draining()
+}
+
+/// Starts a server of small pages.
+pub async fn start(
+    gateway: SharedGateway,
+    address: SocketAddr,
+    page: fn(&SharedGateway, &str) -> Page,
+) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(address)
+        .await
+        .with_context(|| format!("can't bind {address}"))?;
+    tokio::spawn(async move {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("accepting at {address}: {error}");
+                    tokio::task::yield_now().await;
+                    continue;
+                }
+            };
+            let gateway = gateway.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = page(&gateway, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            tokio::spawn(async move {
+                let served = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+                if let Err(error) = served {
+                    log::debug!("a page was not delivered: {error}");
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
+/// Returns the page for the balancer.
+pub fn balancer_page(gateway: &SharedGateway, path: &str) -> Page {
+    if path != gateway.dialect.readiness_path {
+        return status(StatusCode::NOT_FOUND);
+    }
+    if is_ready(gateway) {
+        status(StatusCode::OK)
+    } else {
+        status(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+/// Returns the pages for operators.
+pub fn operator_page(gateway: &SharedGateway, path: &str) -> Page {
+    match path {
+        "/metrics" => Response::new(Full::new(Bytes::from(operators::metrics(gateway)))),
+        "/state" => Response::new(Full::new(Bytes::from(operators::state(gateway)))),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn status(status: StatusCode) -> Page {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -0,0 +1,188 @@
+//! The registrations of instances in the store, by which they find each other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use dogwoodpier_derive::wire;
+use dogwoodpier_platform::Expect;
+use dogwoodpier_platform::PutOutcome;
+use dogwoodpier_platform::wire::Object;
+use dogwoodpier_process::clock;
+
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+use crate::store::Follower;
+
+// Pause between attempts to register while the store is away.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+// Silence after which the registration of an instance is removed. It registers again if it lives.
+const REMOVE_SILENT_MS: u64 = 60_000;
+const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
+
+/// A registration.
+#[wire]
+pub struct Registration {
+    /// Address for reports of peers.
+    pub peer_address: SocketAddr,
+    /// Drawn at the start of the process.
+    pub incarnation: u64,
+}
+
+/// Addresses of the registered peers.
+#[derive(Default)]
+pub struct Addresses {
+    by_instance: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
+}
+
+impl Addresses {
+    /// Returns the addresses of all registered peers.
+    pub fn all(&self) -> Vec<SocketAddr> {
+        self.lock().values().copied().collect()
+    }
+
+    /// Returns the registered instances.
+    pub fn instances(&self) -> Vec<Arc<str>> {
+        self.lock().keys().cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, SocketAddr>> {
+        self.by_instance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Registers this instance, and again whenever its registration is gone.
+pub async fn run(gateway: SharedGateway) {
+    loop {
+        while let Err(error) = register(&gateway).await {
+            gateway.events.write(
+                "registration_failed",
+                serde_json::json!({ "detail": error.to_string() }),
+            );
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        gateway.registration_lost.notified().await;
+    }
+}
+
+async fn register(gateway: &Gateway) -> anyhow::Result<()> {
+    let settings = gateway.settings.load_full();
+    let kind = gateway.dialect.objects.instance_kind;
+    let registration = serde_json::to_value(Registration {
+        peer_address: settings.peer_address,
+        incarnation: gateway.incarnation,
+    })?;
+    let mut expect = Expect::Absent;
+    loop {
+        let outcome = gateway
+            .store
+            .put(kind, &settings.instance, &registration, expect)
+            .await?;
+        match outcome {
+            PutOutcome::Written { .. } => return Ok(()),
+            PutOutcome::Conflict { current } => match current {
+                // An answer that was lost: the registration stands already.
+                Some(object) if object.value == registration => return Ok(()),
+                Some(object) => expect = Expect::Version(object.version),
+                None => expect = Expect::Absent,
+            },
+        }
+    }
+}
+
+/// Returns the follower of the registrations.
+pub fn follower(gateway: &Gateway) -> Follower {
+    Follower {
+        kind: gateway.dialect.objects.instance_kind,
+        replace: |gateway, objects, _| {
+            for object in &objects {
+                add_peer(gateway, object);
+            }
+            for instance in gateway.peer_addresses.instances() {
+                if !objects.iter().any(|object| object.name == instance) {
+                    remove_peer(gateway, &instance);
+                }
+            }
+        },
+        change: |gateway, change, _| {
+            if change.deleted {
+                remove_peer(gateway, &change.object.name);
+            } else {
+                add_peer(gateway, &change.object);
+            }
+        },
+    }
+}
+
+fn add_peer(gateway: &SharedGateway, object: &Object) {
+    if *object.name == *gateway.settings.load().instance {
+        return;
+    }
+    let registration: Registration = match read(&object.value) {
+        Ok(registration) => registration,
+        Err(error) => {
+            gateway.events.write(
+                "unreadable_registration",
+                serde_json::json!({ "instance": &*object.name, "problem": error.to_string() }),
+            );
+            return;
+        }
+    };
+    gateway
+        .peer_addresses
+        .lock()
+        .insert(object.name.clone(), registration.peer_address);
+    gateway
+        .beliefs()
+        .exchange
+        .register(&object.name, clock::now());
+    gateway.events.write(
+        "peer_registered",
+        serde_json::json!({ "peer": &*object.name, "store_version": object.version }),
+    );
+}
+
+fn read(value: &Value) -> serde_json::Result<Registration> {
+    serde_json::from_value(value.clone())
+}
+
+fn remove_peer(gateway: &SharedGateway, instance: &str) {
+    if *instance == *gateway.settings.load().instance {
+        gateway.registration_lost.notify_one();
+        return;
+    }
+    gateway.peer_addresses.lock().remove(instance);
+    gateway.beliefs().exchange.forget(instance);
+    gateway
+        .events
+        .write("peer_gone", serde_json::json!({ "peer": instance }));
+}
+
+/// Removes the registrations of instances that have been silent for long. Several instances may do
+/// so at once; the second one finds nothing to remove.
+pub async fn clean(gateway: SharedGateway) {
+    loop {
+        tokio::time::sleep(CLEAN_INTERVAL).await;
+        let silent = gateway
+            .beliefs()
+            .exchange
+            .silent(REMOVE_SILENT_MS, clock::now());
+        for instance in silent {
+            let kind = gateway.dialect.objects.instance_kind;
+            if let Err(error) = gateway.store.delete(kind, &instance, Expect::Any).await {
+                gateway.events.write(
+                    "registration_not_removed",
+                    serde_json::json!({ "peer": &*instance, "detail": error.to_string() }),
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -0,0 +1,141 @@
+//! Answers of the gateway itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+
+use crate::body::AnswerBody;
+
+// Clients wait at most this part of the time that they have left.
+const RETRY_AFTER_PARTS: u64 = 3;
+
+/// Why the gateway answers a request itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// No configuration was read yet.
+    NoConfiguration,
+    /// The instance is shutting down.
+    ShuttingDown,
+    /// The request isn't well formed.
+    Malformed,
+    /// The body is larger than allowed.
+    BodyTooLarge,
+    /// The body didn't arrive in time.
+    BodyTimeout,
+    /// Too many bytes of other requests are held.
+    NoMemory,
+    /// No route takes the request.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The workspace is over its quota.
+    OverQuota,
+    /// No upstream of the service takes work.
+    NoUpstream,
+    /// Upstreams are full, and the wait would be too long.
+    Overloaded,
+    /// Upstreams rejected or couldn't be reached, and nothing was run.
+    NotRun,
+    /// Time ran out before anything was run.
+    ExpiredNotRun,
+    /// Time ran out while an upstream may be running the request.
+    ExpiredMayHaveRun,
+    /// An upstream may have run the request and its answer is lost.
+    AnswerLost,
+}
+
+impl Reason {
+    /// Returns the status of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration
+            | Self::ShuttingDown
+            | Self::NoMemory
+            | Self::NoUpstream
+            | Self::Overloaded
+            | Self::NotRun
+            | Self::ExpiredNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            Self::ExpiredMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::ShuttingDown => "shutting_down",
+            Self::Malformed => "malformed",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyTimeout => "body_timeout",
+            Self::NoMemory => "no_memory",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::OverQuota => "over_quota",
+            Self::NoUpstream => "no_upstream",
+            Self::Overloaded => "overloaded",
+            Self::NotRun => "not_run",
+            Self::ExpiredNotRun => "expired_not_run",
+            Self::ExpiredMayHaveRun => "expired_may_have_run",
+            Self::AnswerLost => "answer_lost",
+        }
+    }
+}
+
+/// An answer of the gateway itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// Why.
+    pub reason: Reason,
+    /// When to come back, if that helps.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Rejection {
+    /// Returns a rejection without advice.
+    pub fn new(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Returns a rejection that asks the caller to come back, within the part of `remaining_ms` that
+    /// callers are willing to wait.
+    pub fn come_back(reason: Reason, retry_after_ms: u64, remaining_ms: u64) -> Self {
+        Self {
+            reason,
+            retry_after_ms: Some(retry_after_ms.min(remaining_ms / RETRY_AFTER_PARTS)),
+        }
+    }
+
+    /// Returns the response.
+    pub fn response(self) -> Response<AnswerBody> {
+        let text = format!("{{\"error\":\"{}\"}}", self.reason.as_str());
+        let mut response = Response::new(AnswerBody::full(Bytes::from(text)));
+        *response.status_mut() = self.reason.status();
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if let Some(retry_after_ms) = self.retry_after_ms {
+            let after_s = Duration::from_millis(retry_after_ms).as_secs_f64();
+            // Digits and a point are always a valid value.
+            if let Ok(value) = HeaderValue::from_str(&format!("{after_s:.3}")) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -0,0 +1,196 @@
+//! Settings of a gateway, read from a TOML file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use dogwoodpier_config::Finding;
+use dogwoodpier_config::Problem;
+use dogwoodpier_config::Problems;
+use dogwoodpier_config::reader::Fields;
+use dogwoodpier_config::reader::Report;
+use dogwoodpier_core::gateway::exchange::ExchangeOptions;
+use dogwoodpier_core::gateway::retries::RetryOptions;
+use dogwoodpier_derive::plain;
+
+const MS_PER_S: f64 = 1_000.0;
+const ADDRESS_HELP: &str = "give an IP address and a port, for example \"10.0.0.7:7100\"";
+const BYTES_PER_MB: usize = 1 << 20;
+// Part of the memory that requests' bodies may take together.
+const BODY_MEMORY_PARTS: usize = 4;
+
+/// Settings of a gateway.
+#[plain]
+pub struct Settings {
+    /// Name of this instance, unique in the fleet.
+    pub instance: Arc<str>,
+    /// Data centre of this instance.
+    pub data_centre: Arc<str>,
+    /// Address for clients.
+    pub client_address: SocketAddr,
+    /// Address at which a balancer asks for readiness.
+    pub readiness_address: SocketAddr,
+    /// Address for metrics and state dumps.
+    pub operator_address: SocketAddr,
+    /// Address for reports of peers, UDP.
+    pub peer_address: SocketAddr,
+    /// Address of the object store.
+    pub store_address: SocketAddr,
+    /// Bounds of retries.
+    pub retries: RetryOptions,
+    /// Time from SIGTERM to the end of the process.
+    pub grace_ms: u64,
+    /// Time for which the entry of an upstream may be missing after the store was away.
+    pub entry_grace_ms: u64,
+    /// Most bytes of requests' bodies held at once.
+    pub max_buffered_bytes: usize,
+    /// Bounds on the trust in peers' reports.
+    pub exchange: ExchangeOptions,
+    /// Time limits of calls.
+    pub timing: Timing,
+}
+
+/// Time limits of calls.
+#[plain]
+#[derive(Copy, Eq)]
+pub struct Timing {
+    /// Time for one call to the store.
+    pub store_timeout_ms: u64,
+    /// Longest wait of a watch of the store.
+    pub watch_wait_ms: u64,
+    /// Time to make a connection to an upstream.
+    pub connect_timeout_ms: u64,
+    /// Shortest time between two reports to peers.
+    pub report_interval_ms: u64,
+    /// Longest time between two reports to peers.
+    pub report_heartbeat_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            // An answer takes milliseconds; a store that is a hundred times slower still answers.
+            store_timeout_ms: 700,
+            // With the timeout, a connection that went silent is noticed in just over two seconds.
+            watch_wait_ms: 1_400,
+            // Some round trips between data centres.
+            connect_timeout_ms: 150,
+            // A slot is free for some hundred milliseconds before others could mistake it as taken.
+            report_interval_ms: 50,
+            // Several fit into the silence after which a peer's report no longer counts.
+            report_heartbeat_ms: 300,
+        }
+    }
+}
+
+/// Loads settings from a file, or returns everything that is wrong with them.
+pub fn load(file: &Path) -> Result<Settings, Problems> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        Problems(vec![Problem {
+            file: name.clone(),
+            line: 1,
+            path: String::new(),
+            message: format!("can't be read: {error}"),
+        }])
+    })?;
+    parse(&name, &text)
+}
+
+/// Parses and checks settings. `file` names the text in messages.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Problems> {
+    let mut report = Report::new(file, text);
+    let table = report.parse();
+    let settings = read(Fields::root(table.get_ref()), &mut report);
+    report
+        .finish(())
+        .map(|()| settings.expect("a clean report has read all settings"))
+}
+
+fn read(mut root: Fields<'_, '_>, report: &mut Report<'_>) -> Option<Settings> {
+    let instance = name(&mut root, "instance", report);
+    let data_centre = name(&mut root, "data_centre", report);
+    let client_address = address(&mut root, "client_address", report);
+    let readiness_address = address(&mut root, "readiness_address", report);
+    let operator_address = address(&mut root, "operator_address", report);
+    let peer_address = address(&mut root, "peer_address", report);
+    let store_address = address(&mut root, "store_address", report);
+    let grace_s = number(&mut root, "grace_s", 0.5, 3_600.0, report);
+    let entry_grace_s = number(&mut root, "entry_grace_s", 0.0, 3_600.0, report);
+    let memory_mb = number(&mut root, "memory_mb", 32.0, 1_048_576.0, report);
+    let mut retries = root.table("retries", report);
+    let ratio = number(&mut retries, "ratio", 0.0, 10.0, report);
+    let allowance = number(&mut retries, "allowance", 0.0, 1e9, report);
+    let window_s = number(&mut retries, "window_s", 0.1, 3_600.0, report);
+    retries.finish(report);
+    root.finish(report);
+    Some(Settings {
+        instance: instance?,
+        data_centre: data_centre?,
+        client_address: client_address?,
+        readiness_address: readiness_address?,
+        operator_address: operator_address?,
+        peer_address: peer_address?,
+        store_address: store_address?,
+        retries: RetryOptions {
+            ratio: ratio?,
+            allowance: allowance?,
+            window_ms: (window_s? * MS_PER_S) as u64,
+        },
+        grace_ms: (grace_s? * MS_PER_S) as u64,
+        entry_grace_ms: (entry_grace_s? * MS_PER_S) as u64,
+        max_buffered_bytes: memory_mb? as usize * BYTES_PER_MB / BODY_MEMORY_PARTS,
+        exchange: ExchangeOptions::default(),
+        timing: Timing::default(),
+    })
+}
+
+fn name(
+    fields: &mut Fields<'_, '_>,
+    field: &'static str,
+    report: &mut Report<'_>,
+) -> Option<Arc<str>> {
+    let right = "give a name, not empty";
+    fields.require(field, right, report);
+    let name = fields.text(field, report)?;
+    if name.is_empty() {
+        report.add(Finding::new(fields.path_of(field), right));
+        return None;
+    }
+    Some(name)
+}
+
+fn number(
+    fields: &mut Fields<'_, '_>,
+    field: &'static str,
+    min: f64,
+    max: f64,
+    report: &mut Report<'_>,
+) -> Option<f64> {
+    let right = format!("give a number from {min} to {max}");
+    fields.require(field, &right, report);
+    let number = fields.number(field, report)?;
+    if !(min..=max).contains(&number) {
+        let message = format!("{number} is out of bounds: {right}");
+        report.add(Finding::new(fields.path_of(field), message));
+        return None;
+    }
+    Some(number)
+}
+
+fn address(
+    fields: &mut Fields<'_, '_>,
+    field: &'static str,
+    report: &mut Report<'_>,
+) -> Option<SocketAddr> {
+    fields.require(field, ADDRESS_HELP, report);
+    let text = fields.text(field, report)?;
+    match text.parse::<SocketAddr>() {
+        Ok(address) if address.port() != 0 => Some(address),
+        _ => {
+            let message = format!("{text:?} is no address: {ADDRESS_HELP}");
+            report.add(Finding::new(fields.path_of(field), message));
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -0,0 +1,222 @@
+//! Starting and stopping a gateway.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::Notify;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::exchange::Exchange;
+use dogwoodpier_core::gateway::placement::Records;
+use dogwoodpier_core::gateway::quota::Quotas;
+use dogwoodpier_core::gateway::retries::RetryBudget;
+use dogwoodpier_core::gateway::upstreams::Upstreams;
+use dogwoodpier_http::Connections;
+use dogwoodpier_platform::Client;
+use dogwoodpier_platform::ClientOptions;
+use dogwoodpier_process::clock;
+use dogwoodpier_process::events::EventLog;
+use dogwoodpier_process::events::EventOptions;
+
+use crate::dialect::Dialect;
+use crate::engines;
+use crate::exchange;
+use crate::operators;
+use crate::readiness;
+use crate::registry;
+use crate::server;
+use crate::settings;
+use crate::settings::Settings;
+use crate::state::Beliefs;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+use crate::store;
+
+// Time after which a balancer that asks each second has seen twice that the instance isn't ready.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
+// Time at the end of the grace time for the process itself to end.
+const EXIT_MARGIN_MS: u64 = 400;
+// Time for the last bytes of the last answer to leave.
+const FLUSH_PAUSE: Duration = Duration::from_millis(100);
+
+/// Runs a gateway until it is told to stop by SIGTERM or SIGINT, then drains it.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound; the error says which.
+pub async fn run(
+    settings: Settings,
+    settings_file: PathBuf,
+    dialect: &'static Dialect,
+) -> anyhow::Result<()> {
+    operators::start_metrics()?;
+    let gateway = Arc::new(build(settings, dialect));
+    log_to_events(&gateway)?;
+    let settings = gateway.settings.load_full();
+    let socket = Arc::new(exchange::bind(settings.peer_address).await?);
+    spawn_tasks(&gateway, socket);
+    readiness::start(
+        gateway.clone(),
+        settings.readiness_address,
+        readiness::balancer_page,
+    )
+    .await?;
+    readiness::start(
+        gateway.clone(),
+        settings.operator_address,
+        readiness::operator_page,
+    )
+    .await?;
+    server::start(gateway.clone()).await?;
+    gateway.events.write(
+        "started",
+        serde_json::json!({
+            "version": env!("CARGO_PKG_VERSION"),
+            "incarnation": gateway.incarnation,
+            "data_centre": &*settings.data_centre,
+            "client_address": settings.client_address.to_string(),
+            "store_address": settings.store_address.to_string(),
+        }),
+    );
+    tokio::spawn(reload_on_hangup(gateway.clone(), settings_file));
+    let stop_ms = wait_for_stop().await?;
+    drain(&gateway, stop_ms).await;
+    Ok(())
+}
+
+// Warnings of libraries and of the gateway's servers go to the event log.
+fn log_to_events(gateway: &SharedGateway) -> anyhow::Result<()> {
+    let events = gateway.events.clone();
+    let output = fern::Output::call(move |record| {
+        events.write(
+            "log",
+            serde_json::json!({
+                "level": record.level().as_str(),
+                "target": record.target(),
+                "message": record.args().to_string(),
+            }),
+        );
+    });
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .chain(output)
+        .apply()
+        .context("a logger is set already")
+}
+
+fn build(settings: Settings, dialect: &'static Dialect) -> Gateway {
+    let store = Client::with_protocol(
+        ClientOptions {
+            address: settings.store_address,
+            timeout_ms: settings.timing.store_timeout_ms,
+        },
+        dialect.store,
+    );
+    let events = EventLog::to_stdout(&settings.instance, EventOptions::default());
+    Gateway {
+        incarnation: rand::random(),
+        dialect,
+        configuration: ArcSwapOption::empty(),
+        beliefs: Mutex::new(Beliefs {
+            upstreams: Upstreams::default(),
+            upstreams_known: false,
+            records: Records::default(),
+            exchange: Exchange::new(settings.exchange),
+            quotas: Quotas::default(),
+            retries: RetryBudget::default(),
+            uses: Default::default(),
+        }),
+        lines: engines::Lines::default(),
+        connections: Connections::default(),
+        store,
+        drain: Arc::default(),
+        events,
+        buffered_bytes: AtomicUsize::new(0),
+        use_changed: Notify::new(),
+        close_idle: Notify::new(),
+        registration_lost: Notify::new(),
+        peer_addresses: registry::Addresses::default(),
+        settings: ArcSwap::from_pointee(settings),
+    }
+}
+
+fn spawn_tasks(gateway: &SharedGateway, socket: Arc<tokio::net::UdpSocket>) {
+    tokio::spawn(store::follow(
+        gateway.clone(),
+        store::configuration(gateway),
+    ));
+    tokio::spawn(store::follow(gateway.clone(), store::upstreams(gateway)));
+    tokio::spawn(store::follow(gateway.clone(), registry::follower(gateway)));
+    tokio::spawn(store::expire_upstreams(gateway.clone()));
+    tokio::spawn(registry::run(gateway.clone()));
+    tokio::spawn(registry::clean(gateway.clone()));
+    tokio::spawn(engines::run(gateway.clone()));
+    let receiving = (gateway.clone(), socket.clone());
+    tokio::spawn(async move { exchange::receive(receiving.0, &receiving.1).await });
+    let reporting = (gateway.clone(), socket);
+    tokio::spawn(async move { exchange::report(reporting.0, &reporting.1).await });
+}
+
+async fn wait_for_stop() -> anyhow::Result<TimeMs> {
+    let mut terminate = signal(SignalKind::terminate()).context("can't listen for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("can't listen for SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(clock::now())
+}
+
+// Puts changed settings in force that don't need a new process: bounds and time limits.
+async fn reload_on_hangup(gateway: SharedGateway, file: PathBuf) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(error) => {
+            log::error!("can't listen for SIGHUP: {error}");
+            return;
+        }
+    };
+    while hangups.recv().await.is_some() {
+        let outcome = match settings::load(&file) {
+            Ok(settings) => {
+                gateway.settings.store(Arc::new(settings));
+                "reloaded".to_owned()
+            }
+            Err(problems) => format!("kept the settings in force: {problems}"),
+        };
+        gateway
+            .events
+            .write("settings", serde_json::json!({ "outcome": outcome }));
+    }
+}
+
+// Lets everything in flight end. What is still running when the grace time ends is cut and counted.
+async fn drain(gateway: &SharedGateway, stop_ms: TimeMs) {
+    let grace_ms = gateway.settings.load().grace_ms;
+    let exit_ms = stop_ms.after(grace_ms.saturating_sub(EXIT_MARGIN_MS));
+    gateway.events.write(
+        "stopping",
+        serde_json::json!({ "in_flight": gateway.drain.in_flight() }),
+    );
+    gateway.drain.begin();
+    // Requests that the balancer still sends are served until it has had time to notice.
+    tokio::time::sleep(BALANCER_NOTICE).await;
+    gateway.close_idle.notify_waiters();
+    let limit = Duration::from_millis(exit_ms.remaining(clock::now()));
+    let idle = tokio::time::timeout(limit, gateway.drain.wait_idle()).await;
+    gateway.use_changed.notify_one();
+    tokio::time::sleep(FLUSH_PAUSE).await;
+    gateway.events.write(
+        "stopped",
+        serde_json::json!({ "cut": gateway.drain.in_flight(), "all_ended": idle.is_ok() }),
+    );
+    tokio::time::sleep(FLUSH_PAUSE).await;
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -0,0 +1,288 @@
+//! What the gateway learns from the object store: the configuration, upstreams and peers.
+//!
+//! One task a kind lists it, then watches it. What was read stays in force while the store is away;
+//! a configuration never goes back to an older version.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::upstreams::Upstream;
+use dogwoodpier_platform::Error;
+use dogwoodpier_platform::WatchOutcome;
+use dogwoodpier_platform::wire::Change;
+use dogwoodpier_platform::wire::Object;
+use dogwoodpier_process::clock;
+
+use crate::counters;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+
+// Pause before a failed call is made again: long enough for a busy store, short against the time in
+// which a change has to be in force.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// What a follower does with the objects of its kind.
+pub struct Follower {
+    /// Kind of the objects.
+    pub kind: &'static str,
+    /// Takes a whole listing. The time tells when the store was last found to be away.
+    pub replace: fn(&SharedGateway, Vec<Object>, &Outage),
+    /// Takes one change.
+    pub change: fn(&SharedGateway, Change, &Outage),
+}
+
+/// When the store was last away.
+#[derive(Debug, Default)]
+pub struct Outage {
+    // Time of the last failed call plus the grace time for entries; 0 before any failed.
+    grace_deadline_ms: AtomicU64,
+}
+
+impl Outage {
+    /// Returns until when a missing entry may be due to an outage of the store.
+    pub fn grace_deadline_ms(&self, now: TimeMs) -> Option<TimeMs> {
+        let deadline_ms = TimeMs(self.grace_deadline_ms.load(Ordering::Relaxed));
+        (deadline_ms > now).then_some(deadline_ms)
+    }
+
+    fn note(&self, deadline_ms: TimeMs) {
+        self.grace_deadline_ms
+            .store(deadline_ms.0, Ordering::Relaxed);
+    }
+}
+
+/// Follows the objects of a kind for as long as the process lives.
+pub async fn follow(gateway: SharedGateway, follower: Follower) {
+    let outage = Outage::default();
+    let mut revision = None;
+    let mut lost = false;
+    loop {
+        let result = match revision {
+            None => list(&gateway, &follower, &outage).await,
+            Some(after) => watch(&gateway, &follower, &outage, after).await,
+        };
+        match result {
+            Ok(next) => {
+                if lost {
+                    lost = false;
+                    log_store(&gateway, &follower, "regained", "");
+                }
+                revision = next;
+            }
+            Err(error) => {
+                metrics::counter!(counters::STORE_FAILURES_TOTAL, "kind" => follower.kind)
+                    .increment(1);
+                let grace_ms = gateway.settings.load().entry_grace_ms;
+                outage.note(clock::now().after(grace_ms));
+                if !lost {
+                    lost = true;
+                    log_store(&gateway, &follower, "lost", &error.to_string());
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn log_store(gateway: &Gateway, follower: &Follower, state: &str, detail: &str) {
+    gateway.events.write(
+        "store",
+        serde_json::json!({ "kind": follower.kind, "state": state, "detail": detail }),
+    );
+}
+
+async fn list(
+    gateway: &SharedGateway,
+    follower: &Follower,
+    outage: &Outage,
+) -> Result<Option<u64>, Error> {
+    let listing = gateway.store.list(follower.kind, "").await?;
+    (follower.replace)(gateway, listing.items, outage);
+    Ok(Some(listing.revision))
+}
+
+async fn watch(
+    gateway: &SharedGateway,
+    follower: &Follower,
+    outage: &Outage,
+    after: u64,
+) -> Result<Option<u64>, Error> {
+    let wait_ms = gateway.settings.load().timing.watch_wait_ms;
+    let outcome = gateway
+        .store
+        .watch(&[follower.kind], after, wait_ms)
+        .await?;
+    match outcome {
+        WatchOutcome::TooOld => {
+            log_store(gateway, follower, "history_gone", "");
+            Ok(None)
+        }
+        WatchOutcome::Changes(changes) => {
+            for change in changes.changes {
+                (follower.change)(gateway, change, outage);
+            }
+            Ok(Some(changes.revision))
+        }
+    }
+}
+
+/// Returns the follower of the configuration.
+pub fn configuration(gateway: &Gateway) -> Follower {
+    Follower {
+        kind: gateway.dialect.objects.config_kind,
+        replace: |gateway, objects, _| {
+            for object in objects {
+                take_configuration(gateway, &object);
+            }
+        },
+        change: |gateway, change, _| {
+            if !change.deleted {
+                take_configuration(gateway, &change.object);
+            }
+        },
+    }
+}
+
+fn take_configuration(gateway: &SharedGateway, object: &Object) {
+    if *object.name != *gateway.dialect.objects.config_name {
+        return;
+    }
+    let configuration = match (gateway.dialect.decode_configuration)(&object.value) {
+        Ok(configuration) => configuration,
+        Err(error) => {
+            log_unreadable(gateway, object, &error.to_string());
+            return;
+        }
+    };
+    let current = gateway.configuration.load();
+    let current = current.as_ref().map(|current| current.version);
+    if current.is_some_and(|current| current >= configuration.version) {
+        return;
+    }
+    metrics::gauge!(counters::CONFIG_VERSION).set(configuration.version as f64);
+    gateway.events.write(
+        "configuration",
+        serde_json::json!({
+            "version": configuration.version,
+            "before": current,
+            "routes": configuration.route_count(),
+            "workspaces": configuration.workspaces.len(),
+            "store_version": object.version,
+        }),
+    );
+    gateway.configuration.store(Some(Arc::new(configuration)));
+}
+
+/// Returns the follower of the upstreams' entries.
+pub fn upstreams(gateway: &Gateway) -> Follower {
+    Follower {
+        kind: gateway.dialect.objects.upstream_kind,
+        replace: |gateway, objects, outage| {
+            let listing: Vec<Upstream> = objects
+                .iter()
+                .filter_map(|object| read_upstream(gateway, object))
+                .collect();
+            let now = clock::now();
+            let mut beliefs = gateway.beliefs();
+            beliefs
+                .upstreams
+                .replace(listing, outage.grace_deadline_ms(now));
+            beliefs.upstreams_known = true;
+        },
+        change: |gateway, change, outage| {
+            if change.deleted {
+                remove_upstream(gateway, &change.object.name, outage);
+            } else if let Some(upstream) = read_upstream(gateway, &change.object) {
+                put_upstream(gateway, upstream);
+            } else {
+                // An entry that was overwritten with something else names no upstream any more.
+                remove_upstream(gateway, &change.object.name, &Outage::default());
+            }
+        },
+    }
+}
+
+fn read_upstream(gateway: &Gateway, object: &Object) -> Option<Upstream> {
+    (gateway.dialect.decode_upstream)(&object.name, &object.value)
+        .inspect_err(|error| log_unreadable(gateway, object, &error.to_string()))
+        .ok()
+}
+
+fn put_upstream(gateway: &SharedGateway, upstream: Upstream) {
+    let fields = serde_json::json!({
+        "upstream": &*upstream.id,
+        "address": upstream.address.to_string(),
+        "accepts_work": upstream.accepts_work,
+    });
+    let restarted = {
+        let mut beliefs = gateway.beliefs();
+        let before = beliefs.upstreams.get(&upstream.id).cloned();
+        let restarted =
+            before.is_some_and(|before| before.started_unix_ms != upstream.started_unix_ms);
+        if !beliefs.upstreams.put(upstream.clone()) {
+            return;
+        }
+        if restarted {
+            beliefs.records.forget(&upstream.id);
+        }
+        restarted
+    };
+    if restarted {
+        gateway.connections.close_idle(&upstream.id);
+    }
+    gateway.events.write("upstream", fields);
+    gateway.lines.slot_freed();
+}
+
+fn remove_upstream(gateway: &SharedGateway, id: &str, outage: &Outage) {
+    let keep_deadline_ms = outage.grace_deadline_ms(clock::now());
+    let known = {
+        let mut beliefs = gateway.beliefs();
+        let known = beliefs.upstreams.remove(id, keep_deadline_ms);
+        if keep_deadline_ms.is_none() {
+            beliefs.records.forget(id);
+        }
+        known
+    };
+    if !known {
+        return;
+    }
+    if keep_deadline_ms.is_none() {
+        gateway.connections.close_idle(id);
+    }
+    gateway.events.write(
+        "upstream_gone",
+        serde_json::json!({ "upstream": id, "kept_for_now": keep_deadline_ms.is_some() }),
+    );
+}
+
+/// Removes upstreams whose entries stayed away, for as long as the process lives.
+pub async fn expire_upstreams(gateway: SharedGateway) {
+    const INTERVAL: Duration = Duration::from_millis(250);
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let expired = gateway.beliefs().upstreams.expire(clock::now());
+        for id in expired {
+            gateway.connections.close_idle(&id);
+            gateway
+                .events
+                .write("upstream_expired", serde_json::json!({ "upstream": &*id }));
+        }
+    }
+}
+
+fn log_unreadable(gateway: &Gateway, object: &Object, problem: &str) {
+    metrics::counter!(counters::UNREADABLE_TOTAL, "kind" => object.kind.to_string()).increment(1);
+    gateway.events.write(
+        "unreadable_entry",
+        serde_json::json!({
+            "kind": &*object.kind,
+            "name": &*object.name,
+            "store_version": object.version,
+            "problem": problem,
+        }),
+    );
+}
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/traffic.rs
@@ -0,0 +1,154 @@
+//! What happens on a client's connection: its requests, idle times and unfinished heads.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::routes::ClientLimits;
+use dogwoodpier_process::clock;
+
+#[derive(Debug)]
+struct Shared {
+    requests: AtomicUsize,
+    last_ms: AtomicU64,
+    // Time of the first byte of a request whose head isn't complete; 0 if there is none.
+    head_began_ms: AtomicU64,
+}
+
+/// The traffic of one connection. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    shared: Arc<Shared>,
+}
+
+/// A request under way. Dropping it ends the count.
+#[derive(Debug)]
+pub struct Busy {
+    shared: Arc<Shared>,
+}
+
+impl Traffic {
+    /// Returns the traffic of a connection that was just accepted.
+    pub fn new(now: TimeMs) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                requests: AtomicUsize::new(0),
+                last_ms: AtomicU64::new(now.0),
+                head_began_ms: AtomicU64::new(0),
+            }),
+        }
+    }
+
+    /// Counts a request whose head was read.
+    pub fn begin_request(&self) -> Busy {
+        self.shared.requests.fetch_add(1, Ordering::Relaxed);
+        self.shared.head_began_ms.store(0, Ordering::Relaxed);
+        Busy {
+            shared: self.shared.clone(),
+        }
+    }
+
+    /// Returns whether the connection has been idle for longer than clients may let it be.
+    pub fn is_idle(&self, limits: &ClientLimits, now: TimeMs) -> bool {
+        let last_ms = TimeMs(self.shared.last_ms.load(Ordering::Relaxed));
+        self.shared.requests.load(Ordering::Relaxed) == 0
+            && now.since(last_ms) > limits.idle_timeout_ms
+    }
+
+    /// Returns whether a request's head has been unfinished for too long.
+    pub fn head_is_late(&self, limits: &ClientLimits, now: TimeMs) -> bool {
+        let began_ms = self.shared.head_began_ms.load(Ordering::Relaxed);
+        began_ms != 0 && now.since(TimeMs(began_ms)) > limits.header_timeout_ms
+    }
+
+    fn note_read(&self) {
+        let now = clock::now().0;
+        self.shared.last_ms.store(now, Ordering::Relaxed);
+        if self.shared.requests.load(Ordering::Relaxed) == 0
+            && self.shared.head_began_ms.load(Ordering::Relaxed) == 0
+        {
+            self.shared.head_began_ms.store(now, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.shared.last_ms.store(clock::now().0, Ordering::Relaxed);
+        self.shared.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A stream whose reads are noted.
+pub struct Watched<S> {
+    inner: S,
+    traffic: Traffic,
+}
+
+impl<S> Watched<S> {
+    /// Returns a stream that notes its reads in `traffic`.
+    pub fn new(inner: S, traffic: Traffic) -> Self {
+        Self { inner, traffic }
+    }
+}
+
+impl<S> AsyncRead for Watched<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.traffic.note_read();
+        }
+        result
+    }
+}
+
+impl<S> AsyncWrite for Watched<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- a/crates/dogwoodpier-http/src/lib.rs
+++ b/crates/dogwoodpier-http/src/lib.rs
@@ -7,10 +7,15 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+pub mod connections;
 pub mod error;
 pub mod pool;
 
 pub use answer::Answer;
+pub use connections::Connections;
+pub use connections::Destination;
+pub use connections::Reply;
+pub use connections::Returning;
 pub use error::BodyError;
 pub use error::SendError;
 pub use pool::Pool;
--- a/crates/dogwoodpier-http/src/pool.rs
+++ b/crates/dogwoodpier-http/src/pool.rs
@@ -190,7 +190,8 @@
         .build(connector)
 }
 
-fn describe<E>(error: &E) -> String
+/// Returns an error with its causes.
+pub(crate) fn describe<E>(error: &E) -> String
 where
     E: std::error::Error,
 {
--- a/crates/dogwoodpier-node/src/cli.rs
+++ b/crates/dogwoodpier-node/src/cli.rs
@@ -13,6 +13,10 @@
     Run(PathBuf),
     /// Check the settings of a file.
     Check(PathBuf),
+    /// Run a gateway with the settings of a file.
+    Gateway(PathBuf),
+    /// Check the settings of a gateway.
+    CheckGateway(PathBuf),
 }
 
 /// Returns the command line's description.
@@ -36,6 +40,16 @@
         .subcommand(
             Command::new("check")
                 .about("Checks settings and prints all that is wrong; exit code 2 if anything is")
+                .arg(settings.clone()),
+        )
+        .subcommand(
+            Command::new("gateway")
+                .about("Runs a gateway before the users' platform until it gets SIGTERM")
+                .arg(settings.clone()),
+        )
+        .subcommand(
+            Command::new("check-gateway")
+                .about("Checks the settings of a gateway; exit code 2 if anything is wrong")
                 .arg(settings),
         )
 }
@@ -47,6 +61,8 @@
     match name {
         "run" => Some(Order::Run(settings)),
         "check" => Some(Order::Check(settings)),
+        "gateway" => Some(Order::Gateway(settings)),
+        "check-gateway" => Some(Order::CheckGateway(settings)),
         _ => None,
     }
 }
--- a/crates/dogwoodpier-node/src/lib.rs
+++ b/crates/dogwoodpier-node/src/lib.rs
@@ -7,10 +7,8 @@
 
 pub mod claims;
 pub mod cli;
-pub mod clock;
 pub mod config;
 pub mod counters;
-pub mod drain;
 pub mod keeper;
 pub mod limits;
 pub mod peers;
@@ -24,5 +22,8 @@
 pub mod telemetry;
 pub mod upstreams;
 
+pub use dogwoodpier_process::clock;
+pub use dogwoodpier_process::drain;
+
 pub use settings::Settings;
 pub use state::Node;
--- a/crates/dogwoodpier-node/src/main.rs
+++ b/crates/dogwoodpier-node/src/main.rs
@@ -1,8 +1,12 @@
 //! The `dogwoodpier` binary: one node.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use dogwoodpier_config::Problems;
+use dogwoodpier_gateway::Settings as GatewaySettings;
+use dogwoodpier_gateway::settings as gateway_settings;
 use dogwoodpier_node::cli;
 use dogwoodpier_node::cli::Order;
 use dogwoodpier_node::settings;
@@ -22,19 +26,36 @@
                 ExitCode::SUCCESS
             },
         ),
+        Some(Order::Gateway(file)) => match gateway_settings::load(&file) {
+            Ok(settings) => exit_code(run_gateway(settings, file)),
+            Err(problems) => wrong_settings(&problems),
+        },
+        Some(Order::CheckGateway(file)) => match gateway_settings::load(&file) {
+            Ok(_) => {
+                println!("{}: the settings are right", file.display());
+                ExitCode::SUCCESS
+            }
+            Err(problems) => wrong_settings(&problems),
+        },
         None => ExitCode::from(EXIT_WRONG_SETTINGS),
     }
 }
 
+fn wrong_settings(problems: &Problems) -> ExitCode {
+    eprintln!("{problems}");
+    ExitCode::from(EXIT_WRONG_SETTINGS)
+}
+
 fn load(file: &Path) -> Result<Settings, ExitCode> {
-    settings::load(file).map_err(|error| {
-        eprintln!("{error}");
-        ExitCode::from(EXIT_WRONG_SETTINGS)
-    })
+    settings::load(file).map_err(|problems| wrong_settings(&problems))
 }
 
 fn run(settings: Settings) -> ExitCode {
-    match try_run(settings) {
+    exit_code(try_run(settings))
+}
+
+fn exit_code(result: anyhow::Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dogwoodpier: {error:#}");
@@ -51,3 +72,15 @@
         .build()?
         .block_on(start::run(settings))
 }
+
+// A gateway's instances are small: one thread saves them the cost of waking others.
+fn run_gateway(settings: GatewaySettings, file: PathBuf) -> anyhow::Result<()> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?
+        .block_on(dogwoodpier_gateway::start::run(
+            settings,
+            file,
+            dogwoodpier_adapter::dialect(),
+        ))
+}
--- a/crates/dogwoodpier-platform/src/client.rs
+++ b/crates/dogwoodpier-platform/src/client.rs
@@ -4,15 +4,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::Method;
 use http::Request;
 use http::StatusCode;
 use http::header;
-use percent_encoding::AsciiSet;
-use percent_encoding::NON_ALPHANUMERIC;
-use percent_encoding::utf8_percent_encode;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use dogwoodpier_derive::plain;
@@ -26,21 +20,16 @@
 use crate::calls::result_place;
 use crate::error::Error;
 use crate::error::Result;
+use crate::protocol::Call;
+use crate::protocol::Protocol;
+use crate::wire;
 use crate::wire::Changes;
-use crate::wire::Conflict;
 use crate::wire::InstanceList;
 use crate::wire::Listing;
 use crate::wire::Object;
-use crate::wire::Written;
 
 /// Listings can hold many objects of up to a megabyte each.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
-/// What RFC 3986 leaves unreserved.
-const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
-    .remove(b'-')
-    .remove(b'_')
-    .remove(b'.')
-    .remove(b'~');
 
 /// Where the platform is and how long its calls may take.
 #[plain]
@@ -93,6 +82,7 @@
     pool: Pool,
     timeout_ms: u64,
     calls: Arc<Calls>,
+    protocol: &'static Protocol,
 }
 
 /// An answer with its body read.
@@ -102,8 +92,13 @@
 }
 
 impl Client {
-    /// Returns a client; it connects with the first call.
+    /// Returns a client that speaks the project's own object API; it connects with the first call.
     pub fn new(options: ClientOptions) -> Self {
+        Self::with_protocol(options, &wire::PROTOCOL)
+    }
+
+    /// Returns a client that speaks `protocol`; it connects with the first call.
+    pub fn with_protocol(options: ClientOptions, protocol: &'static Protocol) -> Self {
         let pool = Pool::new(PoolOptions {
             address: options.address,
             connect_timeout_ms: options.timeout_ms,
@@ -112,29 +107,47 @@
             pool,
             timeout_ms: options.timeout_ms,
             calls: Arc::new(Calls::default()),
+            protocol,
         }
     }
 
     /// Returns an object, or `None` if it doesn't exist.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>> {
-        let path = object_path(kind, name, Expect::Any);
-        let result = self.read(&path, self.timeout_ms).await.and_then(|reply| {
+        let call = (self.protocol.get)(kind, name);
+        let result = self.call(call, self.timeout_ms).await.and_then(|reply| {
             if reply.status == StatusCode::NOT_FOUND {
                 return Ok(None);
             }
-            reply.decode_ok().map(Some)
+            let body = reply.ok_body()?;
+            (self.protocol.decode_object)(kind, body).map(Some)
         });
         self.counted(Operation::Get, result)
     }
 
     /// Returns all objects of a kind whose name starts with a prefix.
+    ///
+    /// The revision is that of the first page, so that a watch from it misses nothing that changed
+    /// while later pages were read.
     pub async fn list(&self, kind: &str, prefix: &str) -> Result<Listing> {
-        let path = format!("/v1/objects/{}?prefix={}", escape(kind), escape(prefix));
-        let result = self
-            .read(&path, self.timeout_ms)
-            .await
-            .and_then(|reply| reply.decode_ok());
-        self.counted(Operation::List, result)
+        let mut listing: Option<Listing> = None;
+        loop {
+            let after = listing.as_ref().and_then(|listing| listing.items.last());
+            let call = (self.protocol.list)(kind, prefix, after.map(|object| &*object.name));
+            let result = self
+                .call(call, self.timeout_ms)
+                .await
+                .and_then(|reply| (self.protocol.decode_page)(kind, reply.ok_body()?));
+            let page = self.counted(Operation::List, result)?;
+            let more = page.has_more && !page.listing.items.is_empty();
+            match &mut listing {
+                None => listing = Some(page.listing),
+                Some(listing) => listing.items.extend(page.listing.items),
+            }
+            if !more {
+                return listing
+                    .ok_or_else(|| Error::Protocol("a listing without pages".to_owned()));
+            }
+        }
     }
 
     /// Writes an object if the condition holds.
@@ -145,54 +158,47 @@
         value: &Value,
         expect: Expect,
     ) -> Result<PutOutcome> {
-        let path = object_path(kind, name, expect);
-        let body = encode(&PutBodyRef { value })?;
+        let call = (self.protocol.put)(kind, name, value, expect)?;
         let result = self
-            .call(Method::PUT, &path, body, self.timeout_ms)
+            .call(call, self.timeout_ms)
             .await
-            .and_then(Reply::into_put_outcome);
+            .and_then(|reply| self.put_outcome(kind, &reply));
         self.counted_put(Operation::Put, result)
     }
 
     /// Deletes an object if the condition holds. An object that doesn't exist is a conflict
     /// without a current object.
     pub async fn delete(&self, kind: &str, name: &str, expect: Expect) -> Result<PutOutcome> {
-        let path = object_path(kind, name, expect);
-        let result = self
-            .call(Method::DELETE, &path, Bytes::new(), self.timeout_ms)
-            .await
-            .and_then(|reply| {
-                if reply.status == StatusCode::NOT_FOUND {
-                    return Ok(PutOutcome::Conflict { current: None });
-                }
-                reply.into_put_outcome()
-            });
+        let call = (self.protocol.delete)(kind, name, expect);
+        let result = self.call(call, self.timeout_ms).await.and_then(|reply| {
+            if reply.status == StatusCode::NOT_FOUND {
+                return Ok(PutOutcome::Conflict { current: None });
+            }
+            self.put_outcome(kind, &reply)
+        });
         self.counted_put(Operation::Delete, result)
     }
 
     /// Waits at most `wait_ms` for changes of objects of some kinds after a revision.
     pub async fn watch(&self, kinds: &[&str], after: u64, wait_ms: u64) -> Result<WatchOutcome> {
-        let kinds: Vec<String> = kinds.iter().map(|kind| escape(kind)).collect();
-        let path = format!(
-            "/v1/watch?kinds={}&after={after}&wait_ms={wait_ms}",
-            kinds.join(",")
-        );
+        let call = (self.protocol.watch)(kinds, after, wait_ms);
         let timeout_ms = self.timeout_ms.saturating_add(wait_ms);
-        let result = self.read(&path, timeout_ms).await.and_then(|reply| {
+        let result = self.call(call, timeout_ms).await.and_then(|reply| {
             if reply.status == StatusCode::GONE {
                 return Ok(WatchOutcome::TooOld);
             }
-            reply.decode_ok().map(WatchOutcome::Changes)
+            (self.protocol.decode_changes)(kinds, reply.ok_body()?).map(WatchOutcome::Changes)
         });
         self.counted(Operation::Watch, result)
     }
 
     /// Returns the platform's list of instances.
     pub async fn instances(&self) -> Result<InstanceList> {
+        let call = Call::get("/v1/instances".to_owned());
         let result = self
-            .read("/v1/instances", self.timeout_ms)
+            .call(call, self.timeout_ms)
             .await
-            .and_then(|reply| reply.decode_ok());
+            .and_then(|reply| wire::decode(reply.ok_body()?));
         self.counted(Operation::Instances, result)
     }
 
@@ -206,17 +212,17 @@
         self.calls.body_bytes()
     }
 
-    async fn read(&self, path: &str, timeout_ms: u64) -> Result<Reply> {
-        self.call(Method::GET, path, Bytes::new(), timeout_ms).await
+    fn put_outcome(&self, kind: &str, reply: &Reply) -> Result<PutOutcome> {
+        if reply.status == StatusCode::CONFLICT {
+            let current = (self.protocol.decode_conflict)(kind, &reply.body)?;
+            return Ok(PutOutcome::Conflict { current });
+        }
+        let version = (self.protocol.decode_written)(reply.ok_body()?)?;
+        Ok(PutOutcome::Written { version })
     }
 
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        timeout_ms: u64,
-    ) -> Result<Reply> {
+    async fn call(&self, call: Call, timeout_ms: u64) -> Result<Reply> {
+        let Call { method, path, body } = call;
         self.calls.add_sent(body.len());
         let request = Request::builder()
             .method(method)
@@ -254,61 +260,10 @@
 }
 
 impl Reply {
-    fn decode_ok<T>(&self) -> Result<T>
-    where
-        T: DeserializeOwned,
-    {
-        if self.status != StatusCode::OK {
-            return Err(Error::Protocol(format!("status {}", self.status)));
+    fn ok_body(&self) -> Result<&[u8]> {
+        if self.status.is_success() {
+            return Ok(&self.body);
         }
-        self.decode()
+        Err(Error::Protocol(format!("status {}", self.status)))
     }
-
-    fn decode<T>(&self) -> Result<T>
-    where
-        T: DeserializeOwned,
-    {
-        serde_json::from_slice(&self.body).map_err(|error| Error::Protocol(error.to_string()))
-    }
-
-    fn into_put_outcome(self) -> Result<PutOutcome> {
-        if self.status == StatusCode::CONFLICT {
-            let conflict: Conflict = self.decode()?;
-            return Ok(PutOutcome::Conflict {
-                current: conflict.current,
-            });
-        }
-        let written: Written = self.decode_ok()?;
-        Ok(PutOutcome::Written {
-            version: written.version,
-        })
-    }
-}
-
-/// Body of a write that borrows its content, in the form of `wire::PutBody`.
-#[derive(Serialize)]
-struct PutBodyRef<'a> {
-    value: &'a Value,
-}
-
-fn encode<T>(body: &T) -> Result<Bytes>
-where
-    T: Serialize,
-{
-    serde_json::to_vec(body)
-        .map(Bytes::from)
-        .map_err(|error| Error::Protocol(error.to_string()))
-}
-
-fn object_path(kind: &str, name: &str, expect: Expect) -> String {
-    let path = format!("/v1/objects/{}/{}", escape(kind), escape(name));
-    match expect {
-        Expect::Absent => format!("{path}?if_version=0"),
-        Expect::Version(version) => format!("{path}?if_version={version}"),
-        Expect::Any => path,
-    }
-}
-
-fn escape(text: &str) -> String {
-    utf8_percent_encode(text, ESCAPED).to_string()
 }
--- a/crates/dogwoodpier-platform/src/lib.rs
+++ b/crates/dogwoodpier-platform/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod client;
 pub mod error;
+pub mod protocol;
 pub mod resolve;
 pub mod wire;
 
@@ -20,3 +21,6 @@
 pub use client::WatchOutcome;
 pub use error::Error;
 pub use error::Result;
+pub use protocol::Call;
+pub use protocol::Page;
+pub use protocol::Protocol;
--- a/crates/dogwoodpier-platform/src/wire.rs
+++ b/crates/dogwoodpier-platform/src/wire.rs
@@ -14,10 +14,108 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
+use http::Method;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use dogwoodpier_derive::wire;
 
+use crate::client::Expect;
+use crate::error::Error;
+use crate::error::Result;
+use crate::protocol::Call;
+use crate::protocol::Page;
+use crate::protocol::Protocol;
+
+/// What RFC 3986 leaves unreserved.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'~');
+
+/// The calls of this page.
+pub static PROTOCOL: Protocol = Protocol {
+    get: |kind, name| Call::get(object_path(kind, name, Expect::Any)),
+    list: |kind, prefix, _after| {
+        let path = format!("/v1/objects/{}?prefix={}", escape(kind), escape(prefix));
+        Call::get(path)
+    },
+    put: |kind, name, value, expect| {
+        Ok(Call {
+            method: Method::PUT,
+            path: object_path(kind, name, expect),
+            body: encode(&PutBodyRef { value })?,
+        })
+    },
+    delete: |kind, name, expect| Call {
+        method: Method::DELETE,
+        path: object_path(kind, name, expect),
+        body: Bytes::new(),
+    },
+    watch: |kinds, after, wait_ms| {
+        let kinds: Vec<String> = kinds.iter().map(|kind| escape(kind)).collect();
+        let kinds = kinds.join(",");
+        Call::get(format!(
+            "/v1/watch?kinds={kinds}&after={after}&wait_ms={wait_ms}"
+        ))
+    },
+    decode_object: |_kind, body| decode(body),
+    decode_page: |_kind, body| {
+        let listing = decode(body)?;
+        Ok(Page {
+            listing,
+            has_more: false,
+        })
+    },
+    decode_changes: |_kinds, body| decode(body),
+    decode_written: |body| decode::<Written>(body).map(|written| written.version),
+    decode_conflict: |_kind, body| decode::<Conflict>(body).map(|conflict| conflict.current),
+};
+
+/// Body of a write that borrows its content, in the form of [`PutBody`].
+#[derive(Serialize)]
+struct PutBodyRef<'a> {
+    value: &'a Value,
+}
+
+/// Decodes a JSON body.
+pub fn decode<T>(body: &[u8]) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|error| Error::Protocol(error.to_string()))
+}
+
+/// Encodes a JSON body.
+pub fn encode<T>(body: &T) -> Result<Bytes>
+where
+    T: Serialize,
+{
+    serde_json::to_vec(body)
+        .map(Bytes::from)
+        .map_err(|error| Error::Protocol(error.to_string()))
+}
+
+/// Escapes a name for use in a path or query.
+pub fn escape(text: &str) -> String {
+    utf8_percent_encode(text, ESCAPED).to_string()
+}
+
+fn object_path(kind: &str, name: &str, expect: Expect) -> String {
+    let path = format!("/v1/objects/{}/{}", escape(kind), escape(name));
+    match expect {
+        Expect::Absent => format!("{path}?if_version=0"),
+        Expect::Version(version) => format!("{path}?if_version={version}"),
+        Expect::Any => path,
+    }
+}
+
 /// An object as stored.
 #[wire]
 pub struct Object {
--- a/crates/dogwoodpier-node/src/clock.rs
+++ b/crates/dogwoodpier-process/src/clock.rs
@@ -1,4 +1,4 @@
-//! The node's clock.
+//! The clock of a process.
 
 use std::sync::LazyLock;
 
