--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -8,5 +8,6 @@
 pub mod quota;
 pub mod retries;
 pub mod routes;
+pub mod shutdown;
 pub mod upstreams;
 pub mod waiting;
--- a/crates/dogwoodpier-gateway/src/dispatch.rs
+++ b/crates/dogwoodpier-gateway/src/dispatch.rs
@@ -12,20 +12,14 @@
 use crate::counters;
 use crate::engines;
 use crate::plain;
-use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
 use crate::state::SharedGateway;
 
-// Time after which a client that meets a stopping instance finds another one.
-const STOPPING_RETRY_MS: u64 = 100;
-
 /// Serves a request of a client.
 pub async fn serve(gateway: SharedGateway, request: Request<Incoming>) -> Response<AnswerBody> {
     let received_ms = clock::now();
-    let Some(in_flight) = gateway.drain.enter() else {
-        return Rejection::come_back(Reason::ShuttingDown, STOPPING_RETRY_MS, u64::MAX).response();
-    };
+    let in_flight = gateway.drain.enter();
     let id = request
         .headers()
         .get(&gateway.dialect.headers.request_id)
@@ -38,7 +32,9 @@
     };
     log_result(&gateway, &id, &result, received_ms);
     let mut response = result.unwrap_or_else(Rejection::response);
-    response.body_mut().hold(in_flight);
+    if let Some(in_flight) = in_flight {
+        response.body_mut().hold(in_flight);
+    }
     response
 }
 
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use dogwoodpier_core::gateway::placement::Records;
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::RetryBudget;
+use dogwoodpier_core::gateway::shutdown::Stop;
 use dogwoodpier_core::gateway::upstreams::Upstreams;
 use dogwoodpier_http::Connections;
 use dogwoodpier_platform::Client;
@@ -41,7 +43,7 @@
 use crate::store;
 
 // Time after which a balancer that asks each second has seen twice that the instance isn't ready.
-const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
+const BALANCER_NOTICE_MS: u64 = 2_600;
 // Time at the end of the grace time for the process itself to end.
 const EXIT_MARGIN_MS: u64 = 400;
 // Time for the last bytes of the last answer to leave.
@@ -142,6 +144,7 @@
         buffered_bytes: AtomicUsize::new(0),
         use_changed: Notify::new(),
         close_idle: Notify::new(),
+        stop: Mutex::new(None),
         registration_lost: Notify::new(),
         peer_addresses: registry::Addresses::default(),
         settings: ArcSwap::from_pointee(settings),
@@ -206,9 +209,14 @@
         "stopping",
         serde_json::json!({ "in_flight": gateway.drain.in_flight() }),
     );
+    let stop = Stop {
+        notice_deadline_ms: stop_ms.after(BALANCER_NOTICE_MS),
+        exit_ms,
+    };
+    *gateway.stop.lock().unwrap_or_else(PoisonError::into_inner) = Some(stop);
     gateway.drain.begin();
     // Requests that the balancer still sends are served until it has had time to notice.
-    tokio::time::sleep(BALANCER_NOTICE).await;
+    tokio::time::sleep(Duration::from_millis(BALANCER_NOTICE_MS)).await;
     gateway.close_idle.notify_waiters();
     let limit = Duration::from_millis(exit_ms.remaining(clock::now()));
     let idle = tokio::time::timeout(limit, gateway.drain.wait_idle()).await;
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -19,6 +19,8 @@
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::routes::Configuration;
+use dogwoodpier_core::gateway::routes::Route;
+use dogwoodpier_core::gateway::shutdown::Stop;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_core::gateway::upstreams::Upstreams;
 use dogwoodpier_http::Connections;
@@ -60,6 +62,8 @@
     pub use_changed: Notify,
     /// Tells clients' connections to close once they are idle.
     pub close_idle: Notify,
+    /// Time at which a stopping process ends, and whether the balancer has had time to notice.
+    pub stop: Mutex<Option<Stop>>,
     /// Tells that the registration of this instance was removed.
     pub registration_lost: Notify,
     /// Addresses of the registered peers.
@@ -93,6 +97,12 @@
         self.beliefs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether a new request may be taken: always, unless the process stops before it ends.
+    pub fn takes(&self, route: &Route) -> bool {
+        let stop = self.stop.lock().unwrap_or_else(PoisonError::into_inner);
+        stop.is_none_or(|stop| stop.takes(route, clock::now()))
+    }
+
     /// Counts a request at an upstream until the guard is dropped.
     pub fn begin_use(self: &Arc<Self>, upstream: &Arc<Upstream>, used: Use) -> UseGuard {
         self.beliefs()
