One broker a service places generation requests; memory from the client's estimate

Change: instances ask the service's broker (rendezvous hash over heard members, soft state, UDP); a connection to the decode engine is made before the prefill.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -34,8 +34,41 @@
         self.prefill_tokens += other.prefill_tokens;
         self.kv_tokens += other.kv_tokens;
     }
+
+    /// Takes another use away, as far as it is there.
+    pub fn subtract(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
+        self.kv_tokens = self.kv_tokens.saturating_sub(other.kv_tokens);
+    }
+
+    // Returns what is in use if both tell of the same requests, one of them before the other.
+    fn union(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.max(other.requests),
+            prefill_tokens: self.prefill_tokens.max(other.prefill_tokens),
+            kv_tokens: self.kv_tokens.max(other.kv_tokens),
+        }
+    }
 }
 
+/// A place at an upstream that this instance gave to a peer.
+#[plain]
+pub struct Grant {
+    /// The peer's question.
+    pub ticket: u64,
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// What the peer's request takes there.
+    pub used: Use,
+    /// Time of the grant.
+    pub granted_ms: TimeMs,
+}
+
+// Time after which a peer's reports show the use of a place that it was granted: a report's
+// interval and some delay on the way.
+const GRANT_SETTLED_MS: u64 = 500;
+
 /// What an instance tells its peers.
 #[wire]
 pub struct Report {
@@ -78,6 +111,55 @@
     report: Option<Report>,
     heard_ms: Option<TimeMs>,
     known_since_ms: TimeMs,
+    grants: Vec<Grant>,
+}
+
+impl Peer {
+    fn new(now: TimeMs) -> Self {
+        Self {
+            report: None,
+            heard_ms: None,
+            known_since_ms: now,
+            grants: Vec::new(),
+        }
+    }
+
+    fn use_of(&self, upstream: &str) -> Use {
+        let mut granted = Use::default();
+        for grant in &self.grants {
+            if *grant.upstream == *upstream {
+                granted.add(grant.used);
+            }
+        }
+        let reported = self
+            .report
+            .as_ref()
+            .and_then(|report| report.uses.get(upstream))
+            .copied()
+            .unwrap_or_default();
+        granted.union(reported)
+    }
+
+    // Drops grants that the peer no longer uses: it reports fewer requests than it was granted.
+    fn settle(&mut self, now: TimeMs) {
+        let Some(report) = &self.report else {
+            return;
+        };
+        let mut left: BTreeMap<Arc<str>, u32> = report
+            .uses
+            .iter()
+            .map(|(upstream, used)| (upstream.clone(), used.requests))
+            .collect();
+        // The newest grants are the last to be dropped.
+        self.grants.reverse();
+        self.grants.retain(|grant| {
+            let left = left.entry(grant.upstream.clone()).or_default();
+            let shown = *left > 0;
+            *left = left.saturating_sub(1);
+            shown || now.since(grant.granted_ms) <= GRANT_SETTLED_MS
+        });
+        self.grants.reverse();
+    }
 }
 
 /// Bounds on the trust in reports.
@@ -108,11 +190,9 @@
 
     /// Notes that an instance is registered.
     pub fn register(&mut self, instance: &Arc<str>, now: TimeMs) {
-        self.peers.entry(instance.clone()).or_insert(Peer {
-            report: None,
-            heard_ms: None,
-            known_since_ms: now,
-        });
+        self.peers
+            .entry(instance.clone())
+            .or_insert_with(|| Peer::new(now));
     }
 
     /// Forgets an instance whose registration is gone.
@@ -125,11 +205,10 @@
     /// The totals of an incarnation that is met for the first time are not charged: they may be
     /// older than any window.
     pub fn receive(&mut self, report: Report, now: TimeMs) -> Vec<Charge> {
-        let peer = self.peers.entry(report.instance.clone()).or_insert(Peer {
-            report: None,
-            heard_ms: None,
-            known_since_ms: now,
-        });
+        let peer = self
+            .peers
+            .entry(report.instance.clone())
+            .or_insert_with(|| Peer::new(now));
         let mut charges = Vec::new();
         if let Some(last) = &peer.report
             && last.incarnation == report.incarnation
@@ -149,9 +228,40 @@
         }
         peer.report = Some(report);
         peer.heard_ms = Some(now);
+        peer.settle(now);
         charges
     }
 
+    /// Notes a place that this instance gave to a peer.
+    pub fn grant(&mut self, instance: &Arc<str>, grant: Grant) {
+        let now = grant.granted_ms;
+        self.peers
+            .entry(instance.clone())
+            .or_insert_with(|| Peer::new(now))
+            .grants
+            .push(grant);
+    }
+
+    /// Ends the use of a place by a peer, without waiting for its next report.
+    pub fn release(&mut self, instance: &str, ticket: u64, upstream: &str) {
+        let Some(peer) = self.peers.get_mut(instance) else {
+            return;
+        };
+        let place = peer
+            .grants
+            .iter()
+            .position(|grant| grant.ticket == ticket && *grant.upstream == *upstream);
+        let Some(place) = place else {
+            return;
+        };
+        let grant = peer.grants.remove(place);
+        if let Some(report) = &mut peer.report
+            && let Some(used) = report.uses.get_mut(upstream)
+        {
+            used.subtract(grant.used);
+        }
+    }
+
     /// Returns the use of an upstream by all peers that were heard lately.
     pub fn use_of(&self, upstream: &str, now: TimeMs) -> Use {
         let mut total = Use::default();
@@ -159,10 +269,7 @@
             if !self.is_heard(peer, now) {
                 continue;
             }
-            let uses = peer.report.as_ref().map(|report| &report.uses);
-            if let Some(used) = uses.and_then(|uses| uses.get(upstream)) {
-                total.add(*used);
-            }
+            total.add(peer.use_of(upstream));
         }
         total
     }
@@ -182,6 +289,18 @@
         hearing
     }
 
+    /// Returns the peers that were heard lately and aren't leaving.
+    pub fn heard_instances(&self, now: TimeMs) -> Vec<Arc<str>> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| {
+                let leaving = peer.report.as_ref().is_some_and(|report| report.leaving);
+                self.is_heard(peer, now) && !leaving
+            })
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Returns the peers that have been silent for longer than `silence_ms`.
     pub fn silent(&self, silence_ms: u64, now: TimeMs) -> Vec<Arc<str>> {
         self.peers
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -0,0 +1,433 @@
+//! One instance a service gives out the slots of its engines.
+//!
+//! Load pattern: a slot becomes free while requests wait at many instances. If each of them took it
+//! by what it knows of the others, all would take the same one. So the instances agree on a broker
+//! by rendezvous hashing over the members that they hear, and ask it. The broker's state is soft: the
+//! reports of its peers rebuild it at another instance. An instance whose broker doesn't answer asks
+//! the next one, and at last places by what it knows itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::exchange::Use;
+use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::rendezvous;
+use dogwoodpier_derive::wire;
+use dogwoodpier_process::clock;
+
+use crate::exchange::Message;
+use crate::lines;
+use crate::lines::Claim;
+use crate::lines::Place;
+use crate::lines::Refused;
+use crate::state::Gateway;
+use crate::state::Holder;
+use crate::state::SharedGateway;
+
+// Time for a broker's answer: several round trips between data centres of a region.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+// Time between two questions while a request waits in a broker's line.
+const WAITING_INTERVAL: Duration = Duration::from_millis(250);
+// Questions without an answer after which a broker is given up.
+const MAX_SILENT_ASKS: u32 = 2;
+// Brokers that are tried before an instance places by itself.
+const MAX_BROKERS: usize = 2;
+// Time for which a broker that didn't answer isn't asked.
+const SUSPECT_MS: u64 = 1_500;
+// Time for which the answer to a question is kept for questions that are repeated.
+const ANSWER_LIFE_MS: u64 = 5_000;
+
+/// A question for a place. Times are given from the moment of sending.
+#[wire]
+pub struct Ask {
+    /// Instance that asks.
+    pub instance: Arc<str>,
+    /// Identifies the question at that instance.
+    pub ticket: u64,
+    /// Service.
+    pub service: Arc<str>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Expected tokens of KV cache.
+    pub kv_tokens: u64,
+    /// Urgency, 0 first.
+    pub priority: u8,
+    /// Time left to get a slot for an answer that is on time.
+    pub on_time_in_ms: u64,
+    /// Time left until the request leaves the line.
+    pub leave_in_ms: u64,
+    /// Whether its client was refused before.
+    pub returned: bool,
+    /// Engine that just failed the request.
+    pub except: Option<Arc<str>>,
+    /// Data centre of the instance.
+    pub data_centre: Arc<str>,
+}
+
+/// What a broker says to a question.
+#[wire]
+pub enum Verdict {
+    /// The request is in line.
+    Waiting,
+    /// The request has a place.
+    Granted {
+        /// Engine to decode on.
+        decode: Arc<str>,
+        /// Engine to prefill on.
+        prefill: Option<Arc<str>>,
+    },
+    /// There will be no place in time.
+    Refused {
+        /// Time after which its client should come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// An answer to a question.
+#[wire]
+pub struct Answer {
+    /// The question.
+    pub ticket: u64,
+    /// What the broker says.
+    pub verdict: Verdict,
+}
+
+/// How an engine that was granted did.
+#[wire]
+#[derive(Copy, Eq)]
+pub enum Result {
+    /// It served, or nothing is known.
+    Used,
+    /// It rejected the request as full.
+    Full,
+    /// It couldn't be reached.
+    Unreachable,
+}
+
+/// The end of the use of an engine that was granted.
+#[wire]
+pub struct Release {
+    /// Instance that held it.
+    pub instance: Arc<str>,
+    /// The question.
+    pub ticket: u64,
+    /// The engine.
+    pub upstream: Arc<str>,
+    /// How it did.
+    pub result: Result,
+}
+
+enum Asked {
+    Waiting(AbortHandle),
+    Decided {
+        verdict: Verdict,
+        life_deadline_ms: TimeMs,
+    },
+}
+
+/// Questions under way, asked and answered.
+#[derive(Default)]
+pub struct Broker {
+    next_ticket: AtomicU64,
+    // Questions of this instance.
+    own: Mutex<BTreeMap<u64, mpsc::UnboundedSender<Verdict>>>,
+    // Questions of peers.
+    peers: Mutex<BTreeMap<(Arc<str>, u64), Asked>>,
+    // Brokers that didn't answer, and until when they aren't asked.
+    suspects: Mutex<BTreeMap<Arc<str>, TimeMs>>,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Gets a place for a request from the service's broker.
+pub async fn place(gateway: &SharedGateway, claim: Claim) -> std::result::Result<Place, Refused> {
+    for _ in 0..MAX_BROKERS {
+        let Some((broker, address)) = choose_broker(gateway, &claim.service) else {
+            break;
+        };
+        match ask(gateway, address, &claim).await {
+            Some(result) => return result,
+            None => {
+                let deadline_ms = clock::now().after(SUSPECT_MS);
+                locked(&gateway.broker.suspects).insert(broker.clone(), deadline_ms);
+                gateway.events.write(
+                    "broker_silent",
+                    serde_json::json!({ "broker": &*broker, "service": &*claim.service }),
+                );
+            }
+        }
+    }
+    lines::wait(gateway, claim, Holder::Own).await
+}
+
+// Returns the broker of a service, or `None` if it is this instance.
+fn choose_broker(gateway: &Gateway, service: &str) -> Option<(Arc<str>, SocketAddr)> {
+    let now = clock::now();
+    let own = gateway.settings.load().instance.clone();
+    let mut members = gateway.beliefs().exchange.heard_instances(now);
+    {
+        let mut suspects = locked(&gateway.broker.suspects);
+        suspects.retain(|_, deadline_ms| *deadline_ms > now);
+        members.retain(|member| !suspects.contains_key(member));
+    }
+    members.push(own.clone());
+    let broker = members
+        .into_iter()
+        .max_by_key(|member| rendezvous::weight(service, member))?;
+    if broker == own {
+        return None;
+    }
+    let address = gateway.peer_addresses.of(&broker)?;
+    Some((broker, address))
+}
+
+/// Withdraws a question of this instance when its client leaves before it is decided.
+struct OwnAsk<'a> {
+    gateway: &'a Gateway,
+    broker: SocketAddr,
+    ticket: u64,
+    decided: bool,
+}
+
+impl Drop for OwnAsk<'_> {
+    fn drop(&mut self) {
+        locked(&self.gateway.broker.own).remove(&self.ticket);
+        if self.decided {
+            return;
+        }
+        let withdrawal = Message::Withdraw {
+            instance: self.gateway.settings.load().instance.clone(),
+            ticket: self.ticket,
+        };
+        self.gateway.tell(self.broker, &withdrawal);
+    }
+}
+
+// Asks a broker. Returns `None` if it doesn't answer.
+async fn ask(
+    gateway: &SharedGateway,
+    broker: SocketAddr,
+    claim: &Claim,
+) -> Option<std::result::Result<Place, Refused>> {
+    let ticket = gateway.broker.next_ticket.fetch_add(1, Ordering::Relaxed);
+    let (sender, mut verdicts) = mpsc::unbounded_channel();
+    locked(&gateway.broker.own).insert(ticket, sender);
+    let mut own = OwnAsk {
+        gateway,
+        broker,
+        ticket,
+        decided: false,
+    };
+    let instance = gateway.settings.load().instance.clone();
+    let mut silent = 0;
+    let mut patience = ANSWER_TIMEOUT;
+    while silent < MAX_SILENT_ASKS {
+        let now = clock::now();
+        let question = Ask {
+            instance: instance.clone(),
+            ticket,
+            service: claim.service.clone(),
+            prompt_tokens: claim.prompt_tokens,
+            kv_tokens: claim.kv_tokens,
+            priority: claim.priority,
+            on_time_in_ms: claim.on_time_deadline_ms.remaining(now),
+            leave_in_ms: claim.leave_deadline_ms.remaining(now),
+            returned: claim.returned,
+            except: claim.except.clone(),
+            data_centre: claim.data_centre.clone(),
+        };
+        gateway.tell(broker, &Message::Ask(question));
+        match tokio::time::timeout(patience, verdicts.recv()).await {
+            Ok(Some(Verdict::Waiting)) => {
+                silent = 0;
+                patience = WAITING_INTERVAL;
+            }
+            Ok(Some(Verdict::Refused { retry_after_ms })) => {
+                own.decided = true;
+                return Some(Err(Refused { retry_after_ms }));
+            }
+            Ok(Some(Verdict::Granted { decode, prefill })) => {
+                own.decided = true;
+                return accept(gateway, broker, ticket, claim, &decode, prefill.as_deref());
+            }
+            Ok(None) => return None,
+            Err(_) => {
+                silent += 1;
+                patience = ANSWER_TIMEOUT;
+            }
+        }
+    }
+    None
+}
+
+// Takes a granted place, or returns `None` if this instance doesn't know the engine.
+fn accept(
+    gateway: &SharedGateway,
+    broker: SocketAddr,
+    ticket: u64,
+    claim: &Claim,
+    decode: &str,
+    prefill: Option<&str>,
+) -> Option<std::result::Result<Place, Refused>> {
+    let (decode, prefill) = {
+        let beliefs = gateway.beliefs();
+        let prefill = prefill.and_then(|prefill| beliefs.upstreams.get(prefill).cloned());
+        (beliefs.upstreams.get(decode).cloned()?, prefill)
+    };
+    let holder = Holder::Granted { broker, ticket };
+    let decode_use = Use {
+        requests: 1,
+        prefill_tokens: 0,
+        kv_tokens: claim.kv_tokens,
+    };
+    let prefill_use = Use {
+        requests: 1,
+        prefill_tokens: claim.prompt_tokens,
+        kv_tokens: claim.prompt_tokens,
+    };
+    Some(Ok(Place {
+        decode: gateway.begin_use(&decode, decode_use, holder.clone()),
+        prefill: prefill.map(|prefill| gateway.begin_use(&prefill, prefill_use, holder.clone())),
+    }))
+}
+
+/// Takes the answer to a question of this instance in.
+pub fn take_answer(gateway: &Gateway, from: SocketAddr, answer: Answer) {
+    let sender = locked(&gateway.broker.own).get(&answer.ticket).cloned();
+    match (sender, answer.verdict) {
+        (Some(sender), verdict) => {
+            // The request may have left in this moment; its place is given back below next time.
+            if sender.send(verdict).is_err() {
+                log::debug!("an answer for a request that has left");
+            }
+        }
+        (None, Verdict::Granted { decode, prefill }) => {
+            let instance = gateway.settings.load().instance.clone();
+            for upstream in [Some(decode), prefill].into_iter().flatten() {
+                let release = Release {
+                    instance: instance.clone(),
+                    ticket: answer.ticket,
+                    upstream,
+                    result: Result::Used,
+                };
+                gateway.tell(from, &Message::Release(release));
+            }
+        }
+        (None, _) => {}
+    }
+}
+
+/// Takes the question of a peer in, and answers it now and once it is decided.
+pub fn take_ask(gateway: &SharedGateway, from: SocketAddr, question: Ask) {
+    let key = (question.instance.clone(), question.ticket);
+    let now = clock::now();
+    let mut asked = locked(&gateway.broker.peers);
+    asked.retain(|_, asked| match asked {
+        Asked::Waiting(_) => true,
+        Asked::Decided {
+            life_deadline_ms, ..
+        } => *life_deadline_ms > now,
+    });
+    let ticket = question.ticket;
+    let verdict = match asked.get(&key) {
+        Some(Asked::Waiting(_)) => Verdict::Waiting,
+        Some(Asked::Decided { verdict, .. }) => verdict.clone(),
+        None => {
+            let task = tokio::spawn(decide(gateway.clone(), from, question));
+            asked.insert(key, Asked::Waiting(task.abort_handle()));
+            // The task answers as soon as it has decided, mostly at once.
+            return;
+        }
+    };
+    drop(asked);
+    gateway.tell(from, &Message::Answer(Answer { ticket, verdict }));
+}
+
+async fn decide(gateway: SharedGateway, from: SocketAddr, question: Ask) {
+    let key = (question.instance.clone(), question.ticket);
+    let holder = Holder::Peer {
+        instance: question.instance.clone(),
+        ticket: question.ticket,
+    };
+    let now = clock::now();
+    let claim = Claim {
+        service: question.service,
+        prompt_tokens: question.prompt_tokens,
+        kv_tokens: question.kv_tokens,
+        priority: question.priority,
+        on_time_deadline_ms: now.after(question.on_time_in_ms),
+        leave_deadline_ms: now.after(question.leave_in_ms),
+        returned: question.returned,
+        except: question.except,
+        data_centre: question.data_centre,
+    };
+    let waiting = lines::wait(&gateway, claim, holder);
+    tokio::pin!(waiting);
+    let ticket = key.1;
+    let result = tokio::select! {
+        biased;
+        result = &mut waiting => result,
+        () = tokio::time::sleep(ANSWER_TIMEOUT / 4) => {
+            let verdict = Verdict::Waiting;
+            gateway.tell(from, &Message::Answer(Answer { ticket, verdict }));
+            waiting.await
+        }
+    };
+    let verdict = match result {
+        Ok(place) => Verdict::Granted {
+            decode: place.decode.hand_over(),
+            prefill: place.prefill.map(crate::state::UseGuard::hand_over),
+        },
+        Err(refused) => Verdict::Refused {
+            retry_after_ms: refused.retry_after_ms,
+        },
+    };
+    let decided = Asked::Decided {
+        verdict: verdict.clone(),
+        life_deadline_ms: clock::now().after(ANSWER_LIFE_MS),
+    };
+    locked(&gateway.broker.peers).insert(key, decided);
+    gateway.tell(from, &Message::Answer(Answer { ticket, verdict }));
+}
+
+/// Takes back a place that a peer no longer uses.
+pub fn take_release(gateway: &Gateway, release: &Release) {
+    let now = clock::now();
+    {
+        let mut beliefs = gateway.beliefs();
+        beliefs
+            .exchange
+            .release(&release.instance, release.ticket, &release.upstream);
+        match release.result {
+            Result::Used => {}
+            Result::Full => beliefs.records.note(&release.upstream, Outcome::Full, now),
+            Result::Unreachable => {
+                beliefs
+                    .records
+                    .note(&release.upstream, Outcome::Unreachable, now);
+            }
+        }
+    }
+    gateway.lines.slot_freed();
+}
+
+/// Takes back the question of a peer whose request has left.
+pub fn take_withdrawal(gateway: &Gateway, instance: &Arc<str>, ticket: u64) {
+    let asked = locked(&gateway.broker.peers).remove(&(instance.clone(), ticket));
+    if let Some(Asked::Waiting(task)) = asked {
+        task.abort();
+    }
+}
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -71,6 +71,8 @@
     pub prompt_tokens: u64,
     /// Most tokens to generate.
     pub max_output_tokens: u64,
+    /// Tokens that the client expects, if it says so.
+    pub expected_output_tokens: Option<u64>,
 }
 
 /// KV cache of a prompt that an engine holds for another one.
--- a/crates/dogwoodpier-gateway/src/dispatch.rs
+++ b/crates/dogwoodpier-gateway/src/dispatch.rs
@@ -49,7 +49,7 @@
         .retries
         .count_request(&request.service.name, &settings.retries, now);
     match &request.service.engine {
-        Some(spec) => engines::generate(gateway, request, spec).await,
+        Some(_) => engines::generate(gateway, request).await,
         None => plain::forward(gateway, request).await,
     }
 }
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -1,18 +1,44 @@
-//! Reports to and from peers, over UDP.
+//! Messages to and from peers, over UDP.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use tokio::net::UdpSocket;
 
 use dogwoodpier_core::gateway::exchange::Report;
+use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
 
+use crate::broker;
+use crate::broker::Answer;
+use crate::broker::Ask;
+use crate::broker::Release;
 use crate::state::SharedGateway;
 
-// Largest datagram: several times the report of an instance that uses each of a hundred upstreams.
-const MAX_REPORT_BYTES: usize = 60_000;
+// Largest message: several times the report of an instance that uses each of a hundred upstreams.
+const MAX_MESSAGE_BYTES: usize = 60_000;
+
+/// A message between instances.
+#[wire]
+pub enum Message {
+    /// What an instance uses and admitted.
+    Report(Report),
+    /// A question for a place.
+    Ask(Ask),
+    /// The answer to a question.
+    Answer(Answer),
+    /// The end of the use of a place.
+    Release(Release),
+    /// A question that no longer matters.
+    Withdraw {
+        /// Instance that asked.
+        instance: Arc<str>,
+        /// The question.
+        ticket: u64,
+    },
+}
 
 /// Binds the socket for reports.
 pub async fn bind(address: SocketAddr) -> anyhow::Result<UdpSocket> {
@@ -21,29 +47,41 @@
         .with_context(|| format!("can't bind peer_address {address}"))
 }
 
-/// Takes reports of peers in, for as long as the process lives.
-pub async fn receive(gateway: SharedGateway, socket: &UdpSocket) {
-    let mut buffer = vec![0; MAX_REPORT_BYTES];
+/// Takes messages of peers in, for as long as the process lives.
+pub async fn receive(gateway: SharedGateway) {
+    let mut buffer = vec![0; MAX_MESSAGE_BYTES];
     loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
+        let (length, from) = match gateway.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
                 // An unreachable peer is reported here; its silence is noticed elsewhere.
-                log::debug!("receiving reports: {error}");
+                log::debug!("receiving messages: {error}");
                 continue;
             }
         };
         match serde_json::from_slice(&buffer[..length]) {
-            Ok(report) => take(&gateway, report),
+            Ok(message) => take(&gateway, from, message),
             Err(error) => gateway.events.write(
-                "unreadable_report",
+                "unreadable_message",
                 serde_json::json!({ "from": from.to_string(), "problem": error.to_string() }),
             ),
         }
     }
 }
 
-fn take(gateway: &SharedGateway, report: Report) {
+fn take(gateway: &SharedGateway, from: SocketAddr, message: Message) {
+    match message {
+        Message::Report(report) => take_report(gateway, report),
+        Message::Ask(question) => broker::take_ask(gateway, from, question),
+        Message::Answer(answer) => broker::take_answer(gateway, from, answer),
+        Message::Release(release) => broker::take_release(gateway, &release),
+        Message::Withdraw { instance, ticket } => {
+            broker::take_withdrawal(gateway, &instance, ticket);
+        }
+    }
+}
+
+fn take_report(gateway: &SharedGateway, report: Report) {
     let now = clock::now();
     let configuration = gateway.configuration.load_full();
     {
@@ -63,7 +101,7 @@
 }
 
 /// Reports to all peers whenever something changed, and at least at every heartbeat.
-pub async fn report(gateway: SharedGateway, socket: &UdpSocket) {
+pub async fn report(gateway: SharedGateway) {
     let mut sequence = 0;
     loop {
         let timing = gateway.settings.load().timing;
@@ -71,12 +109,12 @@
         // Woken early if the use of an upstream changed.
         let _ = tokio::time::timeout(heartbeat, gateway.use_changed.notified()).await;
         sequence += 1;
-        send_all(&gateway, socket, sequence).await;
+        send_all(&gateway, sequence);
         tokio::time::sleep(Duration::from_millis(timing.report_interval_ms)).await;
     }
 }
 
-async fn send_all(gateway: &SharedGateway, socket: &UdpSocket, sequence: u64) {
+fn send_all(gateway: &SharedGateway, sequence: u64) {
     let report = {
         let now = clock::now();
         let configuration = gateway.configuration.load_full();
@@ -96,13 +134,8 @@
             admitted: beliefs.quotas.admitted().clone(),
         }
     };
-    let Ok(bytes) = serde_json::to_vec(&report) else {
-        return;
-    };
+    let message = Message::Report(report);
     for address in gateway.peer_addresses.all() {
-        // A report that can't be sent is made up for by the next one.
-        if let Err(error) = socket.send_to(&bytes, address).await {
-            log::debug!("report to {address}: {error}");
-        }
+        gateway.tell(address, &message);
     }
 }
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -127,11 +127,7 @@
         Ok(outgoing) => outgoing,
         Err(error) => return Sent::NotSent(error.to_string()),
     };
-    let to = Destination {
-        id: upstream.id.clone(),
-        address: upstream.address,
-        connect_timeout_ms: gateway.settings.load().timing.connect_timeout_ms,
-    };
+    let to = destination(gateway, upstream);
     match tokio::time::timeout(limit, gateway.connections.send(&to, outgoing)).await {
         Err(_) => Sent::TimedOut,
         Ok(Err(SendError::NotSent(detail))) => Sent::NotSent(detail),
@@ -140,6 +136,24 @@
     }
 }
 
+fn destination(gateway: &Gateway, upstream: &Upstream) -> Destination {
+    Destination {
+        id: upstream.id.clone(),
+        address: upstream.address,
+        connect_timeout_ms: gateway.settings.load().timing.connect_timeout_ms,
+    }
+}
+
+/// Makes sure that there is a connection to an upstream, before work is done that would be lost
+/// without one.
+pub async fn prepare(gateway: &Gateway, upstream: &Upstream) -> Result<(), SendError> {
+    let to = destination(gateway, upstream);
+    if gateway.connections.prepare(&to).await? {
+        metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
+    }
+    Ok(())
+}
+
 fn build(
     gateway: &Gateway,
     request: &ClientRequest,
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod body;
+pub mod broker;
 pub mod counters;
 pub mod dialect;
 pub mod dispatch;
@@ -15,6 +16,7 @@
 pub mod exchange;
 pub mod forwarding;
 pub mod headers;
+pub mod lines;
 pub mod operators;
 pub mod plain;
 pub mod readiness;
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -22,6 +22,7 @@
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
+use crate::state::Holder;
 use crate::state::SharedGateway;
 use crate::state::UseGuard;
 
@@ -150,7 +151,7 @@
         requests: 1,
         ..Use::default()
     };
-    Some(gateway.begin_use(&upstream, used))
+    Some(gateway.begin_use(&upstream, used, Holder::Own))
 }
 
 // Sends a request once. Returns the answer for the client, or notes in `progress` what happened.
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -47,6 +47,11 @@
         self.lock().values().copied().collect()
     }
 
+    /// Returns the address of a registered peer.
+    pub fn of(&self, instance: &str) -> Option<SocketAddr> {
+        self.lock().get(instance).copied()
+    }
+
     /// Returns the registered instances.
     pub fn instances(&self) -> Vec<Arc<str>> {
         self.lock().keys().cloned().collect()
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -10,6 +10,7 @@
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
+use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::Notify;
@@ -28,9 +29,12 @@
 use dogwoodpier_process::events::EventLog;
 use dogwoodpier_process::events::EventOptions;
 
+use crate::broker::Broker;
 use crate::dialect::Dialect;
-use crate::engines;
+use crate::engines::Learned;
 use crate::exchange;
+use crate::lines;
+use crate::lines::Lines;
 use crate::operators;
 use crate::readiness;
 use crate::registry;
@@ -60,11 +64,11 @@
     dialect: &'static Dialect,
 ) -> anyhow::Result<()> {
     operators::start_metrics()?;
-    let gateway = Arc::new(build(settings, dialect));
+    let socket = exchange::bind(settings.peer_address).await?;
+    let gateway = Arc::new(build(settings, dialect, socket));
     log_to_events(&gateway)?;
     let settings = gateway.settings.load_full();
-    let socket = Arc::new(exchange::bind(settings.peer_address).await?);
-    spawn_tasks(&gateway, socket);
+    spawn_tasks(&gateway);
     readiness::start(
         gateway.clone(),
         settings.readiness_address,
@@ -114,7 +118,7 @@
         .context("a logger is set already")
 }
 
-fn build(settings: Settings, dialect: &'static Dialect) -> Gateway {
+fn build(settings: Settings, dialect: &'static Dialect, socket: UdpSocket) -> Gateway {
     let store = Client::with_protocol(
         ClientOptions {
             address: settings.store_address,
@@ -136,7 +140,10 @@
             retries: RetryBudget::default(),
             uses: Default::default(),
         }),
-        lines: engines::Lines::default(),
+        socket,
+        broker: Broker::default(),
+        learned: Learned::default(),
+        lines: Lines::default(),
         connections: Connections::default(),
         store,
         drain: Arc::default(),
@@ -151,7 +158,7 @@
     }
 }
 
-fn spawn_tasks(gateway: &SharedGateway, socket: Arc<tokio::net::UdpSocket>) {
+fn spawn_tasks(gateway: &SharedGateway) {
     tokio::spawn(store::follow(
         gateway.clone(),
         store::configuration(gateway),
@@ -161,11 +168,9 @@
     tokio::spawn(store::expire_upstreams(gateway.clone()));
     tokio::spawn(registry::run(gateway.clone()));
     tokio::spawn(registry::clean(gateway.clone()));
-    tokio::spawn(engines::run(gateway.clone()));
-    let receiving = (gateway.clone(), socket.clone());
-    tokio::spawn(async move { exchange::receive(receiving.0, &receiving.1).await });
-    let reporting = (gateway.clone(), socket);
-    tokio::spawn(async move { exchange::report(reporting.0, &reporting.1).await });
+    tokio::spawn(lines::run(gateway.clone()));
+    tokio::spawn(exchange::receive(gateway.clone()));
+    tokio::spawn(exchange::report(gateway.clone()));
 }
 
 async fn wait_for_stop() -> anyhow::Result<TimeMs> {
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! The state of a gateway and what its parts share.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,9 +10,11 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use dogwoodpier_core::gateway::exchange::Exchange;
+use dogwoodpier_core::gateway::exchange::Grant;
 use dogwoodpier_core::gateway::exchange::Use;
 use dogwoodpier_core::gateway::placement::Candidate;
 use dogwoodpier_core::gateway::placement::Outcome;
@@ -29,8 +32,13 @@
 use dogwoodpier_process::drain::Drain;
 use dogwoodpier_process::events::EventLog;
 
+use crate::broker;
+use crate::broker::Broker;
+use crate::broker::Release;
 use crate::dialect::Dialect;
-use crate::engines::Lines;
+use crate::engines::Learned;
+use crate::exchange::Message;
+use crate::lines::Lines;
 use crate::registry::Addresses;
 use crate::settings::Settings;
 
@@ -46,6 +54,12 @@
     pub configuration: ArcSwapOption<Configuration>,
     /// What the gateway believes of upstreams and peers.
     pub beliefs: Mutex<Beliefs>,
+    /// Socket for messages of peers.
+    pub socket: UdpSocket,
+    /// Questions for places, asked and answered.
+    pub broker: Broker,
+    /// What was learned about engines.
+    pub learned: Learned,
     /// Requests that wait for a slot of an engine.
     pub lines: Lines,
     /// Connections to upstreams.
@@ -104,17 +118,53 @@
     }
 
     /// Counts a request at an upstream until the guard is dropped.
-    pub fn begin_use(self: &Arc<Self>, upstream: &Arc<Upstream>, used: Use) -> UseGuard {
-        self.beliefs()
-            .uses
-            .entry(upstream.id.clone())
-            .or_default()
-            .add(used);
-        self.use_changed.notify_one();
+    pub fn begin_use(
+        self: &Arc<Self>,
+        upstream: &Arc<Upstream>,
+        used: Use,
+        holder: Holder,
+    ) -> UseGuard {
+        {
+            let mut beliefs = self.beliefs();
+            match &holder {
+                Holder::Own | Holder::Granted { .. } => {
+                    beliefs
+                        .uses
+                        .entry(upstream.id.clone())
+                        .or_default()
+                        .add(used);
+                    self.use_changed.notify_one();
+                }
+                Holder::HandedOver => {}
+                Holder::Peer { instance, ticket } => {
+                    let grant = Grant {
+                        ticket: *ticket,
+                        upstream: upstream.id.clone(),
+                        used,
+                        granted_ms: clock::now(),
+                    };
+                    beliefs.exchange.grant(instance, grant);
+                }
+            }
+        }
         UseGuard {
             gateway: self.clone(),
             upstream: upstream.clone(),
             used,
+            holder,
+            result: broker::Result::Used,
+        }
+    }
+
+    /// Sends a message to a peer. One that is lost is made up for by later ones.
+    pub fn tell(&self, address: SocketAddr, message: &Message) {
+        match serde_json::to_vec(message) {
+            Ok(bytes) => {
+                if let Err(error) = self.socket.try_send_to(&bytes, address) {
+                    log::debug!("message to {address}: {error}");
+                }
+            }
+            Err(error) => log::error!("a message can't be encoded: {error}"),
         }
     }
 
@@ -150,11 +200,36 @@
     }
 }
 
+/// For whom a request is counted at an upstream.
+#[derive(Clone, Debug)]
+pub enum Holder {
+    /// A request of this instance, placed by itself.
+    Own,
+    /// A request of this instance that a broker placed.
+    Granted {
+        /// Address of the broker.
+        broker: SocketAddr,
+        /// The question that the broker answered.
+        ticket: u64,
+    },
+    /// A request of a peer that this instance placed.
+    Peer {
+        /// Name of the peer.
+        instance: Arc<str>,
+        /// The question that was answered.
+        ticket: u64,
+    },
+    /// A request of a peer that has been told of its place.
+    HandedOver,
+}
+
 /// A request at an upstream. Dropping it ends the count.
 pub struct UseGuard {
     gateway: SharedGateway,
     upstream: Arc<Upstream>,
     used: Use,
+    holder: Holder,
+    result: broker::Result,
 }
 
 impl UseGuard {
@@ -162,19 +237,50 @@
     pub fn upstream(&self) -> &Arc<Upstream> {
         &self.upstream
     }
+
+    /// Notes how the upstream did, for the broker that granted it.
+    pub fn set_result(&mut self, result: broker::Result) {
+        self.result = result;
+    }
+
+    /// Leaves the count to the peer that holds it, and returns the upstream's id. The peer's release
+    /// or its reports end the count.
+    pub fn hand_over(mut self) -> Arc<str> {
+        self.holder = Holder::HandedOver;
+        self.upstream.id.clone()
+    }
+
+    fn end_own(&self) {
+        let mut beliefs = self.gateway.beliefs();
+        if let Some(used) = beliefs.uses.get_mut(&self.upstream.id) {
+            used.subtract(self.used);
+            if *used == Use::default() {
+                beliefs.uses.remove(&self.upstream.id);
+            }
+        }
+    }
 }
 
 impl Drop for UseGuard {
     fn drop(&mut self) {
-        {
-            let mut beliefs = self.gateway.beliefs();
-            if let Some(used) = beliefs.uses.get_mut(&self.upstream.id) {
-                used.requests -= self.used.requests;
-                used.prefill_tokens -= self.used.prefill_tokens;
-                used.kv_tokens -= self.used.kv_tokens;
-                if *used == Use::default() {
-                    beliefs.uses.remove(&self.upstream.id);
-                }
+        match &self.holder {
+            Holder::Own => self.end_own(),
+            Holder::Granted { broker, ticket } => {
+                self.end_own();
+                let release = Release {
+                    instance: self.gateway.settings.load().instance.clone(),
+                    ticket: *ticket,
+                    upstream: self.upstream.id.clone(),
+                    result: self.result,
+                };
+                self.gateway.tell(*broker, &Message::Release(release));
+            }
+            Holder::HandedOver => return,
+            Holder::Peer { instance, ticket } => {
+                let mut beliefs = self.gateway.beliefs();
+                beliefs
+                    .exchange
+                    .release(instance, *ticket, &self.upstream.id);
             }
         }
         self.gateway.use_changed.notify_one();
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -109,6 +109,22 @@
         }
     }
 
+    /// Makes a connection if none is idle. Returns whether one was made.
+    pub async fn prepare(&self, to: &Destination) -> Result<bool, SendError> {
+        let (sender, connected) = match self.take_idle(&to.id) {
+            Some(sender) => (sender, false),
+            None => (connect(to).await?, true),
+        };
+        let returning = Returning {
+            connections: self.clone(),
+            id: to.id.clone(),
+            sender: Some(sender),
+            keep: DEFAULT_KEEP_ALIVE,
+        };
+        returning.give_back();
+        Ok(connected)
+    }
+
     /// Closes the idle connections of an upstream: after one has gone silent, or once it is gone.
     pub fn close_idle(&self, id: &str) {
         self.idle().remove(id);
