Watch the store long; peers' reports show a silent watch

Change: watches wait in proportion to the fleet, changes gather for 300 ms, registrations are read cheaply; reports tell the revision seen, and an instance that stays behind asks anew.

--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -53,7 +53,7 @@
 const RETURNED_MARGIN_MS: u64 = 250;
 // Part of the expected output that a request holds on average while it runs. Requests of an engine
 // are at different points of theirs.
-const HELD_OUTPUT: f64 = 0.6;
+const HELD_OUTPUT: f64 = 0.8;
 
 /// What was learned about the routes and services of engines.
 #[derive(Default)]
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -84,6 +84,9 @@
 fn take_report(gateway: &SharedGateway, report: Report) {
     let now = clock::now();
     let configuration = gateway.configuration.load_full();
+    for (kind, revision) in &report.seen_revisions {
+        gateway.revisions.note_peer(kind, *revision);
+    }
     {
         let mut beliefs = gateway.beliefs();
         let charges = beliefs.exchange.receive(report, now);
@@ -132,6 +135,7 @@
             leaving: gateway.drain.is_draining() && gateway.drain.in_flight() == 0,
             uses: beliefs.uses.clone(),
             admitted: beliefs.quotas.admitted().clone(),
+            seen_revisions: gateway.revisions.here(),
         }
     };
     let message = Message::Report(report);
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -18,7 +18,6 @@
 
 use crate::state::Gateway;
 use crate::state::SharedGateway;
-use crate::store::Follower;
 
 // Pause between attempts to register while the store is away.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -26,6 +25,10 @@
 const REMOVE_SILENT_MS: u64 = 60_000;
 const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
 
+// Instances of a fleet start together, so a new one looks often at first.
+const FIRST_FIND_PAUSE: Duration = Duration::from_millis(300);
+const FIND_PAUSE: Duration = Duration::from_secs(5);
+
 /// A registration.
 #[wire]
 pub struct Registration {
@@ -75,6 +78,8 @@
             tokio::time::sleep(RETRY_PAUSE).await;
         }
         gateway.registration_lost.notified().await;
+        // The listing may be older than the registration.
+        tokio::time::sleep(FIND_PAUSE).await;
     }
 }
 
@@ -103,27 +108,37 @@
     }
 }
 
-/// Returns the follower of the registrations.
-pub fn follower(gateway: &Gateway) -> Follower {
-    Follower {
-        kind: gateway.dialect.objects.instance_kind,
-        replace: |gateway, objects, _| {
-            for object in &objects {
-                add_peer(gateway, object);
-            }
-            for instance in gateway.peer_addresses.instances() {
-                if !objects.iter().any(|object| object.name == instance) {
-                    remove_peer(gateway, &instance);
-                }
-            }
-        },
-        change: |gateway, change, _| {
-            if change.deleted {
-                remove_peer(gateway, &change.object.name);
-            } else {
-                add_peer(gateway, &change.object);
-            }
-        },
+/// Reads the registrations again and again, for as long as the process lives. Membership only steers,
+/// so a cheap read that may be seconds old will do.
+pub async fn find_peers(gateway: SharedGateway) {
+    let kind = gateway.dialect.objects.instance_kind;
+    let mut pause = FIRST_FIND_PAUSE;
+    loop {
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(FIND_PAUSE);
+        match gateway.store.list_stale(kind, "").await {
+            Ok(listing) => take_listing(&gateway, &listing.items),
+            Err(error) => gateway.events.write(
+                "peers_not_read",
+                serde_json::json!({ "detail": error.to_string() }),
+            ),
+        }
+    }
+}
+
+fn take_listing(gateway: &SharedGateway, objects: &[Object]) {
+    let known = gateway.peer_addresses.instances();
+    for object in objects {
+        add_peer(gateway, object);
+    }
+    for instance in known {
+        if !objects.iter().any(|object| object.name == instance) {
+            remove_peer(gateway, &instance);
+        }
+    }
+    let own = gateway.settings.load().instance.clone();
+    if !objects.iter().any(|object| object.name == own) {
+        gateway.registration_lost.notify_one();
     }
 }
 
@@ -141,10 +156,14 @@
             return;
         }
     };
-    gateway
+    let address = registration.peer_address;
+    let before = gateway
         .peer_addresses
         .lock()
-        .insert(object.name.clone(), registration.peer_address);
+        .insert(object.name.clone(), address);
+    if before == Some(address) {
+        return;
+    }
     gateway
         .beliefs()
         .exchange
@@ -160,10 +179,6 @@
 }
 
 fn remove_peer(gateway: &SharedGateway, instance: &str) {
-    if *instance == *gateway.settings.load().instance {
-        gateway.registration_lost.notify_one();
-        return;
-    }
     gateway.peer_addresses.lock().remove(instance);
     gateway.beliefs().exchange.forget(instance);
     gateway
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -56,8 +56,6 @@
 pub struct Timing {
     /// Time for one call to the store.
     pub store_timeout_ms: u64,
-    /// Longest wait of a watch of the store.
-    pub watch_wait_ms: u64,
     /// Time to make a connection to an upstream.
     pub connect_timeout_ms: u64,
     /// Shortest time between two reports to peers.
@@ -71,8 +69,6 @@
         Self {
             // An answer takes milliseconds; a store that is a hundred times slower still answers.
             store_timeout_ms: 700,
-            // With the timeout, a connection that went silent is noticed in just over two seconds.
-            watch_wait_ms: 1_400,
             // Some round trips between data centres.
             connect_timeout_ms: 150,
             // A slot is free for some hundred milliseconds before others could mistake it as taken.
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -153,6 +153,7 @@
         close_idle: Notify::new(),
         stop: Mutex::new(None),
         registration_lost: Notify::new(),
+        revisions: store::Revisions::default(),
         peer_addresses: registry::Addresses::default(),
         settings: ArcSwap::from_pointee(settings),
     }
@@ -164,7 +165,7 @@
         store::configuration(gateway),
     ));
     tokio::spawn(store::follow(gateway.clone(), store::upstreams(gateway)));
-    tokio::spawn(store::follow(gateway.clone(), registry::follower(gateway)));
+    tokio::spawn(registry::find_peers(gateway.clone()));
     tokio::spawn(store::expire_upstreams(gateway.clone()));
     tokio::spawn(registry::run(gateway.clone()));
     tokio::spawn(registry::clean(gateway.clone()));
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -41,6 +41,7 @@
 use crate::lines::Lines;
 use crate::registry::Addresses;
 use crate::settings::Settings;
+use crate::store::Revisions;
 
 /// A gateway. Its parts share it.
 pub struct Gateway {
@@ -80,6 +81,8 @@
     pub stop: Mutex<Option<Stop>>,
     /// Tells that the registration of this instance was removed.
     pub registration_lost: Notify,
+    /// Revisions of the store that were seen.
+    pub revisions: Revisions,
     /// Addresses of the registered peers.
     pub peer_addresses: Addresses,
 }
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -2,12 +2,23 @@
 //!
 //! One task a kind lists it, then watches it. What was read stays in force while the store is away;
 //! a configuration never goes back to an older version.
+//!
+//! Calls to the store are dear and a watch that waits is one call, so watches wait long. A watch
+//! whose connection has gone silent is noticed by its peers' reports: they tell up to which revision
+//! they have seen changes, and an instance that stays behind asks again over a new connection. The
+//! fleet's watches end at different times, so that some instance asks anew every moment.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_platform::Error;
@@ -24,6 +35,16 @@
 // which a change has to be in force.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+// Changes often come several at once; all are in force well before they have to be.
+const GATHER: Duration = Duration::from_millis(300);
+// A change that one instance has seen reaches the others in this time, unless their watch is silent.
+const PEERS_AHEAD: Duration = Duration::from_millis(400);
+// Time between the ends of any two watches of the fleet.
+const FLEET_WATCH_INTERVAL_MS: u64 = 350;
+// Bounds of a watch's wait. The store drops its history after some ten seconds.
+const MIN_WATCH_MS: u64 = 1_400;
+const MAX_WATCH_MS: u64 = 15_000;
+
 /// What a follower does with the objects of its kind.
 pub struct Follower {
     /// Kind of the objects.
@@ -32,6 +53,68 @@
     pub replace: fn(&SharedGateway, Vec<Object>, &Outage),
     /// Takes one change.
     pub change: fn(&SharedGateway, Change, &Outage),
+    /// Pause after changes, in which further ones gather for one call.
+    pub gather: Duration,
+}
+
+/// Revisions of the store up to which changes of one kind were seen.
+#[derive(Debug)]
+struct Seen {
+    here: u64,
+    by_peers: watch::Sender<u64>,
+}
+
+/// Revisions of the store that this instance and its peers have seen, by kind.
+#[derive(Debug, Default)]
+pub struct Revisions {
+    kinds: Mutex<BTreeMap<Arc<str>, Seen>>,
+}
+
+impl Revisions {
+    /// Notes what a peer has seen.
+    pub fn note_peer(&self, kind: &str, revision: u64) {
+        if let Some(seen) = self.lock().get(kind) {
+            seen.by_peers.send_if_modified(|known| {
+                let newer = revision > *known;
+                *known = revision.max(*known);
+                newer
+            });
+        }
+    }
+
+    /// Returns up to which revision this instance has seen changes.
+    pub fn here(&self) -> BTreeMap<Arc<str>, u64> {
+        let kinds = self.lock();
+        kinds
+            .iter()
+            .map(|(kind, seen)| (kind.clone(), seen.here))
+            .collect()
+    }
+
+    fn note_here(&self, kind: &str, revision: u64) {
+        let mut kinds = self.lock();
+        let seen = kinds.entry(kind.into()).or_insert_with(|| Seen {
+            here: 0,
+            by_peers: watch::Sender::new(0),
+        });
+        seen.here = seen.here.max(revision);
+    }
+
+    // Waits until peers have been ahead of `revision` for a while.
+    async fn peers_ahead(&self, kind: &str, revision: u64) {
+        let receiver = self.lock().get(kind).map(|seen| seen.by_peers.subscribe());
+        let Some(mut receiver) = receiver else {
+            return std::future::pending().await;
+        };
+        if receiver.wait_for(|known| *known > revision).await.is_err() {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(PEERS_AHEAD).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, Seen>> {
+        self.kinds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// When the store was last away.
@@ -62,7 +145,7 @@
     loop {
         let result = match revision {
             None => list(&gateway, &follower, &outage).await,
-            Some(after) => watch(&gateway, &follower, &outage, after).await,
+            Some(after) => watch_once(&gateway, &follower, &outage, after).await,
         };
         match result {
             Ok(next) => {
@@ -77,6 +160,8 @@
                     .increment(1);
                 let grace_ms = gateway.settings.load().entry_grace_ms;
                 outage.note(clock::now().after(grace_ms));
+                // A watch that goes on after an outage may miss what it should have heard in it.
+                revision = None;
                 if !lost {
                     lost = true;
                     log_store(&gateway, &follower, "lost", &error.to_string());
@@ -100,35 +185,55 @@
     outage: &Outage,
 ) -> Result<Option<u64>, Error> {
     let listing = gateway.store.list(follower.kind, "").await?;
+    let newest = listing.items.iter().map(|object| object.version).max();
+    gateway
+        .revisions
+        .note_here(follower.kind, newest.unwrap_or(0));
     (follower.replace)(gateway, listing.items, outage);
     Ok(Some(listing.revision))
 }
 
-async fn watch(
+async fn watch_once(
     gateway: &SharedGateway,
     follower: &Follower,
     outage: &Outage,
     after: u64,
 ) -> Result<Option<u64>, Error> {
-    let wait_ms = gateway.settings.load().timing.watch_wait_ms;
-    let outcome = gateway
-        .store
-        .watch(&[follower.kind], after, wait_ms)
-        .await?;
+    let kinds = [follower.kind];
+    let outcome = tokio::select! {
+        outcome = gateway.store.watch(&kinds, after, watch_wait_ms(gateway)) => outcome?,
+        () = gateway.revisions.peers_ahead(follower.kind, after) => {
+            log_store(gateway, follower, "silent", "peers have seen newer changes");
+            gateway.store.renew();
+            return Ok(None);
+        }
+    };
     match outcome {
         WatchOutcome::TooOld => {
             log_store(gateway, follower, "history_gone", "");
             Ok(None)
         }
         WatchOutcome::Changes(changes) => {
-            for change in changes.changes {
-                (follower.change)(gateway, change, outage);
+            if !changes.changes.is_empty() {
+                gateway.revisions.note_here(follower.kind, changes.revision);
+                for change in changes.changes {
+                    (follower.change)(gateway, change, outage);
+                }
+                tokio::time::sleep(follower.gather).await;
             }
             Ok(Some(changes.revision))
         }
     }
 }
 
+// The larger the fleet, the longer an instance can wait: some other one asks in the meantime.
+fn watch_wait_ms(gateway: &Gateway) -> u64 {
+    let members = gateway.beliefs().exchange.hearing(clock::now()).heard;
+    let longest_ms =
+        (u64::from(members) * FLEET_WATCH_INTERVAL_MS).clamp(MIN_WATCH_MS, MAX_WATCH_MS);
+    rand::random_range(longest_ms * 2 / 3..=longest_ms)
+}
+
 /// Returns the follower of the configuration.
 pub fn configuration(gateway: &Gateway) -> Follower {
     Follower {
@@ -143,6 +248,7 @@
                 take_configuration(gateway, &change.object);
             }
         },
+        gather: GATHER,
     }
 }
 
@@ -202,6 +308,7 @@
                 remove_upstream(gateway, &change.object.name, &Outage::default());
             }
         },
+        gather: GATHER,
     }
 }
 
--- a/crates/dogwoodpier-http/src/pool.rs
+++ b/crates/dogwoodpier-http/src/pool.rs
@@ -77,6 +77,11 @@
         self.shared.current().1
     }
 
+    /// Drops all connections.
+    pub fn renew(&self) {
+        self.shared.renew(self.shared.current().1);
+    }
+
     /// Sends a request over a pooled connection and returns the answer's head.
     ///
     /// The request's URI is a path with query. An answer that takes longer than `timeout_ms` is an
--- a/crates/dogwoodpier-platform/src/client.rs
+++ b/crates/dogwoodpier-platform/src/client.rs
@@ -129,10 +129,25 @@
     /// The revision is that of the first page, so that a watch from it misses nothing that changed
     /// while later pages were read.
     pub async fn list(&self, kind: &str, prefix: &str) -> Result<Listing> {
+        self.list_pages(kind, prefix, self.protocol.list).await
+    }
+
+    /// Like [`Self::list`], but cheap: what it reads may be some seconds old.
+    pub async fn list_stale(&self, kind: &str, prefix: &str) -> Result<Listing> {
+        self.list_pages(kind, prefix, self.protocol.list_stale)
+            .await
+    }
+
+    async fn list_pages(
+        &self,
+        kind: &str,
+        prefix: &str,
+        page_call: fn(&str, &str, Option<&str>) -> Call,
+    ) -> Result<Listing> {
         let mut listing: Option<Listing> = None;
         loop {
             let after = listing.as_ref().and_then(|listing| listing.items.last());
-            let call = (self.protocol.list)(kind, prefix, after.map(|object| &*object.name));
+            let call = page_call(kind, prefix, after.map(|object| &*object.name));
             let result = self
                 .call(call, self.timeout_ms)
                 .await
@@ -202,6 +217,11 @@
         self.counted(Operation::Instances, result)
     }
 
+    /// Drops all connections: something else showed that they have gone silent.
+    pub fn renew(&self) {
+        self.pool.renew();
+    }
+
     /// Returns how often each operation had each result.
     pub fn call_counts(&self) -> Vec<CallCount> {
         self.calls.snapshot()
--- a/crates/dogwoodpier-platform/src/protocol.rs
+++ b/crates/dogwoodpier-platform/src/protocol.rs
@@ -45,6 +45,8 @@
     pub get: fn(&str, &str) -> Call,
     /// Reads a page of a kind: kind, prefix of the names, name after which to go on.
     pub list: fn(&str, &str, Option<&str>) -> Call,
+    /// Like `list`, but cheap: what it reads may be some seconds old.
+    pub list_stale: fn(&str, &str, Option<&str>) -> Call,
     /// Writes an object: kind, name, content, condition.
     pub put: fn(&str, &str, &Value, Expect) -> Result<Call>,
     /// Deletes an object: kind, name, condition.
--- a/crates/dogwoodpier-platform/src/wire.rs
+++ b/crates/dogwoodpier-platform/src/wire.rs
@@ -42,10 +42,8 @@
 /// The calls of this page.
 pub static PROTOCOL: Protocol = Protocol {
     get: |kind, name| Call::get(object_path(kind, name, Expect::Any)),
-    list: |kind, prefix, _after| {
-        let path = format!("/v1/objects/{}?prefix={}", escape(kind), escape(prefix));
-        Call::get(path)
-    },
+    list: |kind, prefix, _after| list(kind, prefix),
+    list_stale: |kind, prefix, _after| list(kind, prefix),
     put: |kind, name, value, expect| {
         Ok(Call {
             method: Method::PUT,
@@ -107,6 +105,11 @@
     utf8_percent_encode(text, ESCAPED).to_string()
 }
 
+fn list(kind: &str, prefix: &str) -> Call {
+    let path = format!("/v1/objects/{}?prefix={}", escape(kind), escape(prefix));
+    Call::get(path)
+}
+
 fn object_path(kind: &str, name: &str, expect: Expect) -> String {
     let path = format!("/v1/objects/{}/{}", escape(kind), escape(name));
     match expect {
