Tell peers of upstreams that are down or replaced; report to brokers first

Cause: each instance found out by itself that an engine had crashed or come back as another incarnation, mostly after a prompt had been read for it; every change was told to all 85 peers. Change: reports name upstreams that are down, 421 and a newer entry at the same address mark an upstream as replaced, brokers hear of it with the release; plain services are chosen among two drawn at random; reports go to brokers on change and to all at heartbeats or when they concern all.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -84,6 +84,8 @@
     pub uses: BTreeMap<Arc<str>, Use>,
     /// Units admitted since the start, by workspace.
     pub admitted: BTreeMap<Arc<str>, u64>,
+    /// Upstreams that the sender can't reach, and for how many milliseconds it avoids them.
+    pub down_for_ms: BTreeMap<Arc<str>, u64>,
     /// Revision of the store up to which the sender has seen a change, by kind of object.
     pub seen_revisions: BTreeMap<Arc<str>, u64>,
 }
--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -26,6 +26,13 @@
 const AVOID_MAX_MS: u64 = 3_000;
 // Time for which an upstream that rejected a request as full gets no further one.
 const FULL_MS: u64 = 60;
+// Part of a failure that a rejection counts for: a full upstream is no bad one, but one that keeps
+// rejecting is.
+const FULL_WEIGHT: f64 = 0.5;
+// Time for which the entry of an upstream that was replaced may stay in the store.
+const REPLACED_MS: u64 = 10_000;
+// Time after a success of its own in which an instance doesn't believe that an upstream is down.
+const DOUBT_MS: u64 = 1_000;
 // Cost of an upstream in another data centre over one in the same, in parts of a free upstream.
 const REMOTE_COST: f64 = 0.15;
 
@@ -44,6 +51,8 @@
     Unreachable,
     /// It rejected the request without running it.
     Full,
+    /// Another incarnation has its address.
+    Replaced,
 }
 
 #[derive(Debug)]
@@ -52,8 +61,36 @@
     elapsed_ms: f64,
     success: f64,
     updated_ms: TimeMs,
-    avoid_deadline_ms: TimeMs,
-    avoided: u32,
+    // This instance can't reach it, or it was replaced.
+    down_deadline_ms: TimeMs,
+    // It rejected a request.
+    full_deadline_ms: TimeMs,
+    // Peers can't reach it.
+    peers_down_deadline_ms: TimeMs,
+    succeeded_ms: Option<TimeMs>,
+    failures_in_a_row: u32,
+}
+
+impl Record {
+    fn new(now: TimeMs) -> Self {
+        Self {
+            elapsed_ms: 0.0,
+            success: 1.0,
+            updated_ms: now,
+            down_deadline_ms: TimeMs::default(),
+            full_deadline_ms: TimeMs::default(),
+            peers_down_deadline_ms: TimeMs::default(),
+            succeeded_ms: None,
+            failures_in_a_row: 0,
+        }
+    }
+
+    fn is_avoided(&self, now: TimeMs) -> bool {
+        self.down_deadline_ms
+            .max(self.full_deadline_ms)
+            .max(self.peers_down_deadline_ms)
+            > now
+    }
 }
 
 /// How upstreams answered lately, by id.
@@ -65,13 +102,7 @@
 impl Records {
     /// Notes how a send ended.
     pub fn note(&mut self, upstream: &Arc<str>, outcome: Outcome, now: TimeMs) {
-        let record = self.records.entry(upstream.clone()).or_insert(Record {
-            elapsed_ms: 0.0,
-            success: 1.0,
-            updated_ms: now,
-            avoid_deadline_ms: TimeMs::default(),
-            avoided: 0,
-        });
+        let record = self.record(upstream, now);
         record.success = faded(record, now);
         record.updated_ms = now;
         match outcome {
@@ -82,21 +113,53 @@
                 }
                 record.elapsed_ms += SMOOTHING * (elapsed_ms - record.elapsed_ms);
                 record.success += SMOOTHING * (1.0 - record.success);
-                record.avoided = 0;
+                record.failures_in_a_row = 0;
+                record.succeeded_ms = Some(now);
+                record.down_deadline_ms = TimeMs::default();
+                record.peers_down_deadline_ms = TimeMs::default();
             }
             Outcome::Failed => record.success -= SMOOTHING * record.success,
             Outcome::Unreachable => {
                 record.success -= SMOOTHING * record.success;
-                let avoid_ms = (AVOID_FIRST_MS << record.avoided.min(8)).min(AVOID_MAX_MS);
-                record.avoided += 1;
-                record.avoid_deadline_ms = now.after(avoid_ms);
+                let down_ms = (AVOID_FIRST_MS << record.failures_in_a_row.min(8)).min(AVOID_MAX_MS);
+                record.failures_in_a_row += 1;
+                record.down_deadline_ms = now.after(down_ms);
             }
             Outcome::Full => {
-                record.avoid_deadline_ms = record.avoid_deadline_ms.max(now.after(FULL_MS));
+                record.success -= FULL_WEIGHT * SMOOTHING * record.success;
+                record.full_deadline_ms = now.after(FULL_MS);
             }
+            Outcome::Replaced => record.down_deadline_ms = now.after(REPLACED_MS),
+        }
+    }
+
+    /// Notes that a peer can't reach an upstream for the next `for_ms`.
+    pub fn note_peer_down(&mut self, upstream: &Arc<str>, for_ms: u64, now: TimeMs) {
+        let record = self.record(upstream, now);
+        let doubted = record
+            .succeeded_ms
+            .is_some_and(|succeeded_ms| now.since(succeeded_ms) < DOUBT_MS);
+        if !doubted {
+            let deadline_ms = now.after(for_ms.min(REPLACED_MS));
+            record.peers_down_deadline_ms = record.peers_down_deadline_ms.max(deadline_ms);
         }
     }
 
+    /// Returns the upstreams that this instance itself can't reach, and for how long it avoids them.
+    pub fn down(&self, now: TimeMs) -> BTreeMap<Arc<str>, u64> {
+        self.records
+            .iter()
+            .filter(|(_, record)| record.down_deadline_ms > now)
+            .map(|(id, record)| (id.clone(), record.down_deadline_ms.remaining(now)))
+            .collect()
+    }
+
+    fn record(&mut self, upstream: &Arc<str>, now: TimeMs) -> &mut Record {
+        self.records
+            .entry(upstream.clone())
+            .or_insert_with(|| Record::new(now))
+    }
+
     /// Forgets an upstream.
     pub fn forget(&mut self, upstream: &str) {
         self.records.remove(upstream);
@@ -106,7 +169,7 @@
     pub fn is_avoided(&self, upstream: &str, now: TimeMs) -> bool {
         self.records
             .get(upstream)
-            .is_some_and(|record| record.avoid_deadline_ms > now)
+            .is_some_and(|record| record.is_avoided(now))
     }
 
     /// Returns the share of sends that succeeded lately.
@@ -126,6 +189,19 @@
     }
 }
 
+// Picks two different places out of `count` by a random number, the same one twice if there is only
+// one.
+fn pick_two(count: usize, draw: u64) -> Option<(usize, usize)> {
+    let count = u64::try_from(count).ok()?;
+    let first = draw.checked_rem(count)?;
+    let offset = match count {
+        1 => 0,
+        _ => 1 + (draw / count) % (count - 1),
+    };
+    let second = (first + offset) % count;
+    Some((first as usize, second as usize))
+}
+
 fn faded(record: &Record, now: TimeMs) -> f64 {
     let halvings = now.since(record.updated_ms) as f64 / FORGET_HALF_LIFE_MS;
     1.0 - (1.0 - record.success) * 0.5_f64.powf(halvings)
@@ -151,8 +227,31 @@
 }
 
 impl Chooser<'_> {
-    /// Returns the upstream of a plain service with the lowest expected time of an answer.
-    pub fn plain(&self, candidates: &[Candidate]) -> Option<usize> {
+    /// Returns an upstream of a plain service: of two that `draw`, a uniform random number, picks, the
+    /// one with the lower expected time of an answer. Instances whose news of each other is old would
+    /// all choose the best one.
+    pub fn plain(&self, candidates: &[Candidate], draw: u64) -> Option<usize> {
+        let free: Vec<usize> = (0..candidates.len())
+            .filter(|place| {
+                let upstream = &candidates[*place].upstream;
+                !self.records.is_avoided(&upstream.id, self.now)
+            })
+            .collect();
+        let (first, second) = pick_two(free.len(), draw)?;
+        let drawn = [
+            candidates[free[first]].clone(),
+            candidates[free[second]].clone(),
+        ];
+        self.best_plain(&drawn)
+            .map(|place| free[[first, second][place]])
+    }
+
+    /// Returns the best upstream of a plain service even if it is to be avoided.
+    pub fn any(&self, candidates: &[Candidate]) -> Option<usize> {
+        self.best_plain(candidates)
+    }
+
+    fn best_plain(&self, candidates: &[Candidate]) -> Option<usize> {
         let known: Vec<f64> = candidates
             .iter()
             .filter_map(|candidate| self.records.records.get(&candidate.upstream.id))
--- a/crates/dogwoodpier-core/src/gateway/upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -60,6 +60,20 @@
 }
 
 impl Upstreams {
+    /// Returns the ids of upstreams at the address of `upstream` that started before it: it runs in
+    /// their place.
+    pub fn replaced_by(&self, upstream: &Upstream) -> Vec<Arc<str>> {
+        let before = |other: &Upstream| match (other.started_unix_ms, upstream.started_unix_ms) {
+            (Some(other), Some(own)) => other < own,
+            _ => false,
+        };
+        self.all()
+            .filter(|other| other.id != upstream.id && other.address == upstream.address)
+            .filter(|other| before(other))
+            .map(|other| other.id.clone())
+            .collect()
+    }
+
     /// Adds or replaces an upstream. Returns whether anything changed.
     pub fn put(&mut self, upstream: Upstream) -> bool {
         let id = upstream.id.clone();
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -113,6 +113,8 @@
     Full,
     /// It couldn't be reached.
     Unreachable,
+    /// Another incarnation has its address.
+    Replaced,
 }
 
 /// The end of the use of an engine that was granted.
@@ -194,6 +196,21 @@
     Some((broker, address))
 }
 
+/// Returns the addresses of the brokers of all services with engines.
+pub fn addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+    let configuration = gateway.configuration.load();
+    let services = configuration
+        .iter()
+        .flat_map(|configuration| configuration.services.values());
+    let mut addresses: Vec<SocketAddr> = services
+        .filter(|service| service.engine.is_some())
+        .filter_map(|service| choose_broker(gateway, &service.name))
+        .map(|(_, address)| address)
+        .collect();
+    addresses.dedup();
+    addresses
+}
+
 /// Withdraws a question of this instance when its client leaves before it is decided.
 struct OwnAsk<'a> {
     gateway: &'a Gateway,
@@ -411,14 +428,14 @@
         beliefs
             .exchange
             .release(&release.instance, release.ticket, &release.upstream);
-        match release.result {
-            Result::Used => {}
-            Result::Full => beliefs.records.note(&release.upstream, Outcome::Full, now),
-            Result::Unreachable => {
-                beliefs
-                    .records
-                    .note(&release.upstream, Outcome::Unreachable, now);
-            }
+        let outcome = match release.result {
+            Result::Used => None,
+            Result::Full => Some(Outcome::Full),
+            Result::Unreachable => Some(Outcome::Unreachable),
+            Result::Replaced => Some(Outcome::Replaced),
+        };
+        if let Some(outcome) = outcome {
+            beliefs.records.note(&release.upstream, outcome, now);
         }
     }
     gateway.lines.slot_freed();
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -253,6 +253,9 @@
             return accepted;
         }
         Sent::NotSent(_) => decode.set_result(broker::Result::Unreachable),
+        Sent::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
+            decode.set_result(broker::Result::Replaced);
+        }
         Sent::NotExecuted(_) => decode.set_result(broker::Result::Full),
         Sent::Lost(_) => progress.runs += 1,
         Sent::TimedOut => {
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -1,5 +1,7 @@
 //! Messages to and from peers, over UDP.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +9,7 @@
 use anyhow::Context;
 use tokio::net::UdpSocket;
 
+use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::exchange::Report;
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
@@ -20,6 +23,9 @@
 // Largest message: several times the report of an instance that uses each of a hundred upstreams.
 const MAX_MESSAGE_BYTES: usize = 60_000;
 
+// Part of a workspace's burst that may be admitted before all peers are told.
+const BURST_PARTS: u64 = 32;
+
 /// A message between instances.
 #[wire]
 pub enum Message {
@@ -89,8 +95,12 @@
     }
     {
         let mut beliefs = gateway.beliefs();
+        let down_for_ms = report.down_for_ms.clone();
         let charges = beliefs.exchange.receive(report, now);
         let hearing = beliefs.exchange.hearing(now);
+        for (upstream, for_ms) in &down_for_ms {
+            beliefs.records.note_peer_down(upstream, *for_ms, now);
+        }
         for charge in charges {
             let workspace = configuration
                 .as_ref()
@@ -103,43 +113,84 @@
     gateway.lines.slot_freed();
 }
 
-/// Reports to all peers whenever something changed, and at least at every heartbeat.
+/// Reports to the brokers whenever something changed, and to all peers when it concerns them and at
+/// least at every heartbeat.
 pub async fn report(gateway: SharedGateway) {
     let mut sequence = 0;
+    let mut last_to_all = LastToAll::default();
     loop {
         let timing = gateway.settings.load().timing;
         let heartbeat = Duration::from_millis(timing.report_heartbeat_ms);
         // Woken early if the use of an upstream changed.
-        let _ = tokio::time::timeout(heartbeat, gateway.use_changed.notified()).await;
+        let woken = tokio::time::timeout(heartbeat, gateway.use_changed.notified()).await;
         sequence += 1;
-        send_all(&gateway, sequence);
+        let report = compose(&gateway, sequence);
+        let now = clock::now();
+        let due = last_to_all.sent_ms.after(timing.report_heartbeat_ms) <= now;
+        let addresses = if woken.is_err() || due || last_to_all.concerns_all(&gateway, &report) {
+            last_to_all = LastToAll {
+                sent_ms: now,
+                admitted: report.admitted.clone(),
+                down: report.down_for_ms.keys().cloned().collect(),
+            };
+            gateway.peer_addresses.all()
+        } else {
+            broker::addresses(&gateway)
+        };
+        let message = Message::Report(report);
+        for address in addresses {
+            gateway.tell(address, &message);
+        }
         tokio::time::sleep(Duration::from_millis(timing.report_interval_ms)).await;
     }
 }
 
-fn send_all(gateway: &SharedGateway, sequence: u64) {
-    let report = {
-        let now = clock::now();
-        let configuration = gateway.configuration.load_full();
-        let mut beliefs = gateway.beliefs();
-        if let Some(configuration) = configuration {
-            let hearing = beliefs.exchange.hearing(now);
-            beliefs
-                .quotas
-                .advance(configuration.workspaces.values(), hearing, now);
-        }
-        Report {
-            instance: gateway.settings.load().instance.clone(),
-            incarnation: gateway.incarnation,
-            sequence,
-            leaving: gateway.drain.is_draining() && gateway.drain.in_flight() == 0,
-            uses: beliefs.uses.clone(),
-            admitted: beliefs.quotas.admitted().clone(),
-            seen_revisions: gateway.revisions.here(),
+// What the last report to all peers said.
+#[derive(Default)]
+struct LastToAll {
+    sent_ms: TimeMs,
+    admitted: BTreeMap<Arc<str>, u64>,
+    down: BTreeSet<Arc<str>>,
+}
+
+impl LastToAll {
+    // All peers charge what is admitted, and avoid upstreams that are down.
+    fn concerns_all(&self, gateway: &SharedGateway, report: &Report) -> bool {
+        if report.down_for_ms.keys().any(|id| !self.down.contains(id)) {
+            return true;
         }
-    };
-    let message = Message::Report(report);
-    for address in gateway.peer_addresses.all() {
-        gateway.tell(address, &message);
+        let configuration = gateway.configuration.load();
+        let Some(configuration) = configuration.as_ref() else {
+            return false;
+        };
+        report.admitted.iter().any(|(name, total)| {
+            let reported = self.admitted.get(name).copied().unwrap_or(0);
+            configuration
+                .workspaces
+                .get(name)
+                .is_some_and(|workspace| total - reported > workspace.burst / BURST_PARTS)
+        })
+    }
+}
+
+fn compose(gateway: &SharedGateway, sequence: u64) -> Report {
+    let now = clock::now();
+    let configuration = gateway.configuration.load_full();
+    let mut beliefs = gateway.beliefs();
+    if let Some(configuration) = configuration {
+        let hearing = beliefs.exchange.hearing(now);
+        beliefs
+            .quotas
+            .advance(configuration.workspaces.values(), hearing, now);
+    }
+    Report {
+        instance: gateway.settings.load().instance.clone(),
+        incarnation: gateway.incarnation,
+        sequence,
+        leaving: gateway.drain.is_draining() && gateway.drain.in_flight() == 0,
+        uses: beliefs.uses.clone(),
+        admitted: beliefs.quotas.admitted().clone(),
+        down_for_ms: beliefs.records.down(now),
+        seen_revisions: gateway.revisions.here(),
     }
 }
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -75,6 +75,9 @@
     metrics::histogram!(counters::SEND_MS).record(elapsed_ms as f64);
     match &sent {
         Sent::Answered(_) => {}
+        Sent::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
+            gateway.note(upstream, Outcome::Replaced);
+        }
         Sent::NotExecuted(_) => gateway.note(upstream, Outcome::Full),
         Sent::NotSent(_) | Sent::TimedOut => gateway.note(upstream, Outcome::Unreachable),
         Sent::Lost(_) => gateway.note(upstream, Outcome::Failed),
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -144,7 +144,9 @@
             records: &beliefs.records,
             now: clock::now(),
         };
-        let place = chooser.plain(&candidates)?;
+        let place = chooser
+            .plain(&candidates, rand::random())
+            .or_else(|| chooser.any(&candidates))?;
         candidates.swap_remove(place).upstream
     };
     let used = Use {
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -176,7 +176,8 @@
         self.beliefs()
             .records
             .note(&upstream.id, outcome, clock::now());
-        if outcome == Outcome::Unreachable {
+        if matches!(outcome, Outcome::Unreachable | Outcome::Replaced) {
+            self.use_changed.notify_one();
             // Others opened in the same time may have gone silent with the one that failed.
             self.connections.close_idle(&upstream.id);
         }
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_platform::Error;
 use dogwoodpier_platform::WatchOutcome;
@@ -335,6 +336,9 @@
         if restarted {
             beliefs.records.forget(&upstream.id);
         }
+        for id in beliefs.upstreams.replaced_by(&upstream) {
+            beliefs.records.note(&id, Outcome::Replaced, clock::now());
+        }
         restarted
     };
     if restarted {
