--- a/crates/dogwoodpier-core/src/gateway/quota.rs
+++ b/crates/dogwoodpier-core/src/gateway/quota.rs
@@ -5,6 +5,9 @@
 //! one bucket a workspace that has the fleet's rate. A peer that has gone silent may be admitting
 //! unseen, so the bucket leaves an equal share of the rate to each silent peer. An instance that
 //! hears nobody is left with its own equal share, and the sum stays within the rate.
+//!
+//! Operators may tolerate some units beyond the rate over a window. While upstreams have room, a
+//! workspace is lent of these; it pays them back out of its rate before it is lent again.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -38,6 +41,19 @@
     }
 }
 
+/// What a workspace may be lent beyond its rate, over the whole fleet.
+#[plain]
+#[derive(Copy, Eq)]
+pub struct Tolerance {
+    /// Units.
+    pub units: u64,
+}
+
+impl Tolerance {
+    /// Nothing is lent.
+    pub const NONE: Self = Self { units: 0 };
+}
+
 /// Result of a request to admit.
 #[plain]
 #[derive(Copy, Eq)]
@@ -72,6 +88,7 @@
         workspace: &Workspace,
         units: u64,
         hearing: Hearing,
+        tolerance: Tolerance,
         now: TimeMs,
     ) -> Decision {
         if workspace.rate_per_s == 0 {
@@ -82,7 +99,8 @@
         let bucket = self.refilled(workspace, hearing, now);
         // A request larger than the burst is admitted by a full bucket.
         let needed = (units as f64).min(cap);
-        if bucket.level < needed {
+        let lent = tolerance.units as f64 * hearing.share();
+        if bucket.level + lent < needed {
             let missing = needed - bucket.level;
             return Decision::Rejected {
                 retry_after_ms: (missing / rate_per_ms).ceil() as u64,
--- /dev/null
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -0,0 +1,179 @@
+//! The choice of upstreams, from what instances tell each other and how upstreams answered.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::exchange::Exchange;
+use dogwoodpier_core::gateway::exchange::ExchangeOptions;
+use dogwoodpier_core::gateway::exchange::Grant;
+use dogwoodpier_core::gateway::exchange::Report;
+use dogwoodpier_core::gateway::exchange::Use;
+use dogwoodpier_core::gateway::placement::Candidate;
+use dogwoodpier_core::gateway::placement::Chooser;
+use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::gateway::placement::Records;
+use dogwoodpier_core::gateway::upstreams::Stage;
+use dogwoodpier_core::gateway::upstreams::Upstream;
+use dogwoodpier_core::gateway::upstreams::Upstreams;
+
+fn upstream(id: &str, started_unix_ms: u64) -> Upstream {
+    Upstream {
+        id: id.into(),
+        service: "engines".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "a".into(),
+        slots: 12,
+        accepts_work: true,
+        stage: Some(Stage::Decode),
+        started_unix_ms: Some(started_unix_ms),
+    }
+}
+
+fn candidate(id: &str, requests: u32, kv_tokens: u64) -> Candidate {
+    Candidate {
+        upstream: Arc::new(upstream(id, 1)),
+        used: Use {
+            requests,
+            prefill_tokens: 0,
+            kv_tokens,
+        },
+    }
+}
+
+fn chooser(records: &Records, now_ms: u64) -> Chooser<'_> {
+    Chooser {
+        data_centre: "a",
+        records,
+        now: TimeMs(now_ms),
+    }
+}
+
+fn report(sequence: u64, requests: u32) -> Report {
+    let used = Use {
+        requests,
+        ..Use::default()
+    };
+    let uses: BTreeMap<Arc<str>, Use> = [("e1".into(), used)].into();
+    Report {
+        instance: "peer".into(),
+        incarnation: 1,
+        sequence,
+        leaving: false,
+        uses: if requests == 0 { BTreeMap::new() } else { uses },
+        admitted: BTreeMap::new(),
+        down_for_ms: BTreeMap::new(),
+        seen_revisions: BTreeMap::new(),
+    }
+}
+
+fn grant(ticket: u64, granted_ms: u64) -> Grant {
+    Grant {
+        ticket,
+        upstream: "e1".into(),
+        used: Use {
+            requests: 1,
+            ..Use::default()
+        },
+        granted_ms: TimeMs(granted_ms),
+    }
+}
+
+#[test]
+fn decode_needs_room() {
+    let records = Records::default();
+    let chooser = chooser(&records, 0);
+    let engines = [
+        candidate("full", 12, 0),
+        candidate("little", 3, 95_000),
+        candidate("free", 9, 0),
+    ];
+    assert_eq!(chooser.decode(&engines, 10_000, 100_000), Some(2));
+    assert_eq!(chooser.decode(&engines[..2], 10_000, 100_000), None);
+    // A request that is larger than any memory is tried on an empty engine.
+    let empty = [candidate("empty", 0, 0)];
+    assert_eq!(chooser.decode(&empty, 200_000, 100_000), Some(0));
+}
+
+#[test]
+fn replaced_is_avoided() {
+    let mut records = Records::default();
+    records.note(&"old".into(), Outcome::Replaced, TimeMs(1_000));
+    let engines = [candidate("old", 0, 0), candidate("other", 8, 0)];
+    assert_eq!(chooser(&records, 2_000).decode(&engines, 1, 100), Some(1));
+    let mut known = Upstreams::default();
+    known.put(upstream("old", 100));
+    assert_eq!(
+        known.replaced_by(&upstream("new", 200)),
+        vec![Arc::from("old")]
+    );
+    assert!(known.replaced_by(&upstream("older", 50)).is_empty());
+}
+
+#[test]
+fn peers_tell_of_failures() {
+    let mut records = Records::default();
+    let engine: Arc<str> = "dark".into();
+    records.note_peer_down(&engine, 1_000, TimeMs(0));
+    assert!(records.is_avoided("dark", TimeMs(900)));
+    assert!(!records.is_avoided("dark", TimeMs(1_100)));
+    // What a peer said isn't told on as if it was seen here.
+    assert!(records.down(TimeMs(900)).is_empty());
+    // An instance that has just been served doubts its peers.
+    records.note(&engine, Outcome::Answered { elapsed_ms: 5 }, TimeMs(2_000));
+    records.note_peer_down(&engine, 1_000, TimeMs(2_100));
+    assert!(!records.is_avoided("dark", TimeMs(2_200)));
+}
+
+#[test]
+fn rejecting_upstream_is_left() {
+    let mut records = Records::default();
+    let shedding: Arc<str> = "shedding".into();
+    for step in 0..20_u64 {
+        records.note(&shedding, Outcome::Full, TimeMs(step * 100));
+    }
+    let services = [candidate("shedding", 0, 0), candidate("busy", 6, 0)];
+    let chosen = chooser(&records, 2_100).plain(&services, 7);
+    assert_eq!(chosen, Some(1));
+    // It is tried again once its record has faded.
+    assert_eq!(chooser(&records, 30_000).plain(&services, 7), Some(0));
+}
+
+#[test]
+fn grants_bridge_reports() {
+    let mut exchange = Exchange::new(ExchangeOptions::default());
+    let peer: Arc<str> = "peer".into();
+    exchange.receive(report(1, 0), TimeMs(0));
+    for ticket in 0..3 {
+        exchange.grant(&peer, grant(ticket, 10));
+    }
+    // The peer's report doesn't show the grants yet; they count all the same, and only once.
+    exchange.receive(report(2, 1), TimeMs(50));
+    assert_eq!(exchange.use_of("e1", TimeMs(50)).requests, 3);
+    exchange.receive(report(3, 3), TimeMs(100));
+    assert_eq!(exchange.use_of("e1", TimeMs(100)).requests, 3);
+    // A release counts at once, before the next report.
+    exchange.release("peer", 1, "e1");
+    assert_eq!(exchange.use_of("e1", TimeMs(110)).requests, 2);
+}
+
+#[test]
+fn lost_release_settles() {
+    let mut exchange = Exchange::new(ExchangeOptions::default());
+    let peer: Arc<str> = "peer".into();
+    exchange.grant(&peer, grant(1, 0));
+    exchange.receive(report(1, 0), TimeMs(100));
+    assert_eq!(exchange.use_of("e1", TimeMs(100)).requests, 1);
+    exchange.receive(report(2, 0), TimeMs(700));
+    assert_eq!(exchange.use_of("e1", TimeMs(700)).requests, 0);
+}
+
+#[test]
+fn dead_peer_frees_slots() {
+    let mut exchange = Exchange::new(ExchangeOptions::default());
+    exchange.receive(report(1, 5), TimeMs(0));
+    assert_eq!(exchange.use_of("e1", TimeMs(900)).requests, 5);
+    assert_eq!(exchange.use_of("e1", TimeMs(1_100)).requests, 0);
+    assert_eq!(exchange.hearing(TimeMs(1_100)).members, 2);
+    assert_eq!(exchange.hearing(TimeMs(20_000)).members, 1);
+}
--- /dev/null
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -0,0 +1,242 @@
+//! Quotas over all instances: no window brings more than the rate and burst, whoever is heard.
+
+use std::sync::Arc;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::exchange::Exchange;
+use dogwoodpier_core::gateway::exchange::ExchangeOptions;
+use dogwoodpier_core::gateway::exchange::Report;
+use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::quota::Hearing;
+use dogwoodpier_core::gateway::quota::Quotas;
+use dogwoodpier_core::gateway::quota::Tolerance;
+use dogwoodpier_core::gateway::routes::QuotaUnit;
+use dogwoodpier_core::gateway::routes::Workspace;
+use proptest::prelude::*;
+
+const RATE_PER_S: u64 = 10_000;
+const BURST: u64 = 10_000;
+const COST: u64 = 500;
+const WINDOW_MS: u64 = 8_000;
+
+fn workspace() -> Workspace {
+    Workspace {
+        name: "firm".into(),
+        priority: None,
+        unit: QuotaUnit::Tokens { default_tokens: 1 },
+        rate_per_s: RATE_PER_S,
+        burst: BURST,
+    }
+}
+
+/// Instances that share a quota. Reports take `lag_ms`; those between the two sides of a cut are lost.
+struct Fleet {
+    quotas: Vec<Quotas>,
+    exchanges: Vec<Exchange>,
+    in_flight: Vec<(u64, usize, Report)>,
+    admitted: Vec<(u64, u64)>,
+    lag_ms: u64,
+    sequence: u64,
+}
+
+impl Fleet {
+    fn new(size: usize, lag_ms: u64) -> Self {
+        let mut fleet = Self {
+            quotas: (0..size).map(|_| Quotas::default()).collect(),
+            exchanges: (0..size)
+                .map(|_| Exchange::new(ExchangeOptions::default()))
+                .collect(),
+            in_flight: Vec::new(),
+            admitted: Vec::new(),
+            lag_ms,
+            sequence: 0,
+        };
+        for instance in 0..size {
+            for peer in (0..size).filter(|peer| *peer != instance) {
+                fleet.exchanges[instance].register(&name(peer), TimeMs(0));
+            }
+        }
+        fleet
+    }
+
+    fn ask(&mut self, instance: usize, now_ms: u64) -> bool {
+        let now = TimeMs(now_ms);
+        let hearing = self.exchanges[instance].hearing(now);
+        let decision =
+            self.quotas[instance].admit(&workspace(), COST, hearing, Tolerance::NONE, now);
+        if decision == Decision::Admitted {
+            self.admitted.push((now_ms, COST));
+        }
+        decision == Decision::Admitted
+    }
+
+    fn report(&mut self, now_ms: u64, cut_at: Option<usize>) {
+        self.sequence += 1;
+        for from in 0..self.quotas.len() {
+            for to in (0..self.quotas.len()).filter(|to| *to != from) {
+                if cut_at.is_some_and(|cut_at| (from < cut_at) != (to < cut_at)) {
+                    continue;
+                }
+                let report = Report {
+                    instance: name(from),
+                    incarnation: 1,
+                    sequence: self.sequence,
+                    leaving: false,
+                    uses: Default::default(),
+                    admitted: self.quotas[from].admitted().clone(),
+                    down_for_ms: Default::default(),
+                    seen_revisions: Default::default(),
+                };
+                self.in_flight.push((now_ms + self.lag_ms, to, report));
+            }
+        }
+    }
+
+    fn deliver(&mut self, now_ms: u64) {
+        let now = TimeMs(now_ms);
+        let (due, later) = std::mem::take(&mut self.in_flight)
+            .into_iter()
+            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.in_flight = later;
+        for (_, to, report) in due {
+            for charge in self.exchanges[to].receive(report, now) {
+                let hearing = self.exchanges[to].hearing(now);
+                self.quotas[to].charge(&workspace(), charge.units, hearing, now);
+            }
+        }
+    }
+
+    fn most_in_window(&self) -> u64 {
+        self.admitted
+            .iter()
+            .map(|(from_ms, _)| {
+                self.admitted
+                    .iter()
+                    .filter(|(at_ms, _)| (*from_ms..from_ms + WINDOW_MS).contains(at_ms))
+                    .map(|(_, units)| units)
+                    .sum()
+            })
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+fn name(instance: usize) -> Arc<str> {
+    format!("n{instance}").into()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(40) })]
+
+    // A workspace sends five times its rate over instances that it picks unevenly, while reports
+    // lag and the fleet may be cut in two.
+    #[test]
+    fn hot_workspace(
+        size in 2_usize..8,
+        lag_ms in 1_u64..120,
+        cut in proptest::option::of((0_u64..15_000, 2_000_u64..8_000)),
+        picks in proptest::collection::vec(0_usize..64, 200),
+    ) {
+        let mut fleet = Fleet::new(size, lag_ms);
+        for step in 0..4_000_u64 {
+            let now_ms = step * 5;
+            fleet.deliver(now_ms);
+            let cut_at = cut
+                .filter(|(from_ms, for_ms)| (*from_ms..from_ms + for_ms).contains(&now_ms))
+                .map(|_| size / 2);
+            if now_ms % 50 == 0 {
+                fleet.report(now_ms, cut_at);
+            }
+            // A square prefers low numbers.
+            let pick = picks[step as usize % picks.len()];
+            fleet.ask(pick * pick / 64 % size, now_ms);
+            if step % 2 == 0 {
+                fleet.ask(0, now_ms);
+            }
+        }
+        // What can be admitted unseen while a report is on its way, and what the two sides of a cut
+        // admit until they notice it.
+        let unseen = (50 + lag_ms) * 300 + cut.map_or(0, |_| 1_000 * 300);
+        let allowed = RATE_PER_S * WINDOW_MS / 1_000 + BURST + unseen;
+        prop_assert!(fleet.most_in_window() <= allowed);
+    }
+}
+
+#[test]
+fn whole_rate_is_used() {
+    let mut fleet = Fleet::new(4, 5);
+    for step in 0..4_000_u64 {
+        let now_ms = step * 5;
+        fleet.deliver(now_ms);
+        if now_ms % 50 == 0 {
+            fleet.report(now_ms, None);
+        }
+        // All of it arrives at one instance.
+        fleet.ask(0, now_ms);
+    }
+    let total: u64 = fleet.admitted.iter().map(|(_, units)| units).sum();
+    assert!(total >= RATE_PER_S * 19, "only {total} units in 20 s");
+}
+
+#[test]
+fn silent_peers_keep_their_share() {
+    let mut quotas = Quotas::default();
+    let hearing = Hearing {
+        members: 4,
+        heard: 1,
+    };
+    let mut admitted = 0;
+    for step in 0..2_000_u64 {
+        let now = TimeMs(step * 5);
+        if quotas.admit(&workspace(), 100, hearing, Tolerance::NONE, now) == Decision::Admitted {
+            admitted += 100;
+        }
+    }
+    let share = (RATE_PER_S * 10 + BURST) / 4;
+    assert!(
+        (share * 8 / 10..=share).contains(&admitted),
+        "{admitted} of {share}"
+    );
+}
+
+#[test]
+fn tolerance_lends_and_takes_back() {
+    let mut quotas = Quotas::default();
+    let tolerance = Tolerance { units: 5_000 };
+    quotas.admit(&workspace(), 0, Hearing::ALONE, Tolerance::NONE, TimeMs(0));
+    let mut within = 0;
+    while quotas.admit(
+        &workspace(),
+        COST,
+        Hearing::ALONE,
+        Tolerance::NONE,
+        TimeMs(5_000),
+    ) == Decision::Admitted
+    {
+        within += COST;
+    }
+    let mut beyond = 0;
+    while quotas.admit(&workspace(), COST, Hearing::ALONE, tolerance, TimeMs(5_000))
+        == Decision::Admitted
+    {
+        beyond += COST;
+    }
+    assert_eq!((within, beyond), (BURST, 5_000));
+    // What was lent comes out of the rate: nothing more for half a second.
+    let later = quotas.admit(
+        &workspace(),
+        COST,
+        Hearing::ALONE,
+        Tolerance::NONE,
+        TimeMs(5_400),
+    );
+    assert!(matches!(later, Decision::Rejected { .. }));
+    let later = quotas.admit(
+        &workspace(),
+        COST,
+        Hearing::ALONE,
+        Tolerance::NONE,
+        TimeMs(5_600),
+    );
+    assert_eq!(later, Decision::Admitted);
+}
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -17,10 +17,12 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::quota::Tolerance;
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::QuotaUnit;
 use dogwoodpier_core::gateway::routes::Route;
 use dogwoodpier_core::gateway::routes::Workspace;
+use dogwoodpier_core::gateway::upstreams::Stage;
 use dogwoodpier_process::clock;
 
 use crate::headers;
@@ -54,7 +56,9 @@
     let (head, body) = request.into_parts();
     let names = &gateway.dialect.headers;
     let id = head.headers.get(&names.request_id).cloned();
-    let id = id.ok_or(Rejection::new(Reason::Malformed))?;
+    let id = id
+        .filter(|id| !id.is_empty())
+        .ok_or(Rejection::new(Reason::Malformed))?;
     let route = find_route(&configuration, &head)?;
     let workspace = find_workspace(gateway, &configuration, &route, &head.headers)?;
     if !gateway.takes(&route) {
@@ -191,9 +195,17 @@
         }),
     };
     let now = clock::now();
+    let tolerance = if has_room(gateway, request) {
+        gateway.settings.load().quota_tolerance
+    } else {
+        Tolerance::NONE
+    };
     let mut beliefs = gateway.beliefs();
     let hearing = beliefs.exchange.hearing(now);
-    match beliefs.quotas.admit(workspace, units, hearing, now) {
+    match beliefs
+        .quotas
+        .admit(workspace, units, hearing, tolerance, now)
+    {
         Decision::Admitted => Ok(()),
         Decision::Rejected { retry_after_ms } => Err(Rejection::come_back(
             Reason::OverQuota,
@@ -203,6 +215,22 @@
     }
 }
 
+// Returns whether an upstream has a free slot and nothing waits for it.
+fn has_room(gateway: &Gateway, request: &ClientRequest) -> bool {
+    let name = &request.service.name;
+    let waiting = gateway.lines.lengths();
+    if waiting
+        .iter()
+        .any(|(line, length)| line == name && *length > 0)
+    {
+        return false;
+    }
+    gateway.beliefs().candidates(name).iter().any(|candidate| {
+        candidate.upstream.stage != Some(Stage::Prefill)
+            && candidate.used.requests < candidate.upstream.slots
+    })
+}
+
 fn number(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/dogwoodpier-gateway/src/dispatch.rs
+++ b/crates/dogwoodpier-gateway/src/dispatch.rs
@@ -1,5 +1,7 @@
 //! The way of one request through the gateway.
 
+use std::sync::Arc;
+
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -27,7 +29,7 @@
         .unwrap_or_default()
         .to_owned();
     let result = match admission::admit(&gateway, request, received_ms).await {
-        Ok(request) => forward(&gateway, &request).await,
+        Ok(request) => forward(&gateway, &Arc::new(request)).await,
         Err(rejection) => Err(rejection),
     };
     log_result(&gateway, &id, &result, received_ms);
@@ -40,7 +42,7 @@
 
 async fn forward(
     gateway: &SharedGateway,
-    request: &ClientRequest,
+    request: &Arc<ClientRequest>,
 ) -> Result<Response<AnswerBody>, Rejection> {
     let now = clock::now();
     let settings = gateway.settings.load_full();
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -12,18 +12,23 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use hyper::body::Incoming;
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::gateway::routes::Repeat;
 use dogwoodpier_http::Reply;
+use dogwoodpier_http::Returning;
 use dogwoodpier_process::clock;
 
 use crate::body::AnswerBody;
 use crate::broker;
 use crate::counters;
 use crate::dialect::PromptSize;
+use crate::events::Events;
 use crate::forwarding;
 use crate::forwarding::Sent;
 use crate::headers;
@@ -37,6 +42,7 @@
 use crate::state::SharedGateway;
 use crate::state::UseGuard;
 use crate::stream::Relay;
+use crate::stream::Resume;
 
 // Largest answer to a prefill.
 const MAX_HANDLE_BYTES: usize = 64 * 1024;
@@ -114,10 +120,72 @@
     failed: Option<Arc<str>>,
 }
 
+/// A stream that goes on at another engine.
+pub struct Resumed {
+    /// Body of the engine's answer.
+    pub body: Incoming,
+    /// Connection to give back at the end.
+    pub returning: Returning,
+    /// Place at the engine.
+    pub guard: UseGuard,
+}
+
+/// Goes on with a stream that was cut, at another engine than `failed`, after the event that the
+/// client has last.
+pub async fn resume(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+    runs: u32,
+    failed: Arc<str>,
+    last_event: Option<HeaderValue>,
+) -> Option<Resumed> {
+    if runs >= request.route.max_attempts || !take_retry(gateway, request) {
+        return None;
+    }
+    let now = clock::now();
+    let progress = Progress {
+        failed: Some(failed),
+        ..Progress::default()
+    };
+    let claim = Claim {
+        // The client sees a pause until then: waiting longer than its objective is no use.
+        on_time_deadline_ms: now.after(request.route.objective_ms),
+        leave_deadline_ms: now.after(request.route.objective_ms),
+        returned: true,
+        ..claim(gateway, request, &progress)
+    };
+    let place = broker::place(gateway, claim).await.ok()?;
+    let names = &gateway.dialect.headers;
+    let extra = last_event.map(|last| (names.last_event_id.clone(), last));
+    let extra = extra.into_iter().collect();
+    let upstream = place.decode.upstream().clone();
+    let sent = forwarding::send(gateway, request, &upstream, extra, request.deadline_ms).await;
+    let Sent::Answered(reply) = sent else {
+        return None;
+    };
+    if !reply.status.is_success() {
+        return None;
+    }
+    gateway.events.write(
+        "stream_resumed",
+        serde_json::json!({
+            "request_id": request.id_text(),
+            "upstream": &*upstream.id,
+            "pause_ms": clock::now().since(now),
+        }),
+    );
+    let (body, returning) = reply.into_body();
+    Some(Resumed {
+        body,
+        returning,
+        guard: place.decode,
+    })
+}
+
 /// Forwards a generation request and returns the answer.
 pub async fn generate(
     gateway: &SharedGateway,
-    request: &ClientRequest,
+    request: &Arc<ClientRequest>,
 ) -> Result<Response<AnswerBody>, Rejection> {
     if !lines::has_decode_engine(gateway, &request.service.name) {
         return Err(Rejection::come_back(
@@ -215,7 +283,7 @@
 // Runs a request at a place. Returns the response, or notes in `progress` what happened.
 async fn run(
     gateway: &SharedGateway,
-    request: &ClientRequest,
+    request: &Arc<ClientRequest>,
     place: Place,
     progress: &mut Progress,
 ) -> Option<Response<AnswerBody>> {
@@ -248,7 +316,8 @@
     let sent = forwarding::send(gateway, request, &upstream, extra, request.deadline_ms).await;
     match sent {
         Sent::Answered(reply) => {
-            let accepted = accept(gateway, request, reply, decode, slot_ms);
+            let runs = progress.runs + 1;
+            let accepted = accept(gateway, request, reply, decode, slot_ms, runs);
             progress.runs += u32::from(accepted.is_none());
             return accepted;
         }
@@ -332,10 +401,11 @@
 // Turns the head of an engine's answer into the response, or returns `None` if it can't be used.
 fn accept(
     gateway: &SharedGateway,
-    request: &ClientRequest,
+    request: &Arc<ClientRequest>,
     reply: Reply,
     decode: UseGuard,
     slot_ms: TimeMs,
+    runs: u32,
 ) -> Option<Response<AnswerBody>> {
     let genuine = forwarding::is_genuine(gateway, reply.status, &reply.headers);
     let now = clock::now();
@@ -352,7 +422,12 @@
         return None;
     }
     let status = reply.status;
-    let headers = headers::to_client(&reply.headers);
+    let mut headers = headers::to_client(&reply.headers);
+    let resume = resumable(gateway, request, status, runs);
+    if resume.is_some() {
+        // The parts of two engines need not be as long as that of the first would have been.
+        headers.remove(header::CONTENT_LENGTH);
+    }
     let (body, returning) = reply.into_body();
     let relay = Relay {
         gateway: gateway.clone(),
@@ -364,9 +439,25 @@
         bytes: 0,
         last_part_ms: now,
         longest_gap_ms: 0,
+        resume,
     };
     let mut response = Response::new(AnswerBody::streamed(relay.into_body()));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     Some(response)
 }
+
+fn resumable(
+    gateway: &Gateway,
+    request: &Arc<ClientRequest>,
+    status: StatusCode,
+    runs: u32,
+) -> Option<Resume> {
+    let may_resume = request.route.repeat == Repeat::Stream { resumable: true };
+    let last_event = request.headers.get(&gateway.dialect.headers.last_event_id);
+    (may_resume && status.is_success()).then(|| Resume {
+        request: request.clone(),
+        runs,
+        events: Events::after(last_event.cloned()),
+    })
+}
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 pub mod dispatch;
 pub mod engines;
+pub mod events;
 pub mod exchange;
 pub mod forwarding;
 pub mod headers;
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -10,10 +10,14 @@
 use dogwoodpier_config::reader::Fields;
 use dogwoodpier_config::reader::Report;
 use dogwoodpier_core::gateway::exchange::ExchangeOptions;
+use dogwoodpier_core::gateway::quota::Tolerance;
 use dogwoodpier_core::gateway::retries::RetryOptions;
 use dogwoodpier_derive::plain;
 
 const MS_PER_S: f64 = 1_000.0;
+// Part of the tolerated units that is lent. The rest covers what is admitted while reports of other
+// instances are on their way.
+const QUOTA_TOLERANCE_SHARE: f64 = 0.6;
 const ADDRESS_HELP: &str = "give an IP address and a port, for example \"10.0.0.7:7100\"";
 const BYTES_PER_MB: usize = 1 << 20;
 // Part of the memory that requests' bodies may take together.
@@ -38,6 +42,8 @@
     pub store_address: SocketAddr,
     /// Bounds of retries.
     pub retries: RetryOptions,
+    /// Units that a workspace may be lent beyond its rate while upstreams have room.
+    pub quota_tolerance: Tolerance,
     /// Time from SIGTERM to the end of the process.
     pub grace_ms: u64,
     /// Time for which the entry of an upstream may be missing after the store was away.
@@ -114,6 +120,7 @@
     let grace_s = number(&mut root, "grace_s", 0.5, 3_600.0, report);
     let entry_grace_s = number(&mut root, "entry_grace_s", 0.0, 3_600.0, report);
     let memory_mb = number(&mut root, "memory_mb", 32.0, 1_048_576.0, report);
+    let tolerance = number(&mut root, "quota_tolerance_units", 0.0, 1e15, report);
     let mut retries = root.table("retries", report);
     let ratio = number(&mut retries, "ratio", 0.0, 10.0, report);
     let allowance = number(&mut retries, "allowance", 0.0, 1e9, report);
@@ -133,6 +140,9 @@
             allowance: allowance?,
             window_ms: (window_s? * MS_PER_S) as u64,
         },
+        quota_tolerance: Tolerance {
+            units: (tolerance? * QUOTA_TOLERANCE_SHARE) as u64,
+        },
         grace_ms: (grace_s? * MS_PER_S) as u64,
         entry_grace_ms: (entry_grace_s? * MS_PER_S) as u64,
         max_buffered_bytes: memory_mb? as usize * BYTES_PER_MB / BODY_MEMORY_PARTS,
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -1,6 +1,7 @@
 //! A streamed answer on its way from an engine to a client.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -17,6 +18,9 @@
 use dogwoodpier_http::Returning;
 use dogwoodpier_process::clock;
 
+use crate::engines;
+use crate::events::Events;
+use crate::request::ClientRequest;
 use crate::state::SharedGateway;
 use crate::state::UseGuard;
 
@@ -25,7 +29,7 @@
 #[error("the answer was cut: {0}")]
 pub struct Cut(pub &'static str);
 
-type Parts = Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send + Sync>>;
+type Parts = Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>;
 
 /// The body of an engine's answer. Dropping it cancels the request at the engine.
 pub struct UpstreamBody {
@@ -37,7 +41,7 @@
     /// Returns a body that consists of `parts`.
     pub fn new<S>(parts: S) -> Self
     where
-        S: Stream<Item = Result<Bytes, Cut>> + Send + Sync + 'static,
+        S: Stream<Item = Result<Bytes, Cut>> + Send + 'static,
     {
         Self {
             parts: Box::pin(parts),
@@ -86,6 +90,18 @@
     pub last_part_ms: TimeMs,
     /// Longest time between two parts.
     pub longest_gap_ms: u64,
+    /// Present if another engine may go on after a cut.
+    pub resume: Option<Resume>,
+}
+
+/// What it takes to go on with a stream at another engine.
+pub struct Resume {
+    /// The request.
+    pub request: Arc<ClientRequest>,
+    /// Engines that have run it.
+    pub runs: u32,
+    /// Events that were forwarded.
+    pub events: Events,
 }
 
 impl Relay {
@@ -110,6 +126,11 @@
             };
             match frame {
                 None => {
+                    let rest = self.resume.as_mut().map(|resume| resume.events.take_rest());
+                    if let Some(rest) = rest.filter(|rest| !rest.is_empty()) {
+                        self.count(rest.len());
+                        return Some(Ok(rest));
+                    }
                     if let Some(returning) = self.returning.take() {
                         returning.give_back();
                     }
@@ -118,18 +139,56 @@
                 }
                 Some(Err(_)) => {
                     self.log_end("cut by the upstream");
-                    return Some(Err(Cut("the upstream's connection ended")));
+                    if !self.resume().await {
+                        return Some(Err(Cut("the upstream's connection ended")));
+                    }
                 }
                 Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.count(data.len());
-                        return Some(Ok(data));
+                    if let Ok(data) = frame.into_data()
+                        && let Some(part) = self.forwardable(data)
+                    {
+                        self.count(part.len());
+                        return Some(Ok(part));
                     }
                 }
             }
         }
     }
 
+    // Returns what of a part can be forwarded: of a stream that may go on elsewhere, whole events only.
+    fn forwardable(&mut self, data: Bytes) -> Option<Bytes> {
+        let Some(resume) = &mut self.resume else {
+            return Some(data);
+        };
+        let whole = resume.events.push(&data);
+        (!whole.is_empty()).then_some(whole)
+    }
+
+    // Goes on at another engine after the last whole event. Returns false if that can't be done.
+    async fn resume(&mut self) -> bool {
+        let Some(resume) = &mut self.resume else {
+            return false;
+        };
+        resume.events.drop_partial();
+        let failed = self.guard.upstream().id.clone();
+        let last_event = resume.events.last_id();
+        let went_on = engines::resume(
+            &self.gateway,
+            &resume.request,
+            resume.runs,
+            failed,
+            last_event,
+        );
+        let Some(next) = went_on.await else {
+            return false;
+        };
+        resume.runs += 1;
+        self.body = next.body;
+        self.returning = Some(next.returning);
+        self.guard = next.guard;
+        true
+    }
+
     fn count(&mut self, bytes: usize) {
         let now = clock::now();
         self.bytes += bytes as u64;
