--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use proptest::prelude::*;
+
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::exchange::Exchange;
 use dogwoodpier_core::gateway::exchange::ExchangeOptions;
@@ -12,7 +14,6 @@
 use dogwoodpier_core::gateway::quota::Tolerance;
 use dogwoodpier_core::gateway::routes::QuotaUnit;
 use dogwoodpier_core::gateway::routes::Workspace;
-use proptest::prelude::*;
 
 const RATE_PER_S: u64 = 10_000;
 const BURST: u64 = 10_000;
