Tell peers of leaving upstreams; count every send to an engine; lend while lightly used

Reports now tell leaving upstreams, and an asker refuses a place on one. A KV cache whose decode engine rejected the request is used once more; a full engine is left until one of its requests ends.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -86,6 +86,9 @@
     pub admitted: BTreeMap<Arc<str>, u64>,
     /// Upstreams that the sender can't reach, and for how many milliseconds it avoids them.
     pub down_for_ms: BTreeMap<Arc<str>, u64>,
+    /// Upstreams that take no more work, with the start of their incarnation: the receiver may be cut
+    /// off from the store.
+    pub leaving_upstreams: BTreeMap<Arc<str>, Option<u64>>,
     /// Revision of the store up to which the sender has seen a change, by kind of object.
     pub seen_revisions: BTreeMap<Arc<str>, u64>,
 }
--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -24,8 +24,9 @@
 // First and longest time for which an upstream that can't be reached is avoided.
 const AVOID_FIRST_MS: u64 = 300;
 const AVOID_MAX_MS: u64 = 3_000;
-// Time for which an upstream that rejected a request as full gets no further one.
-const FULL_MS: u64 = 60;
+// Time for which an upstream that rejected a request as full gets no further one, unless one of its
+// requests ends: about a tenth of a long answer.
+const FULL_MS: u64 = 400;
 // Part of a failure that a rejection counts for: a full upstream is no bad one, but one that keeps
 // rejecting is.
 const FULL_WEIGHT: f64 = 0.5;
@@ -133,6 +134,13 @@
         }
     }
 
+    /// Notes that a request of an upstream has ended, so that one that was full has room again.
+    pub fn note_freed(&mut self, upstream: &str) {
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.full_deadline_ms = TimeMs::default();
+        }
+    }
+
     /// Notes that a peer can't reach an upstream for the next `for_ms`.
     pub fn note_peer_down(&mut self, upstream: &Arc<str>, for_ms: u64, now: TimeMs) {
         let record = self.record(upstream, now);
@@ -216,6 +224,31 @@
     pub used: Use,
 }
 
+// Part of the slots and of the memory up to which upstreams count as lightly used. Above it a burst
+// that has just begun would find no room.
+const LIGHT_USE: f64 = 0.6;
+
+/// Returns whether upstreams that take `capacity_kv_tokens` each, if they are engines, are lightly
+/// used altogether.
+pub fn is_lightly_used(candidates: &[Candidate], capacity_kv_tokens: Option<u64>) -> bool {
+    let slots: u32 = candidates
+        .iter()
+        .map(|candidate| candidate.upstream.slots)
+        .sum();
+    let requests: u32 = candidates
+        .iter()
+        .map(|candidate| candidate.used.requests)
+        .sum();
+    let kv_tokens: u64 = candidates
+        .iter()
+        .map(|candidate| candidate.used.kv_tokens)
+        .sum();
+    let has_memory = capacity_kv_tokens.is_none_or(|capacity| {
+        (kv_tokens as f64) < (capacity * candidates.len() as u64) as f64 * LIGHT_USE
+    });
+    f64::from(requests) < f64::from(slots) * LIGHT_USE && has_memory
+}
+
 /// Who asks, and where it is.
 pub struct Chooser<'a> {
     /// Data centre of this instance.
--- a/crates/dogwoodpier-core/src/gateway/upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -90,6 +90,28 @@
         true
     }
 
+    /// Notes that an upstream takes no more work, unless another incarnation of it is known. Returns
+    /// whether that is news.
+    pub fn mark_leaving(&mut self, id: &str, started_unix_ms: Option<u64>) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let same = entry.upstream.started_unix_ms == started_unix_ms;
+        if !same || !entry.upstream.accepts_work {
+            return false;
+        }
+        Arc::make_mut(&mut entry.upstream).accepts_work = false;
+        true
+    }
+
+    /// Returns the upstreams that take no more work, with the start of their incarnation.
+    pub fn leaving(&self) -> BTreeMap<Arc<str>, Option<u64>> {
+        self.all()
+            .filter(|upstream| !upstream.accepts_work)
+            .map(|upstream| (upstream.id.clone(), upstream.started_unix_ms))
+            .collect()
+    }
+
     /// Removes an upstream, at once or once `keep_deadline_ms` has passed. Returns whether it was
     /// known.
     pub fn remove(&mut self, id: &str, keep_deadline_ms: Option<TimeMs>) -> bool {
--- /dev/null
+++ b/crates/dogwoodpier-core/tests/gateway_budget.rs
@@ -0,0 +1,51 @@
+//! The retries of all instances together stay within the budget.
+
+use std::sync::Arc;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::retries::RetryBudget;
+use dogwoodpier_core::gateway::retries::RetryOptions;
+
+const OPTIONS: RetryOptions = RetryOptions {
+    ratio: 0.2,
+    allowance: 50.0,
+    window_ms: 10_000,
+};
+
+#[test]
+fn fleet_within_budget() {
+    let service: Arc<str> = "engines".into();
+    let mut instances: Vec<RetryBudget> = (0..7).map(|_| RetryBudget::default()).collect();
+    let mut requests = Vec::new();
+    let mut retries = Vec::new();
+    for now_ms in (0..30_000_u64).step_by(10) {
+        let now = TimeMs(now_ms);
+        // The first instances get more than the last ones, and every request is tried four times.
+        let instance = (now_ms / 10 % 28) as usize / 4 * (now_ms / 10 % 28) as usize / 28;
+        instances[instance].count_request(&service, &OPTIONS, now);
+        requests.push(now_ms);
+        for _ in 0..3 {
+            if instances[instance].take_retry(&service, &OPTIONS, 7, now) {
+                retries.push(now_ms);
+            }
+        }
+    }
+    let within = |times: &[u64], from_ms: u64| {
+        let window = from_ms..from_ms + OPTIONS.window_ms;
+        times.iter().filter(|time| window.contains(time)).count() as f64
+    };
+    for from_ms in (0..20_000).step_by(500) {
+        let allowed = OPTIONS.ratio * within(&requests, from_ms) + OPTIONS.allowance;
+        let taken = within(&retries, from_ms);
+        assert!(taken <= allowed, "{taken} of {allowed} from {from_ms} ms");
+    }
+    assert!(within(&retries, 10_000) >= 150.0, "the budget is used");
+}
+
+#[test]
+fn calm_service_has_allowance() {
+    let service: Arc<str> = "desk".into();
+    let mut budget = RetryBudget::default();
+    budget.count_request(&service, &OPTIONS, TimeMs(0));
+    assert!(budget.take_retry(&service, &OPTIONS, 1, TimeMs(0)));
+}
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -63,6 +63,7 @@
         uses: if requests == 0 { BTreeMap::new() } else { uses },
         admitted: BTreeMap::new(),
         down_for_ms: BTreeMap::new(),
+        leaving_upstreams: Default::default(),
         seen_revisions: BTreeMap::new(),
     }
 }
@@ -177,3 +178,24 @@
     assert_eq!(exchange.hearing(TimeMs(1_100)).members, 2);
     assert_eq!(exchange.hearing(TimeMs(20_000)).members, 1);
 }
+
+#[test]
+fn leaving_by_hearsay() {
+    let mut known = Upstreams::default();
+    known.put(upstream("e1", 100));
+    // Told of another incarnation: not this one.
+    assert!(!known.mark_leaving("e1", Some(50)));
+    assert!(known.mark_leaving("e1", Some(100)));
+    assert!(!known.mark_leaving("e1", Some(100)));
+    assert_eq!(known.serving("engines").count(), 0);
+    assert_eq!(known.leaving().len(), 1);
+}
+
+#[test]
+fn full_until_freed() {
+    let mut records = Records::default();
+    records.note(&"e1".into(), Outcome::Full, TimeMs(0));
+    assert!(records.is_avoided("e1", TimeMs(300)));
+    records.note_freed("e1");
+    assert!(!records.is_avoided("e1", TimeMs(301)));
+}
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -86,6 +86,7 @@
                     uses: Default::default(),
                     admitted: self.quotas[from].admitted().clone(),
                     down_for_ms: Default::default(),
+                    leaving_upstreams: Default::default(),
                     seen_revisions: Default::default(),
                 };
                 self.in_flight.push((now_ms + self.lag_ms, to, report));
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::placement;
 use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::quota::Tolerance;
 use dogwoodpier_core::gateway::routes::Configuration;
@@ -215,20 +216,12 @@
     }
 }
 
-// Returns whether an upstream has a free slot and nothing waits for it.
+// Returns whether the upstreams of a request's service are lightly used.
 fn has_room(gateway: &Gateway, request: &ClientRequest) -> bool {
-    let name = &request.service.name;
-    let waiting = gateway.lines.lengths();
-    if waiting
-        .iter()
-        .any(|(line, length)| line == name && *length > 0)
-    {
-        return false;
-    }
-    gateway.beliefs().candidates(name).iter().any(|candidate| {
-        candidate.upstream.stage != Some(Stage::Prefill)
-            && candidate.used.requests < candidate.upstream.slots
-    })
+    let mut candidates = gateway.beliefs().candidates(&request.service.name);
+    candidates.retain(|candidate| candidate.upstream.stage != Some(Stage::Prefill));
+    let engine = request.service.engine.as_ref();
+    placement::is_lightly_used(&candidates, engine.map(|spec| spec.kv_tokens))
 }
 
 fn number(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -20,7 +20,6 @@
 use tokio::task::AbortHandle;
 
 use dogwoodpier_core::TimeMs;
-use dogwoodpier_core::gateway::exchange::Use;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::rendezvous;
 use dogwoodpier_derive::wire;
@@ -278,7 +277,7 @@
             }
             Ok(Some(Verdict::Granted { decode, prefill })) => {
                 own.decided = true;
-                return accept(gateway, broker, ticket, claim, &decode, prefill.as_deref());
+                return accept(gateway, broker, ticket, claim, &decode, prefill.as_ref());
             }
             Ok(None) => return None,
             Err(_) => {
@@ -290,35 +289,50 @@
     None
 }
 
-// Takes a granted place, or returns `None` if this instance doesn't know the engine.
+// Takes a granted place, or returns `None` if this instance knows that the engines take no work or
+// doesn't know them: then one of the two doesn't hear the store.
 fn accept(
     gateway: &SharedGateway,
     broker: SocketAddr,
     ticket: u64,
     claim: &Claim,
-    decode: &str,
-    prefill: Option<&str>,
+    decode: &Arc<str>,
+    prefill: Option<&Arc<str>>,
 ) -> Option<std::result::Result<Place, Refused>> {
-    let (decode, prefill) = {
+    let usable = |id: &Arc<str>| {
         let beliefs = gateway.beliefs();
-        let prefill = prefill.and_then(|prefill| beliefs.upstreams.get(prefill).cloned());
-        (beliefs.upstreams.get(decode).cloned()?, prefill)
+        let upstream = beliefs.upstreams.get(id).cloned();
+        upstream.filter(|upstream| upstream.accepts_work)
     };
-    let holder = Holder::Granted { broker, ticket };
-    let decode_use = Use {
-        requests: 1,
-        prefill_tokens: 0,
-        kv_tokens: claim.kv_tokens,
+    let (Some(decode), None | Some(Some(_))) = (usable(decode), prefill.map(usable)) else {
+        for upstream in [Some(decode), prefill].into_iter().flatten() {
+            let result = match usable(upstream) {
+                Some(_) => Result::Used,
+                None => Result::Replaced,
+            };
+            release(gateway, broker, ticket, upstream.clone(), result);
+        }
+        return None;
     };
-    let prefill_use = Use {
-        requests: 1,
-        prefill_tokens: claim.prompt_tokens,
-        kv_tokens: claim.prompt_tokens,
+    let holder = Holder::Granted { broker, ticket };
+    let prefill = prefill.and_then(usable);
+    Some(Ok(lines::begin(
+        gateway,
+        claim,
+        &decode,
+        prefill.as_ref(),
+        &holder,
+    )))
+}
+
+fn release(gateway: &Gateway, broker: SocketAddr, ticket: u64, upstream: Arc<str>, result: Result) {
+    let release = Release {
+        instance: gateway.settings.load().instance.clone(),
+        ticket,
+        upstream,
+        result,
     };
-    Some(Ok(Place {
-        decode: gateway.begin_use(&decode, decode_use, holder.clone()),
-        prefill: prefill.map(|prefill| gateway.begin_use(&prefill, prefill_use, holder.clone())),
-    }))
+    gateway.tell(broker, &Message::Release(release));
 }
 
 /// Takes the answer to a question of this instance in.
@@ -332,15 +346,8 @@
             }
         }
         (None, Verdict::Granted { decode, prefill }) => {
-            let instance = gateway.settings.load().instance.clone();
             for upstream in [Some(decode), prefill].into_iter().flatten() {
-                let release = Release {
-                    instance: instance.clone(),
-                    ticket: answer.ticket,
-                    upstream,
-                    result: Result::Used,
-                };
-                gateway.tell(from, &Message::Release(release));
+                release(gateway, from, answer.ticket, upstream, Result::Used);
             }
         }
         (None, _) => {}
@@ -429,7 +436,10 @@
             .exchange
             .release(&release.instance, release.ticket, &release.upstream);
         let outcome = match release.result {
-            Result::Used => None,
+            Result::Used => {
+                beliefs.records.note_freed(&release.upstream);
+                None
+            }
             Result::Full => Some(Outcome::Full),
             Result::Unreachable => Some(Outcome::Unreachable),
             Result::Replaced => Some(Outcome::Replaced),
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -119,6 +119,4 @@
     pub decode_cache_handle: fn(&[u8]) -> Option<CacheHandle>,
     /// Returns the value of the cache source header for a handle at an engine.
     pub cache_source: fn(SocketAddr, &CacheHandle) -> String,
-    /// Returns the path of the call that frees a handle.
-    pub free_handle_path: fn(&CacheHandle) -> String,
 }
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -20,6 +20,7 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::routes::Repeat;
+use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_http::Reply;
 use dogwoodpier_http::Returning;
 use dogwoodpier_process::clock;
@@ -47,7 +48,7 @@
 // Largest answer to a prefill.
 const MAX_HANDLE_BYTES: usize = 64 * 1024;
 // Places that one request is given, those whose engines rejected it included.
-const MAX_PLACES: u32 = 3;
+const MAX_PLACES: u32 = 4;
 // Time from a free slot to the first event that is assumed before any was seen.
 const FIRST_EVENT_MS: f64 = 200.0;
 const SMOOTHING: f64 = 0.1;
@@ -57,6 +58,8 @@
 const RETURNED_WAIT_MS: u64 = 2_200;
 // Clients' waits differ by their own delays; only a larger difference tells a request that returned.
 const RETURNED_MARGIN_MS: u64 = 250;
+// Part of a KV cache's life at the end in which it may be gone before another engine has fetched it.
+const CACHE_MARGIN_MS: u64 = 100;
 // Part of the expected output that a request holds on average while it runs. Requests of an engine
 // are at different points of theirs.
 const HELD_OUTPUT: f64 = 0.8;
@@ -118,6 +121,24 @@
     timed_out: bool,
     // Engine that failed the request last.
     failed: Option<Arc<str>>,
+    prefill_sends: u32,
+    decode_sends: u32,
+    // KV cache that was made for an engine that rejected the request.
+    cache: Option<Cache>,
+}
+
+struct Cache {
+    source: HeaderValue,
+    use_deadline_ms: TimeMs,
+}
+
+impl Progress {
+    // Returns a KV cache that an engine rejected the request without taking. It is tried once more.
+    fn fresh_cache(&mut self, request: &ClientRequest) -> Option<HeaderValue> {
+        let cache = self.cache.take()?;
+        let now = clock::now();
+        (cache.use_deadline_ms > now && request.deadline_ms > now).then_some(cache.source)
+    }
 }
 
 /// A stream that goes on at another engine.
@@ -213,7 +234,9 @@
         }
         let repeatable = progress.runs == 0
             || (request.route.repeat.is_idempotent() && progress.runs < request.route.max_attempts);
-        if !repeatable || places == MAX_PLACES || !take_retry(gateway, request) {
+        // A place whose engine was found full before anything was sent to it costs no retry.
+        let costs_retry = progress.decode_sends > 0;
+        if !repeatable || places == MAX_PLACES || (costs_retry && !take_retry(gateway, request)) {
             break;
         }
     }
@@ -305,15 +328,16 @@
         );
         return None;
     }
-    let source = match prefill {
-        Some(prefill) => read_prompt(gateway, request, prefill, &decode).await,
-        None => None,
+    let source = match progress.fresh_cache(request) {
+        Some(cache) => Some(cache),
+        None => read_prompt(gateway, request, prefill, &decode, progress).await,
     };
     let names = &gateway.dialect.headers;
     let extra = source.map(|source| (names.cache_source.clone(), source));
     let extra = extra.into_iter().collect();
     let upstream = decode.upstream().clone();
     let sent = forwarding::send(gateway, request, &upstream, extra, request.deadline_ms).await;
+    progress.decode_sends += 1;
     match sent {
         Sent::Answered(reply) => {
             let runs = progress.runs + 1;
@@ -340,9 +364,16 @@
 async fn read_prompt(
     gateway: &SharedGateway,
     request: &ClientRequest,
-    mut guard: UseGuard,
+    prefill: Option<UseGuard>,
     decode: &UseGuard,
+    progress: &mut Progress,
 ) -> Option<HeaderValue> {
+    let mut guard = prefill?;
+    // The first one is free, further ones are retries.
+    if progress.prefill_sends > 0 && !take_retry(gateway, request) {
+        return None;
+    }
+    progress.prefill_sends += 1;
     let names = &gateway.dialect.headers;
     let stage = HeaderValue::from_static(gateway.dialect.prefill_stage);
     let extra = vec![(names.stage.clone(), stage)];
@@ -350,11 +381,13 @@
     let limit_ms = request
         .deadline_ms
         .min(started_ms.after(request.route.objective_ms));
-    let prefill = guard.upstream().clone();
-    let sent = forwarding::send(gateway, request, &prefill, extra, limit_ms).await;
+    let engine = guard.upstream().clone();
+    let sent = forwarding::send(gateway, request, &engine, extra, limit_ms).await;
     let reply = match sent {
         Sent::Answered(reply) => reply,
         Sent::NotExecuted(_) => {
+            // It counts against the budget, whether there was any left or not.
+            take_retry(gateway, request);
             guard.set_result(broker::Result::Full);
             return None;
         }
@@ -363,30 +396,36 @@
             return None;
         }
     };
-    let Some(source) = read_source(gateway, reply, &prefill).await else {
-        gateway.note(&prefill, Outcome::Failed);
+    let Some(source) = read_source(gateway, reply, &engine).await else {
+        gateway.note(&engine, Outcome::Failed);
         return None;
     };
-    let elapsed_ms = clock::now().since(started_ms);
-    gateway.note(&prefill, Outcome::Answered { elapsed_ms });
+    let now = clock::now();
+    let elapsed_ms = now.since(started_ms);
+    gateway.note(&engine, Outcome::Answered { elapsed_ms });
     gateway.events.write(
         "prefilled",
         serde_json::json!({
             "request_id": request.id_text(),
-            "prefill": &*prefill.id,
+            "prefill": &*engine.id,
             "decode": &*decode.upstream().id,
             "elapsed_ms": elapsed_ms,
             "prompt_tokens": request.prompt.map(|size| size.prompt_tokens),
         }),
     );
+    let life_ms = request
+        .service
+        .engine
+        .as_ref()
+        .map_or(0, |spec| spec.handle_ttl_ms);
+    progress.cache = Some(Cache {
+        source: source.clone(),
+        use_deadline_ms: now.after(life_ms.saturating_sub(CACHE_MARGIN_MS)),
+    });
     Some(source)
 }
 
-async fn read_source(
-    gateway: &Gateway,
-    reply: Reply,
-    prefill: &dogwoodpier_core::gateway::upstreams::Upstream,
-) -> Option<HeaderValue> {
+async fn read_source(gateway: &Gateway, reply: Reply, prefill: &Upstream) -> Option<HeaderValue> {
     if reply.status != StatusCode::OK {
         return None;
     }
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -96,6 +96,14 @@
     {
         let mut beliefs = gateway.beliefs();
         let down_for_ms = report.down_for_ms.clone();
+        for (id, started_unix_ms) in &report.leaving_upstreams {
+            if beliefs.upstreams.mark_leaving(id, *started_unix_ms) {
+                gateway.events.write(
+                    "upstream_leaving",
+                    serde_json::json!({ "upstream": &**id, "source": &*report.instance }),
+                );
+            }
+        }
         let charges = beliefs.exchange.receive(report, now);
         let hearing = beliefs.exchange.hearing(now);
         for (upstream, for_ms) in &down_for_ms {
@@ -131,7 +139,7 @@
             last_to_all = LastToAll {
                 sent_ms: now,
                 admitted: report.admitted.clone(),
-                down: report.down_for_ms.keys().cloned().collect(),
+                unusable: unusable(&report).cloned().collect(),
             };
             gateway.peer_addresses.all()
         } else {
@@ -150,13 +158,19 @@
 struct LastToAll {
     sent_ms: TimeMs,
     admitted: BTreeMap<Arc<str>, u64>,
-    down: BTreeSet<Arc<str>>,
+    unusable: BTreeSet<Arc<str>>,
+}
+
+fn unusable(report: &Report) -> impl Iterator<Item = &Arc<str>> {
+    let leaving = report.leaving_upstreams.keys();
+    report.down_for_ms.keys().chain(leaving)
 }
 
 impl LastToAll {
     // All peers charge what is admitted, and avoid upstreams that are down.
     fn concerns_all(&self, gateway: &SharedGateway, report: &Report) -> bool {
-        if report.down_for_ms.keys().any(|id| !self.down.contains(id)) {
+        let unreported = |id| !self.unusable.contains(id);
+        if unusable(report).any(unreported) {
             return true;
         }
         let configuration = gateway.configuration.load();
@@ -191,6 +205,7 @@
         uses: beliefs.uses.clone(),
         admitted: beliefs.quotas.admitted().clone(),
         down_for_ms: beliefs.records.down(now),
+        leaving_upstreams: beliefs.upstreams.leaving(),
         seen_revisions: gateway.revisions.here(),
     }
 }
--- a/crates/dogwoodpier-gateway/src/lines.rs
+++ b/crates/dogwoodpier-gateway/src/lines.rs
@@ -245,6 +245,17 @@
         .engine
         .as_ref()?;
     let (decode, prefill) = choose(&gateway.beliefs(), claim, spec)?;
+    Some(begin(gateway, claim, &decode, prefill.as_ref(), holder))
+}
+
+/// Counts a request at the engines that it was given.
+pub fn begin(
+    gateway: &SharedGateway,
+    claim: &Claim,
+    decode: &Arc<Upstream>,
+    prefill: Option<&Arc<Upstream>>,
+    holder: &Holder,
+) -> Place {
     let decode_use = Use {
         requests: 1,
         prefill_tokens: 0,
@@ -255,10 +266,10 @@
         prefill_tokens: claim.prompt_tokens,
         kv_tokens: claim.prompt_tokens,
     };
-    Some(Place {
-        decode: gateway.begin_use(&decode, decode_use, holder.clone()),
-        prefill: prefill.map(|prefill| gateway.begin_use(&prefill, prefill_use, holder.clone())),
-    })
+    Place {
+        decode: gateway.begin_use(decode, decode_use, holder.clone()),
+        prefill: prefill.map(|prefill| gateway.begin_use(prefill, prefill_use, holder.clone())),
+    }
 }
 
 fn choose(
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -242,6 +242,11 @@
         &self.upstream
     }
 
+    /// Returns what the request takes there.
+    pub fn used(&self) -> Use {
+        self.used
+    }
+
     /// Notes how the upstream did, for the broker that granted it.
     pub fn set_result(&mut self, result: broker::Result) {
         self.result = result;
@@ -256,6 +261,9 @@
 
     fn end_own(&self) {
         let mut beliefs = self.gateway.beliefs();
+        if self.result == broker::Result::Used {
+            beliefs.records.note_freed(&self.upstream.id);
+        }
         if let Some(used) = beliefs.uses.get_mut(&self.upstream.id) {
             used.subtract(self.used);
             if *used == Use::default() {
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -345,6 +345,7 @@
         gateway.connections.close_idle(&upstream.id);
     }
     gateway.events.write("upstream", fields);
+    gateway.use_changed.notify_one();
     gateway.lines.slot_freed();
 }
 
