--- a/crates/dogwoodpier-ctl/src/cli.rs
+++ b/crates/dogwoodpier-ctl/src/cli.rs
@@ -55,6 +55,23 @@
             Command::new("dump")
                 .about("Prints the state of one node as JSON")
                 .arg(node().required(true)),
+            Command::new("explain")
+                .about("Tells from logs of gateways what became of a request, and why")
+                .arg(
+                    Arg::new("request-id")
+                        .value_name("REQUEST-ID")
+                        .help("Identity of the request")
+                        .required(true),
+                )
+                .arg(
+                    Arg::new("files")
+                        .value_name("FILES")
+                        .help("Logs of any instances")
+                        .required(true)
+                        .action(ArgAction::Append)
+                        .num_args(1..)
+                        .value_parser(value_parser!(PathBuf)),
+                ),
             Command::new("hash-key")
                 .about("Reads a key from standard input and prints its hash for the declarations"),
         ])
--- a/crates/dogwoodpier-ctl/src/commands.rs
+++ b/crates/dogwoodpier-ctl/src/commands.rs
@@ -4,6 +4,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::UNIX_EPOCH;
 
@@ -25,6 +26,7 @@
 use crate::cli;
 use crate::error::Error;
 use crate::error::Result;
+use crate::explain;
 use crate::nodes;
 use crate::nodes::NodeAddress;
 use crate::nodes::NodeStatus;
@@ -44,11 +46,20 @@
         Some(("history", matches)) => history(matches).await,
         Some(("status", matches)) => status(matches).await,
         Some(("dump", matches)) => dump(matches).await,
+        Some(("explain", matches)) => explain_request(matches),
         Some(("hash-key", _)) => hash_key(),
         _ => Err(Error::Argument("no such command".to_owned())),
     }
 }
 
+fn explain_request(matches: &ArgMatches) -> Result<String> {
+    let request_id = matches
+        .get_one::<String>("request-id")
+        .ok_or_else(|| Error::Argument("name a request".to_owned()))?;
+    let files = matches.get_many::<PathBuf>("files").unwrap_or_default();
+    explain::explain(request_id, files.map(PathBuf::as_path))
+}
+
 fn validate(matches: &ArgMatches) -> Result<String> {
     let declarations = read_file(matches)?;
     Ok(format!(
--- a/crates/dogwoodpier-ctl/src/lib.rs
+++ b/crates/dogwoodpier-ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod collect;
 pub mod commands;
 pub mod error;
+pub mod explain;
 pub mod nodes;
 pub mod store;
 
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -106,6 +106,17 @@
         deadline_ms,
     };
     charge_quota(gateway, &request)?;
+    gateway.events.write(
+        "admitted",
+        serde_json::json!({
+            "request_id": request.id_text(),
+            "route": &*request.route.name,
+            "service": &*request.service.name,
+            "workspace": request.workspace.as_ref().map(|workspace| &*workspace.name),
+            "configuration_version": configuration.version,
+            "wait_ms": request.client_wait_ms,
+        }),
+    );
     Ok(request)
 }
 
@@ -208,11 +219,27 @@
         .admit(workspace, units, hearing, tolerance, now)
     {
         Decision::Admitted => Ok(()),
-        Decision::Rejected { retry_after_ms } => Err(Rejection::come_back(
-            Reason::OverQuota,
-            retry_after_ms,
-            request.client_wait_ms,
-        )),
+        Decision::Rejected { retry_after_ms } => {
+            let level = beliefs.quotas.level(&workspace.name);
+            gateway.events.write(
+                "over_quota",
+                serde_json::json!({
+                    "request_id": request.id_text(),
+                    "workspace": &*workspace.name,
+                    "units": units,
+                    "level": level,
+                    "lent": tolerance.units,
+                    "rate_per_s": workspace.rate_per_s,
+                    "members": hearing.members,
+                    "heard": hearing.heard,
+                }),
+            );
+            Err(Rejection::come_back(
+                Reason::OverQuota,
+                retry_after_ms,
+                request.client_wait_ms,
+            ))
+        }
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -54,6 +54,8 @@
     pub instance: Arc<str>,
     /// Identifies the question at that instance.
     pub ticket: u64,
+    /// Identity of the request, for logs.
+    pub request_id: Arc<str>,
     /// Service.
     pub service: Arc<str>,
     /// Tokens of the prompt.
@@ -255,6 +257,7 @@
         let question = Ask {
             instance: instance.clone(),
             ticket,
+            request_id: claim.request_id.clone(),
             service: claim.service.clone(),
             prompt_tokens: claim.prompt_tokens,
             kv_tokens: claim.kv_tokens,
@@ -388,6 +391,7 @@
     };
     let now = clock::now();
     let claim = Claim {
+        request_id: question.request_id,
         service: question.service,
         prompt_tokens: question.prompt_tokens,
         kv_tokens: question.kv_tokens,
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -278,6 +278,7 @@
         usable_ms + LATE_GRACE_MS
     };
     Claim {
+        request_id: request.id_text().into(),
         service: service.clone(),
         prompt_tokens: size.prompt_tokens,
         kv_tokens: size.prompt_tokens + (expected as f64 * HELD_OUTPUT) as u64,
--- a/crates/dogwoodpier-gateway/src/lines.rs
+++ b/crates/dogwoodpier-gateway/src/lines.rs
@@ -36,6 +36,8 @@
 /// What a request asks of the engines of a service.
 #[derive(Clone, Debug)]
 pub struct Claim {
+    /// Identity of the request, for logs.
+    pub request_id: Arc<str>,
     /// Service.
     pub service: Arc<str>,
     /// Tokens of the prompt.
@@ -145,6 +147,7 @@
             let Some(place) = take_place(gateway, &waiting.claim, &waiting.holder) else {
                 break;
             };
+            log_placed(gateway, &waiting.claim, &place, service.line.len());
             service.line.grant(ticket, clock::now());
             if let Some(waiting) = service.waiting.remove(&ticket) {
                 // A client that has just left drops the place again.
@@ -181,6 +184,7 @@
 pub async fn wait(gateway: &SharedGateway, claim: Claim, holder: Holder) -> Result<Place, Refused> {
     let now = clock::now();
     let name = claim.service.clone();
+    let of_log = claim.clone();
     let leave_deadline_ms = claim.leave_deadline_ms;
     let (ticket, receiver) = {
         let mut services = gateway.lines.lock();
@@ -188,6 +192,7 @@
         if (service.line.is_empty() || claim.except.is_some())
             && let Some(place) = take_place(gateway, &claim, &holder)
         {
+            log_placed(gateway, &claim, &place, service.line.len());
             return Ok(place);
         }
         let ticket = service.next_ticket;
@@ -200,7 +205,10 @@
         };
         let spread = rand::random();
         match service.line.enter(waiter, claim.returned, spread, now) {
-            Entry::Refuse { retry_after_ms } => return Err(Refused { retry_after_ms }),
+            Entry::Refuse { retry_after_ms } => {
+                log_not_placed(gateway, &claim, service.line.len(), "no slot in time");
+                return Err(Refused { retry_after_ms });
+            }
             Entry::Wait => {}
         }
         let (sender, receiver) = oneshot::channel();
@@ -221,12 +229,59 @@
     let limit = Duration::from_millis(leave_deadline_ms.remaining(now));
     match tokio::time::timeout(limit, receiver).await {
         Ok(Ok(place)) => Ok(place),
-        _ => Err(Refused {
-            retry_after_ms: gateway.lines.retry_after_ms(&name),
-        }),
+        _ => {
+            let length = gateway
+                .lines
+                .lock()
+                .get(&name)
+                .map_or(0, |service| service.line.len());
+            log_not_placed(gateway, &of_log, length, "no slot while it waited");
+            Err(Refused {
+                retry_after_ms: gateway.lines.retry_after_ms(&name),
+            })
+        }
     }
 }
 
+fn log_placed(gateway: &Gateway, claim: &Claim, place: &Place, waiting: usize) {
+    gateway.events.write(
+        "placed",
+        serde_json::json!({
+            "request_id": &*claim.request_id,
+            "service": &*claim.service,
+            "decode": &*place.decode.upstream().id,
+            "prefill": place.prefill.as_ref().map(|prefill| &*prefill.upstream().id),
+            "kv_tokens": claim.kv_tokens,
+            "waiting": waiting,
+        }),
+    );
+}
+
+fn log_not_placed(gateway: &Gateway, claim: &Claim, waiting: usize, cause: &str) {
+    let (engines, used_slots, slots) = {
+        let mut candidates = gateway.beliefs().candidates(&claim.service);
+        candidates.retain(|candidate| candidate.upstream.stage != Some(Stage::Prefill));
+        let used = candidates.iter().map(|candidate| candidate.used.requests);
+        let slots = candidates.iter().map(|candidate| candidate.upstream.slots);
+        (candidates.len(), used.sum::<u32>(), slots.sum::<u32>())
+    };
+    let now = clock::now();
+    gateway.events.write(
+        "not_placed",
+        serde_json::json!({
+            "request_id": &*claim.request_id,
+            "service": &*claim.service,
+            "cause": cause,
+            "waiting": waiting,
+            "engines": engines,
+            "used_slots": used_slots,
+            "slots": slots,
+            "on_time_left_ms": claim.on_time_deadline_ms.remaining(now),
+            "returned": claim.returned,
+        }),
+    );
+}
+
 /// Returns whether any engine of a service decodes.
 pub fn has_decode_engine(gateway: &Gateway, service: &str) -> bool {
     gateway
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -190,6 +190,15 @@
     }
     let elapsed_ms = clock::now().since(started_ms);
     gateway.note(upstream, Outcome::Answered { elapsed_ms });
+    gateway.events.write(
+        "served",
+        serde_json::json!({
+            "request_id": request.id_text(),
+            "upstream": &*upstream.id,
+            "send": progress.sends,
+            "elapsed_ms": elapsed_ms,
+        }),
+    );
     Some(answer)
 }
 
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --release --workspace --bins --examples --locked
-exec target/release/examples/demo
+exec "${CARGO_TARGET_DIR:-target}/release/examples/demo"
