--- a/crates/dogwoodpier-config/src/reader.rs
+++ b/crates/dogwoodpier-config/src/reader.rs
@@ -1,7 +1,9 @@
 //! Reading of TOML files that reports everything wrong at once, by line and field.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::ops::Range;
+use std::path::Path;
 use std::sync::Arc;
 
 use toml::Spanned;
@@ -12,6 +14,20 @@
 use crate::problem::Problem;
 use crate::problem::Problems;
 
+const ADDRESS_HELP: &str = "give an IP address and a port, for example \"10.0.0.7:7100\"";
+
+/// Reads the text of a file, or returns what is wrong as a problem of the file.
+pub fn read_file(file: &Path) -> Result<String, Problems> {
+    std::fs::read_to_string(file).map_err(|error| {
+        Problems(vec![Problem {
+            file: file.display().to_string(),
+            line: 1,
+            path: String::new(),
+            message: format!("can't be read: {error}"),
+        }])
+    })
+}
+
 /// Collects the problems of one file and the lines of its fields.
 pub struct Report<'i> {
     file: String,
@@ -257,6 +273,20 @@
         flag
     }
 
+    /// Returns an address with a port, which must be there.
+    pub fn address(&mut self, field: &'static str, report: &mut Report<'_>) -> Option<SocketAddr> {
+        self.require(field, ADDRESS_HELP, report);
+        let text = self.text(field, report)?;
+        match text.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 => Some(address),
+            _ => {
+                let message = format!("{text:?} is no address: {ADDRESS_HELP}");
+                report.add(Finding::new(self.path_of(field), message));
+                None
+            }
+        }
+    }
+
     /// Reports a field as missing, with what would be right, unless the table has it.
     pub fn require(&self, field: &'static str, right: &str, report: &mut Report<'_>) {
         if !self.has(field) {
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -160,7 +160,7 @@
     failed: Arc<str>,
     last_event: Option<HeaderValue>,
 ) -> Option<Resumed> {
-    if runs >= request.route.max_attempts || !take_retry(gateway, request) {
+    if runs >= request.route.max_attempts || !gateway.take_retry(request) {
         return None;
     }
     let now = clock::now();
@@ -236,7 +236,7 @@
             || (request.route.repeat.is_idempotent() && progress.runs < request.route.max_attempts);
         // A place whose engine was found full before anything was sent to it costs no retry.
         let costs_retry = progress.decode_sends > 0;
-        if !repeatable || places == MAX_PLACES || (costs_retry && !take_retry(gateway, request)) {
+        if !repeatable || places == MAX_PLACES || (costs_retry && !gateway.take_retry(request)) {
             break;
         }
     }
@@ -291,19 +291,6 @@
     }
 }
 
-fn take_retry(gateway: &Gateway, request: &ClientRequest) -> bool {
-    let now = clock::now();
-    if request.deadline_ms <= now {
-        return false;
-    }
-    let settings = gateway.settings.load();
-    let mut beliefs = gateway.beliefs();
-    let members = beliefs.exchange.hearing(now).members;
-    beliefs
-        .retries
-        .take_retry(&request.service.name, &settings.retries, members, now)
-}
-
 // Runs a request at a place. Returns the response, or notes in `progress` what happened.
 async fn run(
     gateway: &SharedGateway,
@@ -371,7 +358,7 @@
 ) -> Option<HeaderValue> {
     let mut guard = prefill?;
     // The first one is free, further ones are retries.
-    if progress.prefill_sends > 0 && !take_retry(gateway, request) {
+    if progress.prefill_sends > 0 && !gateway.take_retry(request) {
         return None;
     }
     progress.prefill_sends += 1;
@@ -388,7 +375,7 @@
         Sent::Answered(reply) => reply,
         Sent::NotExecuted(_) => {
             // It counts against the budget, whether there was any left or not.
-            take_retry(gateway, request);
+            gateway.take_retry(request);
             guard.set_result(broker::Result::Full);
             return None;
         }
--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -1,35 +1,15 @@
 //! What operators can ask an instance for: metrics and a dump of its state.
 
-use std::sync::OnceLock;
-
-use anyhow::Context;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use metrics_exporter_prometheus::PrometheusHandle;
-
 use dogwoodpier_process::clock;
+use dogwoodpier_process::recorder;
 
 use crate::counters;
 use crate::state::Gateway;
 
-static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
-
-/// Installs the recorder that keeps the metrics.
-pub fn start_metrics() -> anyhow::Result<()> {
-    let handle = PrometheusBuilder::new()
-        .install_recorder()
-        .context("a metrics recorder is installed already")?;
-    // Only this function sets it, and the recorder can be installed once.
-    let _ = METRICS.set(handle);
-    Ok(())
-}
-
 /// Returns all metrics in the Prometheus text format.
 pub fn metrics(gateway: &Gateway) -> String {
     metrics::gauge!(counters::LOG_LINES_LOST).set(gateway.events.lines_lost() as f64);
-    METRICS
-        .get()
-        .map(PrometheusHandle::render)
-        .unwrap_or_default()
+    recorder::render()
 }
 
 /// Returns what the instance believes, as JSON.
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -110,18 +110,9 @@
 }
 
 fn may_retry(gateway: &SharedGateway, request: &ClientRequest, progress: &Progress) -> bool {
-    let now = clock::now();
     let repeatable = progress.runs == 0
         || (request.route.repeat.is_idempotent() && progress.runs < request.route.max_attempts);
-    if !repeatable || progress.sends >= MAX_SENDS || request.deadline_ms <= now {
-        return false;
-    }
-    let settings = gateway.settings.load();
-    let mut beliefs = gateway.beliefs();
-    let members = beliefs.exchange.hearing(now).members;
-    beliefs
-        .retries
-        .take_retry(&request.service.name, &settings.retries, members, now)
+    repeatable && progress.sends < MAX_SENDS && gateway.take_retry(request)
 }
 
 fn choose(
--- a/crates/dogwoodpier-gateway/src/reject.rs
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -40,8 +40,6 @@
     Overloaded,
     /// Upstreams rejected or couldn't be reached, and nothing was run.
     NotRun,
-    /// Time ran out before anything was run.
-    ExpiredNotRun,
     /// Time ran out while an upstream may be running the request.
     ExpiredMayHaveRun,
     /// An upstream may have run the request and its answer is lost.
@@ -57,8 +55,7 @@
             | Self::NoMemory
             | Self::NoUpstream
             | Self::Overloaded
-            | Self::NotRun
-            | Self::ExpiredNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -85,7 +82,6 @@
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::NotRun => "not_run",
-            Self::ExpiredNotRun => "expired_not_run",
             Self::ExpiredMayHaveRun => "expired_may_have_run",
             Self::AnswerLost => "answer_lost",
         }
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use dogwoodpier_config::Finding;
-use dogwoodpier_config::Problem;
 use dogwoodpier_config::Problems;
+use dogwoodpier_config::reader;
 use dogwoodpier_config::reader::Fields;
 use dogwoodpier_config::reader::Report;
 use dogwoodpier_core::gateway::exchange::ExchangeOptions;
@@ -18,7 +18,6 @@
 // Part of the tolerated units that is lent. The rest covers what is admitted while reports of other
 // instances are on their way.
 const QUOTA_TOLERANCE_SHARE: f64 = 0.6;
-const ADDRESS_HELP: &str = "give an IP address and a port, for example \"10.0.0.7:7100\"";
 const BYTES_PER_MB: usize = 1 << 20;
 // Part of the memory that requests' bodies may take together.
 const BODY_MEMORY_PARTS: usize = 4;
@@ -88,14 +87,7 @@
 /// Loads settings from a file, or returns everything that is wrong with them.
 pub fn load(file: &Path) -> Result<Settings, Problems> {
     let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|error| {
-        Problems(vec![Problem {
-            file: name.clone(),
-            line: 1,
-            path: String::new(),
-            message: format!("can't be read: {error}"),
-        }])
-    })?;
+    let text = reader::read_file(file)?;
     parse(&name, &text)
 }
 
@@ -112,11 +104,11 @@
 fn read(mut root: Fields<'_, '_>, report: &mut Report<'_>) -> Option<Settings> {
     let instance = name(&mut root, "instance", report);
     let data_centre = name(&mut root, "data_centre", report);
-    let client_address = address(&mut root, "client_address", report);
-    let readiness_address = address(&mut root, "readiness_address", report);
-    let operator_address = address(&mut root, "operator_address", report);
-    let peer_address = address(&mut root, "peer_address", report);
-    let store_address = address(&mut root, "store_address", report);
+    let client_address = root.address("client_address", report);
+    let readiness_address = root.address("readiness_address", report);
+    let operator_address = root.address("operator_address", report);
+    let peer_address = root.address("peer_address", report);
+    let store_address = root.address("store_address", report);
     let grace_s = number(&mut root, "grace_s", 0.5, 3_600.0, report);
     let entry_grace_s = number(&mut root, "entry_grace_s", 0.0, 3_600.0, report);
     let memory_mb = number(&mut root, "memory_mb", 32.0, 1_048_576.0, report);
@@ -183,20 +175,3 @@
     }
     Some(number)
 }
-
-fn address(
-    fields: &mut Fields<'_, '_>,
-    field: &'static str,
-    report: &mut Report<'_>,
-) -> Option<SocketAddr> {
-    fields.require(field, ADDRESS_HELP, report);
-    let text = fields.text(field, report)?;
-    match text.parse::<SocketAddr>() {
-        Ok(address) if address.port() != 0 => Some(address),
-        _ => {
-            let message = format!("{text:?} is no address: {ADDRESS_HELP}");
-            report.add(Finding::new(fields.path_of(field), message));
-            None
-        }
-    }
-}
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -28,6 +28,7 @@
 use dogwoodpier_process::clock;
 use dogwoodpier_process::events::EventLog;
 use dogwoodpier_process::events::EventOptions;
+use dogwoodpier_process::recorder;
 
 use crate::broker::Broker;
 use crate::dialect::Dialect;
@@ -35,7 +36,6 @@
 use crate::exchange;
 use crate::lines;
 use crate::lines::Lines;
-use crate::operators;
 use crate::readiness;
 use crate::registry;
 use crate::server;
@@ -63,7 +63,7 @@
     settings_file: PathBuf,
     dialect: &'static Dialect,
 ) -> anyhow::Result<()> {
-    operators::start_metrics()?;
+    recorder::start()?;
     let socket = exchange::bind(settings.peer_address).await?;
     let gateway = Arc::new(build(settings, dialect, socket));
     log_to_events(&gateway)?;
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -40,6 +40,7 @@
 use crate::exchange::Message;
 use crate::lines::Lines;
 use crate::registry::Addresses;
+use crate::request::ClientRequest;
 use crate::settings::Settings;
 use crate::store::Revisions;
 
@@ -120,6 +121,21 @@
         stop.is_none_or(|stop| stop.takes(route, clock::now()))
     }
 
+    /// Takes a further send of a request out of the budget of retries. Returns false if none is left,
+    /// or no time.
+    pub fn take_retry(&self, request: &ClientRequest) -> bool {
+        let now = clock::now();
+        if request.deadline_ms <= now {
+            return false;
+        }
+        let settings = self.settings.load();
+        let mut beliefs = self.beliefs();
+        let members = beliefs.exchange.hearing(now).members;
+        beliefs
+            .retries
+            .take_retry(&request.service.name, &settings.retries, members, now)
+    }
+
     /// Counts a request at an upstream until the guard is dropped.
     pub fn begin_use(
         self: &Arc<Self>,
--- a/crates/dogwoodpier-node/src/main.rs
+++ b/crates/dogwoodpier-node/src/main.rs
@@ -13,6 +13,7 @@
 use dogwoodpier_node::settings::Settings;
 use dogwoodpier_node::start;
 use dogwoodpier_node::telemetry;
+use dogwoodpier_process::recorder;
 
 const EXIT_WRONG_SETTINGS: u8 = 2;
 
@@ -66,7 +67,7 @@
 
 fn try_run(settings: Settings) -> anyhow::Result<()> {
     telemetry::start_logs(&settings.log, &settings.instance)?;
-    telemetry::start_metrics()?;
+    recorder::start()?;
     tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?
--- a/crates/dogwoodpier-node/src/servers/operators.rs
+++ b/crates/dogwoodpier-node/src/servers/operators.rs
@@ -17,11 +17,11 @@
 use thiserror::Error;
 
 use dogwoodpier_core::freshness::Trust;
+use dogwoodpier_process::recorder;
 
 use crate::clock;
 use crate::state::Node;
 use crate::state::SharedNode;
-use crate::telemetry;
 
 const TEXT: &str = "text/plain; charset=utf-8";
 const METRICS_TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
@@ -104,7 +104,7 @@
 /// Returns all metrics.
 #[endpoint { method = GET, path = "/metrics" }]
 async fn metrics(_context: RequestContext<SharedNode>) -> Result<Response<Body>, HttpError> {
-    answer(StatusCode::OK, METRICS_TEXT, telemetry::render_metrics())
+    answer(StatusCode::OK, METRICS_TEXT, recorder::render())
 }
 
 /// Returns the state of the process, without secrets.
--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -8,8 +8,8 @@
 use serde_json::Value;
 
 use dogwoodpier_config::Finding;
-use dogwoodpier_config::Problem;
 use dogwoodpier_config::Problems;
+use dogwoodpier_config::reader;
 use dogwoodpier_config::reader::Fields;
 use dogwoodpier_config::reader::Report;
 use dogwoodpier_derive::wire;
@@ -18,7 +18,6 @@
 
 const MAX_NAME_LENGTH: usize = 63;
 const FORMAT_TEXT: &str = "text";
-const ADDRESS_HELP: &str = "give an IP address and a port, for example \"10.0.0.7:7100\"";
 
 /// Settings of a node.
 #[wire]
@@ -183,14 +182,7 @@
 /// Loads settings from a file, or returns everything that is wrong with them.
 pub fn load(file: &Path) -> Result<Settings, Problems> {
     let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|error| {
-        Problems(vec![Problem {
-            file: name.clone(),
-            line: 1,
-            path: String::new(),
-            message: format!("can't be read: {error}"),
-        }])
-    })?;
+    let text = reader::read_file(file)?;
     parse(&name, &text)
 }
 
@@ -212,10 +204,10 @@
 fn read(mut root: Fields<'_, '_>, report: &mut Report<'_>) -> Option<Settings> {
     let instance = name(&mut root, "instance", report);
     let data_centre = name(&mut root, "data_centre", report);
-    let caller_address = address(&mut root, "caller_address", report);
-    let operator_address = address(&mut root, "operator_address", report);
-    let peer_address = address(&mut root, "peer_address", report);
-    let platform_address = address(&mut root, "platform_address", report);
+    let caller_address = root.address("caller_address", report);
+    let operator_address = root.address("operator_address", report);
+    let peer_address = root.address("peer_address", report);
+    let platform_address = root.address("platform_address", report);
     let tuning = read_tuning(root.table("tuning", report), report);
     let routing = read_routing(root.table("routing", report), report);
     let log = read_log(root.table("log", report), report);
@@ -253,23 +245,6 @@
     valid.then_some(name)
 }
 
-fn address(
-    fields: &mut Fields<'_, '_>,
-    field: &'static str,
-    report: &mut Report<'_>,
-) -> Option<SocketAddr> {
-    fields.require(field, ADDRESS_HELP, report);
-    let text = fields.text(field, report)?;
-    match text.parse::<SocketAddr>() {
-        Ok(address) if address.port() != 0 => Some(address),
-        _ => {
-            let message = format!("{text:?} is no address: {ADDRESS_HELP}");
-            report.add(Finding::new(fields.path_of(field), message));
-            None
-        }
-    }
-}
-
 fn read_tuning(mut fields: Fields<'_, '_>, report: &mut Report<'_>) -> Tuning {
     let mut found = serde_json::Map::new();
     for Bounds { field, min, max } in TUNING {
--- a/crates/dogwoodpier-node/src/telemetry.rs
+++ b/crates/dogwoodpier-node/src/telemetry.rs
@@ -1,21 +1,16 @@
-//! Set-up of logs and metrics of the process.
+//! Set-up of the node's logs.
 
 use std::str::FromStr;
-use std::sync::OnceLock;
 use std::time::SystemTime;
 
 use anyhow::Context;
 use log::LevelFilter;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::settings::LogSettings;
 
 /// Format of log lines for programs.
 pub const FORMAT_JSON: &str = "json";
 
-static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
-
 /// Sends log lines to standard error, in the format of the settings.
 pub fn start_logs(settings: &LogSettings, instance: &str) -> anyhow::Result<()> {
     let level = LevelFilter::from_str(&settings.level)
@@ -49,22 +44,3 @@
         .apply()
         .context("a logger is set already")
 }
-
-/// Installs the recorder that keeps the metrics.
-pub fn start_metrics() -> anyhow::Result<()> {
-    let handle = PrometheusBuilder::new()
-        .install_recorder()
-        .context("a metrics recorder is installed already")?;
-    // Only this function sets it, and the recorder can be installed once.
-    let _ = METRICS.set(handle);
-    Ok(())
-}
-
-/// Returns all metrics in the Prometheus text format, empty if no recorder is installed.
-pub fn render_metrics() -> String {
-    let Some(handle) = METRICS.get() else {
-        return String::new();
-    };
-    handle.run_upkeep();
-    handle.render()
-}
--- a/crates/dogwoodpier-process/src/lib.rs
+++ b/crates/dogwoodpier-process/src/lib.rs
@@ -1,7 +1,9 @@
-//! What every program of dogwoodpier needs of its process: a clock, a shutdown and an event log.
+//! What every program of dogwoodpier needs of its process: a clock, a shutdown, an event log and
+//! a recorder of metrics.
 
 #![forbid(unsafe_code)]
 
 pub mod clock;
 pub mod drain;
 pub mod events;
+pub mod recorder;
