Answer a crashed request only after the peers know of the crash

The node that saw a crash answered its caller at once and told the peers beside it. A caller that repeats at once reached a node that had not heard yet, where the request was no suspect, so one more upstream crashed.

Ruled out: a 502 for another reason. With the news between nodes held back by 150 ms over relays the same list comes each time, and the count of crashed upstreams is four.

Before: slow_news_stop_poison [502, 502, 502, 502, 422, 422], each run. The bound of three stays.

Conclusion: news before the answer; it costs a round trip on a crash.

--- a/crates/dogwoodpier-config/src/reader.rs
+++ b/crates/dogwoodpier-config/src/reader.rs
@@ -276,6 +276,15 @@
     /// Returns an address with a port, which must be there.
     pub fn address(&mut self, field: &'static str, report: &mut Report<'_>) -> Option<SocketAddr> {
         self.require(field, ADDRESS_HELP, report);
+        self.optional_address(field, report)
+    }
+
+    /// Returns an address with a port, if the field is there.
+    pub fn optional_address(
+        &mut self,
+        field: &'static str,
+        report: &mut Report<'_>,
+    ) -> Option<SocketAddr> {
         let text = self.text(field, report)?;
         match text.parse::<SocketAddr>() {
             Ok(address) if address.port() != 0 => Some(address),
--- a/crates/dogwoodpier-fakes/src/fleet/node.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/node.rs
@@ -20,6 +20,7 @@
 use crate::fleet::ports;
 use crate::fleet::ports::ReservedAddress;
 use crate::fleet::process::Process;
+use crate::relay::Relay;
 use crate::wait;
 
 const CALL_TIMEOUT_MS: u64 = 2_000;
@@ -34,22 +35,25 @@
     pub caller_address: SocketAddr,
     /// Address for operators.
     pub operator_address: SocketAddr,
-    /// Address for peers.
+    /// Address under which peers reach it.
     pub peer_address: SocketAddr,
     program: PathBuf,
     settings_file: PathBuf,
     log: PathBuf,
     process: Process,
     _reserved: [ReservedAddress; 3],
+    _peer_relay: Option<Relay>,
 }
 
 impl NodeProcess {
-    /// Writes a node's settings and starts it.
-    pub fn start(
+    /// Writes a node's settings and starts it. What its peers send it is held back by
+    /// `peer_delay_ms`.
+    pub async fn start(
         plan: &NodePlan,
         program: &Path,
         directory: &Path,
         platform_address: SocketAddr,
+        peer_delay_ms: u64,
         more_settings: &str,
     ) -> anyhow::Result<Self> {
         let reserved = [
@@ -59,12 +63,21 @@
         ];
         let [caller_address, operator_address, peer_address] =
             reserved.each_ref().map(|reserved| reserved.address);
+        let peer_relay = match peer_delay_ms {
+            0 => None,
+            _ => Some(Relay::start(peer_address).await?),
+        };
+        if let Some(relay) = &peer_relay {
+            relay.set_delay_ms(peer_delay_ms);
+        }
+        let reached_at = peer_relay.as_ref().map_or(peer_address, Relay::address);
         let settings = format!(
             "instance = \"{}\"\n\
              data_centre = \"{}\"\n\
              caller_address = \"{caller_address}\"\n\
              operator_address = \"{operator_address}\"\n\
              peer_address = \"{peer_address}\"\n\
+             advertised_peer_address = \"{reached_at}\"\n\
              platform_address = \"{platform_address}\"\n\
              {more_settings}\n",
             plan.name, plan.data_centre,
@@ -78,12 +91,13 @@
             data_centre: plan.data_centre.clone(),
             caller_address,
             operator_address,
-            peer_address,
+            peer_address: reached_at,
             program: program.to_owned(),
             settings_file,
             log,
             process,
             _reserved: reserved,
+            _peer_relay: peer_relay,
         })
     }
 
--- a/crates/dogwoodpier-fakes/src/fleet/plan.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/plan.rs
@@ -21,6 +21,8 @@
     /// True if nodes reach the platform and the upstreams over relays in this process, whose open
     /// connections can go silent.
     pub relays: bool,
+    /// Time by which what nodes send each other is held back.
+    pub peer_delay_ms: u64,
     /// Time until a change of the instance list is published.
     pub instances_lag_ms: u64,
     /// Declarations in TOML.
@@ -94,6 +96,7 @@
             nodes,
             upstreams: Vec::new(),
             relays: false,
+            peer_delay_ms: 0,
             instances_lag_ms: 200,
             declarations: String::new(),
             node_settings: String::new(),
--- a/crates/dogwoodpier-fakes/src/fleet/running.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/running.rs
@@ -82,7 +82,7 @@
             fleet.start_upstream(upstream).await?;
         }
         for node in &plan.nodes {
-            fleet.start_node(node)?;
+            fleet.start_node(node).await?;
         }
         fleet.publish_instances().await?;
         for node in fleet.nodes.values() {
@@ -165,7 +165,7 @@
 
     /// Starts one more node and lists it.
     pub async fn add_node(&mut self, plan: &NodePlan) -> anyhow::Result<()> {
-        self.start_node(plan)?;
+        self.start_node(plan).await?;
         self.publish_instances().await?;
         self.wait_in_service(self.node(&plan.name)).await
     }
@@ -276,14 +276,16 @@
         self.upstreams.get(name).context("no such upstream")
     }
 
-    fn start_node(&mut self, plan: &NodePlan) -> anyhow::Result<()> {
+    async fn start_node(&mut self, plan: &NodePlan) -> anyhow::Result<()> {
         let node = NodeProcess::start(
             plan,
             &self.plan.node_program,
             self.directory.path(),
             self.platform.address(),
+            self.plan.peer_delay_ms,
             &self.plan.node_settings,
-        )?;
+        )
+        .await?;
         self.list(Instance {
             name: plan.name.as_str().into(),
             role: InstanceRole::Node,
--- a/crates/dogwoodpier-node/src/peers/registry.rs
+++ b/crates/dogwoodpier-node/src/peers/registry.rs
@@ -59,7 +59,7 @@
     let settings = &node.settings;
     let registration = Registration {
         incarnation: format!("{:016x}", node.incarnation).into(),
-        peer_address: settings.peer_address.to_string().into(),
+        peer_address: settings.reachable_peer_address().to_string().into(),
         operator_address: settings.operator_address.to_string().into(),
         data_centre: settings.data_centre.clone(),
         program_version: env!("CARGO_PKG_VERSION").into(),
--- a/crates/dogwoodpier-node/src/pipeline/dispatch.rs
+++ b/crates/dogwoodpier-node/src/pipeline/dispatch.rs
@@ -147,7 +147,8 @@
     if let Err(ServiceError::NoAnswer(SendError::Cut(_))) = &result
         && (!route.idempotent || has_crashed(service).await)
     {
-        passage.crashed(&service.name, node.upstreams.start_of(&service.name));
+        let start = node.upstreams.start_of(&service.name);
+        passage.crashed(&service.name, start).await;
     }
     let reply = result.map_err(failed)?;
     check(&reply, id)?;
--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -342,7 +342,7 @@
         }
         let fingerprint = self.job.request.fingerprint;
         let start = self.node.upstreams.start_of(name);
-        self.job.passage.crashed(name, start);
+        self.job.passage.crashed(name, start).await;
         // Others that were running there may go first now, or this request not at all.
         self.job.passage = Passage::default();
         self.job.passage = self
--- a/crates/dogwoodpier-node/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-node/src/quarantine/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use log::warn;
 use metrics::counter;
 use xxhash_rust::xxh3::xxh3_64;
@@ -141,9 +142,10 @@
         })
     }
 
-    // Records a crash that this node has seen, and tells every peer at once: until they know, the
-    // request is no suspect to them.
-    fn crashed(&self, node: &SharedNode, fingerprint: u64, alone: bool, crash_id: u64) {
+    // Records a crash that this node has seen and tells every peer. Returns when each has answered
+    // or its call has timed out: a caller that repeats the request as soon as it is answered would
+    // otherwise find a node to which it is no suspect.
+    async fn crashed(&self, node: &SharedNode, fingerprint: u64, alone: bool, crash_id: u64) {
         let now = clock::now();
         let is_new = {
             let mut suspects = lock(&self.suspects);
@@ -155,8 +157,13 @@
             return;
         }
         warn!("request {fingerprint:016x} was running where an upstream crashed, alone: {alone}");
-        for peer in node.peers.alive(now) {
-            tokio::spawn(peers::beat(node.clone(), peer));
+        // Tasks of their own: they go on if the request's caller leaves.
+        let peers = node.peers.alive(now).into_iter();
+        let beats = peers.map(|peer| tokio::spawn(peers::beat(node.clone(), peer)));
+        let told = join_all(beats).await;
+        let silent = told.iter().filter(|told| !matches!(told, Ok(true))).count();
+        if silent > 0 {
+            warn!("{silent} peers didn't answer news of request {fingerprint:016x}");
         }
     }
 
--- a/crates/dogwoodpier-node/src/quarantine/passage.rs
+++ b/crates/dogwoodpier-node/src/quarantine/passage.rs
@@ -42,15 +42,17 @@
         }
     }
 
-    /// Records that an upstream crashed while it ran the request. `upstream_start` tells crashes of
-    /// one upstream apart.
-    pub fn crashed(&mut self, upstream: &str, upstream_start: u64) {
+    /// Records that an upstream crashed while it ran the request, and waits until the peers know.
+    /// `upstream_start` tells crashes of one upstream apart.
+    pub async fn crashed(&mut self, upstream: &str, upstream_start: u64) {
         self.crashed = true;
         if let Some(entry) = &self.entry {
             let alone = entry.granted && entry.asked == Some(Turn::Alone);
             let id = crash_id(upstream, entry.node.incarnation, upstream_start);
             let quarantine = &entry.node.quarantine;
-            quarantine.crashed(&entry.node, entry.fingerprint, alone, id);
+            quarantine
+                .crashed(&entry.node, entry.fingerprint, alone, id)
+                .await;
         }
     }
 
--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -33,6 +33,8 @@
     pub operator_address: SocketAddr,
     /// Address for peers.
     pub peer_address: SocketAddr,
+    /// Address under which peers reach this instance, if not [`Settings::peer_address`].
+    pub advertised_peer_address: Option<SocketAddr>,
     /// Address of the platform's object API.
     pub platform_address: SocketAddr,
     /// Intervals, timeouts and bounds.
@@ -46,6 +48,13 @@
     pub log: LogSettings,
 }
 
+impl Settings {
+    /// Returns the address under which peers reach this instance.
+    pub fn reachable_peer_address(&self) -> SocketAddr {
+        self.advertised_peer_address.unwrap_or(self.peer_address)
+    }
+}
+
 /// Choice of engines.
 #[wire]
 #[derive(Copy, Default, Eq)]
@@ -207,6 +216,7 @@
     let caller_address = root.address("caller_address", report);
     let operator_address = root.address("operator_address", report);
     let peer_address = root.address("peer_address", report);
+    let advertised_peer_address = root.optional_address("advertised_peer_address", report);
     let platform_address = root.address("platform_address", report);
     let tuning = read_tuning(root.table("tuning", report), report);
     let routing = read_routing(root.table("routing", report), report);
@@ -218,6 +228,7 @@
         caller_address: caller_address?,
         operator_address: operator_address?,
         peer_address: peer_address?,
+        advertised_peer_address,
         platform_address: platform_address?,
         tuning,
         routing,
@@ -315,7 +326,7 @@
         }
     }
     for (field, address) in [
-        ("peer_address", settings.peer_address),
+        ("peer_address", settings.reachable_peer_address()),
         ("platform_address", settings.platform_address),
     ] {
         if address.ip().is_unspecified() {
--- a/crates/dogwoodpier-node/src/state.rs
+++ b/crates/dogwoodpier-node/src/state.rs
@@ -57,7 +57,7 @@
     pub fn info(&self) -> NodeInfo {
         NodeInfo {
             id: Some(self.id()),
-            peer_address: self.settings.peer_address.to_string(),
+            peer_address: self.settings.reachable_peer_address().to_string(),
             data_centre: self.settings.data_centre.to_string(),
             draining: self.drain.is_draining(),
         }
--- a/crates/dogwoodpier-node/tests/poison_calls.rs
+++ b/crates/dogwoodpier-node/tests/poison_calls.rs
@@ -29,6 +29,8 @@
 const ENGINES: usize = 6;
 const INNOCENTS: usize = 24;
 const MAX_TOKENS: u64 = 40;
+// Many times what a local call takes, less than the nodes' timeout of it.
+const PEER_DELAY_MS: u64 = 150;
 // One run before the news, one as the only copy, one alone.
 const MAX_CRASHES: usize = 3;
 
@@ -116,9 +118,7 @@
     assert_stopped(CRASH_DECODE_MARKER).await;
 }
 
-#[tokio::test]
-async fn a_poison_of_services_is_stopped() {
-    let mut plan = plan();
+async fn assert_service_poison_stopped(mut plan: FleetPlan) {
     for number in 1..=ENGINES {
         plan = plan.service(&format!("orders-{number}"), "order-service");
     }
@@ -144,3 +144,16 @@
     }
     assert_eq!(crashed, MAX_CRASHES);
 }
+
+#[tokio::test]
+async fn a_poison_of_services_is_stopped() {
+    assert_service_poison_stopped(plan()).await;
+}
+
+// The next request is sent as soon as the one before is answered, while news between nodes are slow.
+#[tokio::test]
+async fn slow_news_stop_poison() {
+    let mut plan = plan();
+    plan.peer_delay_ms = PEER_DELAY_MS;
+    assert_service_poison_stopped(plan).await;
+}
