Take no requests once a stopping gateway has become idle

After SIGTERM the gateway waits until nothing is in flight, flushes for 200 ms and ends, but went on taking plain requests until its end. One that came in the flush, 6.6 s after the signal, was passed on and cut by the exit.

Conclusion: idle and closed are one step: Drain::close refuses new requests once idle and waits for those that got in meanwhile.

--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -36,8 +36,6 @@
 
 // Time after which a client may try again while the instance has no configuration.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
-// Time after which a client that meets a stopping instance finds another one.
-const STOPPING_RETRY_MS: u64 = 100;
 // Time after which held bodies are likely gone.
 const NO_MEMORY_RETRY_MS: u64 = 500;
 
@@ -63,11 +61,7 @@
     let route = find_route(&configuration, &head)?;
     let workspace = find_workspace(gateway, &configuration, &route, &head.headers)?;
     if !gateway.takes(&route) {
-        return Err(Rejection::come_back(
-            Reason::ShuttingDown,
-            STOPPING_RETRY_MS,
-            u64::MAX,
-        ));
+        return Err(Rejection::shutting_down());
     }
     let client_wait_ms = number(&head.headers, &names.remaining_ms).unwrap_or(route.timeout_ms);
     let deadline_ms = received_ms.after(client_wait_ms.min(route.timeout_ms));
--- a/crates/dogwoodpier-gateway/src/dispatch.rs
+++ b/crates/dogwoodpier-gateway/src/dispatch.rs
@@ -28,7 +28,11 @@
         .and_then(|id| id.to_str().ok())
         .unwrap_or_default()
         .to_owned();
-    let result = match admission::admit(&gateway, request, received_ms).await {
+    let admitted = match &in_flight {
+        Some(_) => admission::admit(&gateway, request, received_ms).await,
+        None => Err(Rejection::shutting_down()),
+    };
+    let result = match admitted {
         Ok(request) => forward(&gateway, &Arc::new(request)).await,
         Err(rejection) => Err(rejection),
     };
--- a/crates/dogwoodpier-gateway/src/reject.rs
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -12,6 +12,8 @@
 
 // Clients wait at most this part of the time that they have left.
 const RETRY_AFTER_PARTS: u64 = 3;
+// Time after which a client that meets a stopping instance finds another one.
+const STOPPING_RETRY_MS: u64 = 100;
 
 /// Why the gateway answers a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,6 +117,11 @@
         }
     }
 
+    /// Returns the rejection of an instance that stops: the client finds another one.
+    pub fn shutting_down() -> Self {
+        Self::come_back(Reason::ShuttingDown, STOPPING_RETRY_MS, u64::MAX)
+    }
+
     /// Returns the response.
     pub fn response(self) -> Response<AnswerBody> {
         let text = format!("{{\"error\":\"{}\"}}", self.reason.as_str());
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -225,12 +225,12 @@
     tokio::time::sleep(Duration::from_millis(BALANCER_NOTICE_MS)).await;
     gateway.close_idle.notify_waiters();
     let limit = Duration::from_millis(exit_ms.remaining(clock::now()));
-    let idle = tokio::time::timeout(limit, gateway.drain.wait_idle()).await;
+    let closed = tokio::time::timeout(limit, gateway.drain.close()).await;
     gateway.use_changed.notify_one();
     tokio::time::sleep(FLUSH_PAUSE).await;
     gateway.events.write(
         "stopped",
-        serde_json::json!({ "cut": gateway.drain.in_flight(), "all_ended": idle.is_ok() }),
+        serde_json::json!({ "cut": gateway.drain.in_flight(), "all_ended": closed.is_ok() }),
     );
     tokio::time::sleep(FLUSH_PAUSE).await;
 }
--- a/crates/dogwoodpier-process/src/drain.rs
+++ b/crates/dogwoodpier-process/src/drain.rs
@@ -66,6 +66,14 @@
         (!self.refusing.load(Ordering::SeqCst)).then_some(guard)
     }
 
+    /// Waits until nothing is in flight, then refuses new requests. Those that got in meanwhile end
+    /// before it returns.
+    pub async fn close(&self) {
+        self.wait_idle().await;
+        self.refuse_new();
+        self.wait_idle().await;
+    }
+
     /// Waits until nothing is in flight.
     pub async fn wait_idle(&self) {
         let mut receiver = self.in_flight.subscribe();
