Reload settings that change without a signal

Ruled out: file notifications (not available everywhere the gateway runs). Before: settings_reload waits in vain for the first reload. After: one look a second at inode, length and time of the file; the first reload comes within it, a wrong file is named in the log and changes nothing, SIGHUP works as before. Conclusion: reload is a module of its own; a line says the cause.

--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod readiness;
 pub mod registry;
 pub mod reject;
+mod reload;
 pub mod request;
 pub mod server;
 pub mod settings;
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -38,8 +38,8 @@
 use crate::lines::Lines;
 use crate::readiness;
 use crate::registry;
+use crate::reload;
 use crate::server;
-use crate::settings;
 use crate::settings::Settings;
 use crate::state::Beliefs;
 use crate::state::Gateway;
@@ -92,7 +92,7 @@
             "store_address": settings.store_address.to_string(),
         }),
     );
-    tokio::spawn(reload_on_hangup(gateway.clone(), settings_file));
+    tokio::spawn(reload::run(gateway.clone(), settings_file));
     let stop_ms = wait_for_stop().await?;
     drain(&gateway, stop_ms).await;
     Ok(())
@@ -184,29 +184,6 @@
     Ok(clock::now())
 }
 
-// Puts changed settings in force that don't need a new process: bounds and time limits.
-async fn reload_on_hangup(gateway: SharedGateway, file: PathBuf) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(error) => {
-            log::error!("can't listen for SIGHUP: {error}");
-            return;
-        }
-    };
-    while hangups.recv().await.is_some() {
-        let outcome = match settings::load(&file) {
-            Ok(settings) => {
-                gateway.settings.store(Arc::new(settings));
-                "reloaded".to_owned()
-            }
-            Err(problems) => format!("kept the settings in force: {problems}"),
-        };
-        gateway
-            .events
-            .write("settings", serde_json::json!({ "outcome": outcome }));
-    }
-}
-
 // Lets everything in flight end. What is still running when the grace time ends is cut and counted.
 async fn drain(gateway: &SharedGateway, stop_ms: TimeMs) {
     let grace_ms = gateway.settings.load().grace_ms;
