Pay for rejected prefills also when no retry is left

Cause: a prefill that an engine rejects counts as a further send, but was charged with take_retry, which counts nothing when the budget is empty. With prefill and decode engines rejecting together, prefills went on unpaid.

Ruled out: decode sends alone or prefills alone (both stayed within the budget).

A quarter of an engine service's budget stays for rejected prefills; with none left engines read prompts themselves. The rule whether a request may be sent again stands once, in Attempts, for plain and generated requests.

Conclusion: sends that can't be taken back need their part of the budget kept.

--- a/crates/dogwoodpier-core/src/gateway/retries.rs
+++ b/crates/dogwoodpier-core/src/gateway/retries.rs
@@ -2,7 +2,9 @@
 //!
 //! Load pattern: upstreams fail or reject much of what they get, and each failure asks for another
 //! send. The budget allows a share of the requests of the last window, plus this instance's part of
-//! a fixed allowance, so that the fleet's sum stays bounded without any message.
+//! a fixed allowance, so that the fleet's sum stays bounded without any message. The first prefill of
+//! a request is no retry unless it is rejected, which is known only afterwards: a part of the budget
+//! stays for these, and once it is used up, engines read prompts themselves.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -12,6 +14,12 @@
 
 use crate::TimeMs;
 
+use super::routes::Route;
+
+/// Part of an engine service's budget that stays for rejected prefills: a quarter, as a prefill is
+/// rejected far less often than a decode.
+pub const KEPT_FOR_PREFILLS: f64 = 0.25;
+
 // Counts are kept by this many parts of a window.
 const PARTS: u64 = 10;
 
@@ -27,6 +35,37 @@
     pub window_ms: u64,
 }
 
+/// What was sent of one request so far.
+#[plain]
+#[derive(Copy, Default, Eq)]
+pub struct Attempts {
+    /// Upstreams that have run it or may have.
+    pub runs: u32,
+    /// Sends to upstreams that answer it.
+    pub sends: u32,
+    /// Sends to engines that only prefill it.
+    pub prefills: u32,
+}
+
+impl Attempts {
+    /// Returns whether a request of a route may be sent again: while it certainly hasn't run, or as
+    /// often as the route allows if it may run more than once.
+    pub fn may_repeat(&self, route: &Route) -> bool {
+        self.runs == 0 || (route.repeat.is_idempotent() && self.runs < route.max_attempts)
+    }
+
+    /// Returns whether the next send takes a retry out of the budget, also if the one before was
+    /// rejected.
+    pub fn send_costs_retry(&self) -> bool {
+        self.sends > 0
+    }
+
+    /// Returns whether the next prefill takes a retry out of the budget.
+    pub fn prefill_costs_retry(&self) -> bool {
+        self.prefills > 0
+    }
+}
+
 #[derive(Debug, Default)]
 struct Part {
     number: u64,
@@ -47,25 +86,56 @@
     }
 
     /// Takes one retry out of the budget, or returns false if none is left. `members` is the number
-    /// of instances that share the allowance.
+    /// of instances that share the allowance. `kept` is the part of the budget, from 0 to 1, that
+    /// stays for sends that nobody can take back.
     pub fn take_retry(
         &mut self,
         service: &Arc<str>,
         options: &RetryOptions,
         members: u32,
+        kept: f64,
         now: TimeMs,
     ) -> bool {
+        let (taken, allowed) = self.level(service, options, members, now);
+        if taken + 1.0 > allowed * (1.0 - kept) {
+            return false;
+        }
+        self.charge(service, options, now);
+        true
+    }
+
+    /// Counts a send that turned out to be a retry, whether one was left or not.
+    pub fn charge(&mut self, service: &Arc<str>, options: &RetryOptions, now: TimeMs) {
+        self.part(service, options, now).retries += 1;
+    }
+
+    /// Returns whether a retry is left, without taking it.
+    pub fn has_retry(
+        &mut self,
+        service: &Arc<str>,
+        options: &RetryOptions,
+        members: u32,
+        now: TimeMs,
+    ) -> bool {
+        let (taken, allowed) = self.level(service, options, members, now);
+        taken + 1.0 <= allowed
+    }
+
+    // Returns the retries taken in the window and those allowed.
+    fn level(
+        &mut self,
+        service: &Arc<str>,
+        options: &RetryOptions,
+        members: u32,
+        now: TimeMs,
+    ) -> (f64, f64) {
         self.part(service, options, now);
         let parts = &self.services[service];
         let requests: u64 = parts.iter().map(|part| part.requests).sum();
         let retries: u64 = parts.iter().map(|part| part.retries).sum();
         let allowed =
             options.ratio * requests as f64 + options.allowance / f64::from(members.max(1));
-        if (retries + 1) as f64 > allowed {
-            return false;
-        }
-        self.part(service, options, now).retries += 1;
-        true
+        (retries as f64, allowed)
     }
 
     fn part(&mut self, service: &Arc<str>, options: &RetryOptions, now: TimeMs) -> &mut Part {
--- a/crates/dogwoodpier-core/tests/gateway_budget.rs
+++ b/crates/dogwoodpier-core/tests/gateway_budget.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::retries::KEPT_FOR_PREFILLS;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::retries::RetryOptions;
 
@@ -25,7 +26,7 @@
         instances[instance].count_request(&service, &OPTIONS, now);
         requests.push(now_ms);
         for _ in 0..3 {
-            if instances[instance].take_retry(&service, &OPTIONS, 7, now) {
+            if instances[instance].take_retry(&service, &OPTIONS, 7, 0.0, now) {
                 retries.push(now_ms);
             }
         }
@@ -47,5 +48,24 @@
     let service: Arc<str> = "desk".into();
     let mut budget = RetryBudget::default();
     budget.count_request(&service, &OPTIONS, TimeMs(0));
-    assert!(budget.take_retry(&service, &OPTIONS, 1, TimeMs(0)));
+    assert!(budget.take_retry(&service, &OPTIONS, 1, 0.0, TimeMs(0)));
+}
+
+#[test]
+fn rejected_prefills_are_paid() {
+    let service: Arc<str> = "engines".into();
+    let mut budget = RetryBudget::default();
+    let now = TimeMs(0);
+    let mut retries = 0;
+    while budget.take_retry(&service, &OPTIONS, 1, KEPT_FOR_PREFILLS, now) {
+        retries += 1;
+    }
+    // Prefills go on after the last retry, until as many were rejected as the budget kept for them.
+    let mut rejected = 0;
+    while budget.has_retry(&service, &OPTIONS, 1, now) {
+        budget.charge(&service, &OPTIONS, now);
+        rejected += 1;
+    }
+    assert!(rejected >= 10, "{rejected}");
+    assert_eq!(f64::from(retries + rejected), OPTIONS.allowance);
 }
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -19,6 +19,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::gateway::retries::Attempts;
 use dogwoodpier_core::gateway::routes::Repeat;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_http::Reply;
@@ -117,12 +118,10 @@
 /// What became of a request so far.
 #[derive(Default)]
 struct Progress {
-    runs: u32,
+    attempts: Attempts,
     timed_out: bool,
     // Engine that failed the request last.
     failed: Option<Arc<str>>,
-    prefill_sends: u32,
-    decode_sends: u32,
     // KV cache that was made for an engine that rejected the request.
     cache: Option<Cache>,
 }
@@ -232,11 +231,12 @@
         if let Some(response) = run(gateway, request, place, &mut progress).await {
             return Ok(response);
         }
-        let repeatable = progress.runs == 0
-            || (request.route.repeat.is_idempotent() && progress.runs < request.route.max_attempts);
-        // A place whose engine was found full before anything was sent to it costs no retry.
-        let costs_retry = progress.decode_sends > 0;
-        if !repeatable || places == MAX_PLACES || (costs_retry && !gateway.take_retry(request)) {
+        // A place at an engine that couldn't be reached costs no retry: nothing was sent there.
+        let costs_retry = progress.attempts.send_costs_retry();
+        if !progress.attempts.may_repeat(&request.route)
+            || places == MAX_PLACES
+            || (costs_retry && !gateway.take_retry(request))
+        {
             break;
         }
     }
@@ -245,7 +245,7 @@
 
 fn reject(request: &ClientRequest, progress: &Progress, retry_after_ms: u64) -> Rejection {
     let remaining_ms = request.deadline_ms.remaining(clock::now());
-    match (progress.runs, progress.timed_out) {
+    match (progress.attempts.runs, progress.timed_out) {
         (0, _) => Rejection::come_back(Reason::Overloaded, retry_after_ms, remaining_ms),
         (_, true) => Rejection::new(Reason::ExpiredMayHaveRun),
         (_, false) => Rejection::new(Reason::AnswerLost),
@@ -325,12 +325,12 @@
     let extra = extra.into_iter().collect();
     let upstream = decode.upstream().clone();
     let sent = forwarding::send(gateway, request, &upstream, extra, request.deadline_ms).await;
-    progress.decode_sends += 1;
+    progress.attempts.sends += 1;
     match sent {
         Sent::Answered(reply) => {
-            let runs = progress.runs + 1;
+            let runs = progress.attempts.runs + 1;
             let accepted = accept(gateway, request, reply, decode, slot_ms, runs);
-            progress.runs += u32::from(accepted.is_none());
+            progress.attempts.runs += u32::from(accepted.is_none());
             return accepted;
         }
         Sent::NotSent(_) => decode.set_result(broker::Result::Unreachable),
@@ -338,9 +338,9 @@
             decode.set_result(broker::Result::Replaced);
         }
         Sent::NotExecuted(_) => decode.set_result(broker::Result::Full),
-        Sent::Lost(_) => progress.runs += 1,
+        Sent::Lost(_) => progress.attempts.runs += 1,
         Sent::TimedOut => {
-            progress.runs += 1;
+            progress.attempts.runs += 1;
             progress.timed_out = true;
         }
     }
@@ -357,11 +357,14 @@
     progress: &mut Progress,
 ) -> Option<HeaderValue> {
     let mut guard = prefill?;
-    // The first one is free, further ones are retries.
-    if progress.prefill_sends > 0 && !gateway.take_retry(request) {
+    let may_prefill = match progress.attempts.prefill_costs_retry() {
+        true => gateway.take_retry(request),
+        false => gateway.may_prefill(request),
+    };
+    if !may_prefill {
         return None;
     }
-    progress.prefill_sends += 1;
+    progress.attempts.prefills += 1;
     let names = &gateway.dialect.headers;
     let stage = HeaderValue::from_static(gateway.dialect.prefill_stage);
     let extra = vec![(names.stage.clone(), stage)];
@@ -374,8 +377,7 @@
     let reply = match sent {
         Sent::Answered(reply) => reply,
         Sent::NotExecuted(_) => {
-            // It counts against the budget, whether there was any left or not.
-            gateway.take_retry(request);
+            gateway.charge_retry(request);
             guard.set_result(broker::Result::Full);
             return None;
         }
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -11,6 +11,7 @@
 use dogwoodpier_core::gateway::exchange::Use;
 use dogwoodpier_core::gateway::placement::Chooser;
 use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::gateway::retries::Attempts;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_http::Reply;
 use dogwoodpier_process::clock;
@@ -51,8 +52,7 @@
 
 /// What became of a request so far.
 struct Progress {
-    sends: u32,
-    runs: u32,
+    attempts: Attempts,
     timed_out: bool,
     tried: Vec<std::sync::Arc<str>>,
     // An upstream's own failure, given to the client if nothing better comes.
@@ -65,8 +65,7 @@
     request: &ClientRequest,
 ) -> Result<Response<AnswerBody>, Rejection> {
     let mut progress = Progress {
-        sends: 0,
-        runs: 0,
+        attempts: Attempts::default(),
         timed_out: false,
         tried: Vec::new(),
         failure: None,
@@ -75,7 +74,7 @@
         let Some(guard) = choose(gateway, request, &progress.tried) else {
             return finish(request, progress, Reason::NoUpstream);
         };
-        progress.sends += 1;
+        progress.attempts.sends += 1;
         progress.tried.push(guard.upstream().id.clone());
         match attempt(gateway, request, &guard, &mut progress).await {
             Some(answer) => return Ok(answer.into_response()),
@@ -94,7 +93,7 @@
         return Ok(failure.into_response());
     }
     let now = clock::now();
-    if progress.runs > 0 {
+    if progress.attempts.runs > 0 {
         let expired = progress.timed_out;
         return Err(Rejection::new(if expired {
             Reason::ExpiredMayHaveRun
@@ -110,9 +109,9 @@
 }
 
 fn may_retry(gateway: &SharedGateway, request: &ClientRequest, progress: &Progress) -> bool {
-    let repeatable = progress.runs == 0
-        || (request.route.repeat.is_idempotent() && progress.runs < request.route.max_attempts);
-    repeatable && progress.sends < MAX_SENDS && gateway.take_retry(request)
+    progress.attempts.may_repeat(&request.route)
+        && progress.attempts.sends < MAX_SENDS
+        && gateway.take_retry(request)
 }
 
 fn choose(
@@ -156,12 +155,12 @@
 ) -> Option<Answer> {
     let upstream = guard.upstream();
     let started_ms = clock::now();
-    let limit_ms = send_limit(request, progress.runs, started_ms);
+    let limit_ms = send_limit(request, progress.attempts.runs, started_ms);
     let sent = forwarding::send(gateway, request, upstream, Vec::new(), limit_ms).await;
     if sent.has_not_run() {
         return None;
     }
-    progress.runs += 1;
+    progress.attempts.runs += 1;
     progress.timed_out = matches!(sent, Sent::TimedOut);
     let Sent::Answered(reply) = sent else {
         return None;
@@ -186,7 +185,7 @@
         serde_json::json!({
             "request_id": request.id_text(),
             "upstream": &*upstream.id,
-            "send": progress.sends,
+            "send": progress.attempts.sends,
             "elapsed_ms": elapsed_ms,
         }),
     );
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::placement::Records;
 use dogwoodpier_core::gateway::quota::Quotas;
+use dogwoodpier_core::gateway::retries::KEPT_FOR_PREFILLS;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::Route;
@@ -128,12 +129,38 @@
         if request.deadline_ms <= now {
             return false;
         }
+        let kept = match request.service.engine {
+            Some(_) => KEPT_FOR_PREFILLS,
+            None => 0.0,
+        };
         let settings = self.settings.load();
         let mut beliefs = self.beliefs();
         let members = beliefs.exchange.hearing(now).members;
+        let service = &request.service.name;
         beliefs
             .retries
-            .take_retry(&request.service.name, &settings.retries, members, now)
+            .take_retry(service, &settings.retries, members, kept, now)
+    }
+
+    /// Returns whether a prefill may be sent: a rejection would count as a retry.
+    pub fn may_prefill(&self, request: &ClientRequest) -> bool {
+        let now = clock::now();
+        let settings = self.settings.load();
+        let mut beliefs = self.beliefs();
+        let members = beliefs.exchange.hearing(now).members;
+        let service = &request.service.name;
+        beliefs
+            .retries
+            .has_retry(service, &settings.retries, members, now)
+    }
+
+    /// Counts a prefill that was rejected.
+    pub fn charge_retry(&self, request: &ClientRequest) {
+        let settings = self.settings.load();
+        let service = &request.service.name;
+        self.beliefs()
+            .retries
+            .charge(service, &settings.retries, clock::now());
     }
 
     /// Counts a request at an upstream until the guard is dropped.
