Revert "Loans beyond a quota count for a window and leave the rate alone"

A debt that is paid out of the rate makes a hot workspace yield when the engines get busy, and it can be lent again as soon as it has paid; both were lost.

Conclusion: reverted.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -14,7 +14,6 @@
 use crate::TimeMs;
 
 use super::quota::Hearing;
-use super::quota::Totals;
 
 /// Use of one upstream by one instance.
 #[wire]
@@ -83,8 +82,8 @@
     pub leaving: bool,
     /// Use of upstreams by id; those not named are unused.
     pub uses: BTreeMap<Arc<str>, Use>,
-    /// Units admitted since the start.
-    pub admitted: Totals,
+    /// Units admitted since the start, by workspace.
+    pub admitted: BTreeMap<Arc<str>, u64>,
     /// Upstreams that the sender can't reach, and for how many milliseconds it avoids them.
     pub down_for_ms: BTreeMap<Arc<str>, u64>,
     /// Upstreams that take no more work, with the start of their incarnation: the receiver may be cut
@@ -99,10 +98,8 @@
 pub struct Charge {
     /// Name of the workspace.
     pub workspace: Arc<str>,
-    /// Units to charge to its bucket.
-    pub charged: u64,
-    /// Units that it was lent.
-    pub lent: u64,
+    /// Units to charge.
+    pub units: u64,
 }
 
 impl Default for ExchangeOptions {
@@ -219,25 +216,27 @@
             .peers
             .entry(report.instance.clone())
             .or_insert_with(|| Peer::new(now));
-        let mut charges = BTreeMap::<Arc<str>, Charge>::new();
+        let mut charges = Vec::new();
         if let Some(last) = &peer.report
             && last.incarnation == report.incarnation
         {
             if report.sequence <= last.sequence {
-                return Vec::new();
+                return charges;
             }
-            let (now, before) = (&report.admitted, &last.admitted);
-            for (workspace, units) in growth(&now.charged, &before.charged) {
-                charge_of(&mut charges, workspace).charged = units;
-            }
-            for (workspace, units) in growth(&now.lent, &before.lent) {
-                charge_of(&mut charges, workspace).lent = units;
+            for (workspace, total) in &report.admitted {
+                let before = last.admitted.get(workspace).copied().unwrap_or(0);
+                if *total > before {
+                    charges.push(Charge {
+                        workspace: workspace.clone(),
+                        units: total - before,
+                    });
+                }
             }
         }
         peer.report = Some(report);
         peer.heard_ms = Some(now);
         peer.settle(now);
-        charges.into_values().collect()
+        charges
     }
 
     /// Notes a place that this instance gave to a peer.
@@ -325,25 +324,3 @@
             .is_some_and(|heard_ms| now.since(heard_ms) <= self.options.silence_ms)
     }
 }
-
-// Returns what was added to each total.
-fn growth<'a>(
-    now: &'a BTreeMap<Arc<str>, u64>,
-    before: &'a BTreeMap<Arc<str>, u64>,
-) -> impl Iterator<Item = (&'a Arc<str>, u64)> {
-    now.iter().filter_map(|(workspace, total)| {
-        let added = total.saturating_sub(before.get(workspace).copied().unwrap_or(0));
-        (added > 0).then_some((workspace, added))
-    })
-}
-
-fn charge_of<'a>(
-    charges: &'a mut BTreeMap<Arc<str>, Charge>,
-    workspace: &Arc<str>,
-) -> &'a mut Charge {
-    charges.entry(workspace.clone()).or_insert_with(|| Charge {
-        workspace: workspace.clone(),
-        charged: 0,
-        lent: 0,
-    })
-}
--- a/crates/dogwoodpier-core/src/gateway/quota.rs
+++ b/crates/dogwoodpier-core/src/gateway/quota.rs
@@ -6,16 +6,13 @@
 //! unseen, so the bucket leaves an equal share of the rate to each silent peer. An instance that
 //! hears nobody is left with its own equal share, and the sum stays within the rate.
 //!
-//! Operators may tolerate some units beyond the rate and burst over any window. While upstreams have
-//! room, a workspace is lent of these. A loan counts against the tolerance for one window and isn't
-//! paid back out of the rate: small requests would be refused within it after a few large ones.
+//! Operators may tolerate some units beyond the rate over a window. While upstreams have room, a
+//! workspace is lent of these; it pays them back out of its rate before it is lent again.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use dogwoodpier_derive::plain;
-use dogwoodpier_derive::wire;
 
 use crate::TimeMs;
 
@@ -48,27 +45,13 @@
 #[plain]
 #[derive(Copy, Eq)]
 pub struct Tolerance {
-    /// Units in any window.
+    /// Units.
     pub units: u64,
-    /// Length of the window.
-    pub window_ms: u64,
 }
 
 impl Tolerance {
-    /// Returns a tolerance of which nothing is lent now. Loans before still count.
-    pub fn without_loans(self) -> Self {
-        Self { units: 0, ..self }
-    }
-}
-
-/// Units admitted since the start of an instance, by workspace.
-#[wire]
-#[derive(Default, Eq)]
-pub struct Totals {
-    /// Within the rate and burst.
-    pub charged: BTreeMap<Arc<str>, u64>,
-    /// Lent beyond them.
-    pub lent: BTreeMap<Arc<str>, u64>,
+    /// Nothing is lent.
+    pub const NONE: Self = Self { units: 0 };
 }
 
 /// Result of a request to admit.
@@ -76,10 +59,7 @@
 #[derive(Copy, Eq)]
 pub enum Decision {
     /// Within the quota, and charged.
-    Admitted {
-        /// Units that were lent.
-        lent: u64,
-    },
+    Admitted,
     /// Over the quota.
     Rejected {
         /// Time until the quota would allow it, if nothing else were admitted.
@@ -92,31 +72,13 @@
 struct Bucket {
     level: f64,
     updated_ms: TimeMs,
-    // Loans of the fleet by the time at which they no longer count, earliest first.
-    loans: VecDeque<(TimeMs, u64)>,
-    // Loans of peers that were made before are not known until a window has passed.
-    lending_from_ms: TimeMs,
-}
-
-impl Bucket {
-    // Returns what may still be lent now, of `units`.
-    fn lendable(&mut self, units: f64, now: TimeMs) -> f64 {
-        if now < self.lending_from_ms {
-            return 0.0;
-        }
-        while self.loans.front().is_some_and(|(end_ms, _)| *end_ms <= now) {
-            self.loans.pop_front();
-        }
-        let lent: u64 = self.loans.iter().map(|(_, units)| units).sum();
-        units - lent as f64
-    }
 }
 
 /// The quotas as one instance sees them.
 #[derive(Debug, Default)]
 pub struct Quotas {
     buckets: BTreeMap<Arc<str>, Bucket>,
-    admitted: Totals,
+    admitted: BTreeMap<Arc<str>, u64>,
 }
 
 impl Quotas {
@@ -130,69 +92,35 @@
         now: TimeMs,
     ) -> Decision {
         if workspace.rate_per_s == 0 {
-            return Decision::Admitted { lent: 0 };
+            return Decision::Admitted;
         }
         let rate_per_ms = workspace.rate_per_s as f64 * hearing.share() / 1_000.0;
         let cap = workspace.burst as f64 * hearing.share();
-        let bucket = self.refilled(workspace, hearing, tolerance, now);
+        let bucket = self.refilled(workspace, hearing, now);
         // A request larger than the burst is admitted by a full bucket.
         let needed = (units as f64).min(cap);
-        let mut lent = 0;
-        if bucket.level < needed {
-            let missing = units as f64 - bucket.level.max(0.0);
-            if bucket.lendable(tolerance.units as f64 * hearing.share(), now) < missing {
-                let wait_ms = (needed - bucket.level) / rate_per_ms;
-                return Decision::Rejected {
-                    retry_after_ms: wait_ms.ceil() as u64,
-                };
-            }
-            lent = (missing.ceil() as u64).min(units);
-            bucket
-                .loans
-                .push_back((now.after(tolerance.window_ms), lent));
-            add(&mut self.admitted.lent, workspace, lent);
-        }
-        let charged = units - lent;
-        self.charge(workspace, charged, hearing, tolerance, now);
-        add(&mut self.admitted.charged, workspace, charged);
-        Decision::Admitted { lent }
-    }
-
-    /// Charges units to a workspace's bucket, as those that a peer admitted.
-    pub fn charge(
-        &mut self,
-        workspace: &Workspace,
-        units: u64,
-        hearing: Hearing,
-        tolerance: Tolerance,
-        now: TimeMs,
-    ) {
-        if workspace.rate_per_s == 0 {
-            return;
+        let lent = tolerance.units as f64 * hearing.share();
+        if bucket.level + lent < needed {
+            let missing = needed - bucket.level;
+            return Decision::Rejected {
+                retry_after_ms: (missing / rate_per_ms).ceil() as u64,
+            };
         }
-        self.refilled(workspace, hearing, tolerance, now).level -= units as f64;
+        bucket.level -= units as f64;
+        *self.admitted.entry(workspace.name.clone()).or_default() += units;
+        Decision::Admitted
     }
 
-    /// Counts units that a peer has lent to a workspace.
-    pub fn note_loan(
-        &mut self,
-        workspace: &Workspace,
-        units: u64,
-        hearing: Hearing,
-        tolerance: Tolerance,
-        now: TimeMs,
-    ) {
+    /// Charges what a peer admitted.
+    pub fn charge(&mut self, workspace: &Workspace, units: u64, hearing: Hearing, now: TimeMs) {
         if workspace.rate_per_s == 0 {
             return;
         }
-        let loan = (now.after(tolerance.window_ms), units);
-        self.refilled(workspace, hearing, tolerance, now)
-            .loans
-            .push_back(loan);
+        self.refilled(workspace, hearing, now).level -= units as f64;
     }
 
-    /// Returns the units admitted here since the start.
-    pub fn admitted(&self) -> &Totals {
+    /// Returns the units admitted here since the start, by workspace.
+    pub fn admitted(&self) -> &BTreeMap<Arc<str>, u64> {
         &self.admitted
     }
 
@@ -202,13 +130,7 @@
     }
 
     // A bucket is empty at first: what was used before this instance started is not known.
-    fn refilled(
-        &mut self,
-        workspace: &Workspace,
-        hearing: Hearing,
-        tolerance: Tolerance,
-        now: TimeMs,
-    ) -> &mut Bucket {
+    fn refilled(&mut self, workspace: &Workspace, hearing: Hearing, now: TimeMs) -> &mut Bucket {
         let rate_per_ms = workspace.rate_per_s as f64 * hearing.share() / 1_000.0;
         let cap = workspace.burst as f64 * hearing.share();
         let bucket = self
@@ -217,8 +139,6 @@
             .or_insert(Bucket {
                 level: 0.0,
                 updated_ms: now,
-                loans: VecDeque::new(),
-                lending_from_ms: now.after(tolerance.window_ms),
             });
         let gained = now.since(bucket.updated_ms) as f64 * rate_per_ms;
         bucket.level = (bucket.level + gained).min(cap);
@@ -227,23 +147,14 @@
     }
 
     /// Moves every bucket on to `now`, creating those of new workspaces.
-    pub fn advance<'a, W>(
-        &mut self,
-        workspaces: W,
-        hearing: Hearing,
-        tolerance: Tolerance,
-        now: TimeMs,
-    ) where
+    pub fn advance<'a, W>(&mut self, workspaces: W, hearing: Hearing, now: TimeMs)
+    where
         W: IntoIterator<Item = &'a Arc<Workspace>>,
     {
         for workspace in workspaces {
             if workspace.rate_per_s > 0 {
-                self.refilled(workspace, hearing, tolerance, now);
+                self.refilled(workspace, hearing, now);
             }
         }
     }
 }
-
-fn add(totals: &mut BTreeMap<Arc<str>, u64>, workspace: &Workspace, units: u64) {
-    *totals.entry(workspace.name.clone()).or_default() += units;
-}
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -13,7 +13,6 @@
 use dogwoodpier_core::gateway::placement::Chooser;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::placement::Records;
-use dogwoodpier_core::gateway::quota::Totals;
 use dogwoodpier_core::gateway::upstreams::Stage;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_core::gateway::upstreams::Upstreams;
@@ -62,7 +61,7 @@
         sequence,
         leaving: false,
         uses: if requests == 0 { BTreeMap::new() } else { uses },
-        admitted: Totals::default(),
+        admitted: BTreeMap::new(),
         down_for_ms: BTreeMap::new(),
         leaving_upstreams: Default::default(),
         seen_revisions: BTreeMap::new(),
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -19,10 +19,6 @@
 const BURST: u64 = 10_000;
 const COST: u64 = 500;
 const WINDOW_MS: u64 = 8_000;
-const NONE: Tolerance = Tolerance {
-    units: 0,
-    window_ms: WINDOW_MS,
-};
 
 fn workspace() -> Workspace {
     Workspace {
@@ -42,7 +38,6 @@
     admitted: Vec<(u64, u64)>,
     lag_ms: u64,
     sequence: u64,
-    tolerance: Tolerance,
 }
 
 impl Fleet {
@@ -56,7 +51,6 @@
             admitted: Vec::new(),
             lag_ms,
             sequence: 0,
-            tolerance: NONE,
         };
         for instance in 0..size {
             for peer in (0..size).filter(|peer| *peer != instance) {
@@ -70,11 +64,11 @@
         let now = TimeMs(now_ms);
         let hearing = self.exchanges[instance].hearing(now);
         let decision =
-            self.quotas[instance].admit(&workspace(), COST, hearing, self.tolerance, now);
-        if is_admitted(decision) {
+            self.quotas[instance].admit(&workspace(), COST, hearing, Tolerance::NONE, now);
+        if decision == Decision::Admitted {
             self.admitted.push((now_ms, COST));
         }
-        is_admitted(decision)
+        decision == Decision::Admitted
     }
 
     fn report(&mut self, now_ms: u64, cut_at: Option<usize>) {
@@ -109,9 +103,7 @@
         for (_, to, report) in due {
             for charge in self.exchanges[to].receive(report, now) {
                 let hearing = self.exchanges[to].hearing(now);
-                let quotas = &mut self.quotas[to];
-                quotas.charge(&workspace(), charge.charged, hearing, self.tolerance, now);
-                quotas.note_loan(&workspace(), charge.lent, hearing, self.tolerance, now);
+                self.quotas[to].charge(&workspace(), charge.units, hearing, now);
             }
         }
     }
@@ -198,7 +190,7 @@
     let mut admitted = 0;
     for step in 0..2_000_u64 {
         let now = TimeMs(step * 5);
-        if quotas.admit(&workspace(), 100, hearing, NONE, now) == (Decision::Admitted { lent: 0 }) {
+        if quotas.admit(&workspace(), 100, hearing, Tolerance::NONE, now) == Decision::Admitted {
             admitted += 100;
         }
     }
@@ -209,61 +201,44 @@
     );
 }
 
-fn is_admitted(decision: Decision) -> bool {
-    matches!(decision, Decision::Admitted { .. })
-}
-
-// A workspace sends five times its rate for a while: large requests first, then small ones.
-#[test]
-fn loans_stay_within_window() {
-    let mut fleet = Fleet::new(4, 5);
-    fleet.tolerance.units = 30_000;
-    for step in 0..6_000_u64 {
-        let now_ms = step * 5;
-        fleet.deliver(now_ms);
-        if now_ms % 50 == 0 {
-            fleet.report(now_ms, None);
-        }
-        fleet.ask(step as usize % 4, now_ms);
-    }
-    let quota = RATE_PER_S * WINDOW_MS / 1_000 + BURST;
-    let unseen = 60 * 100;
-    let most = fleet.most_in_window();
-    assert!(most <= quota + 30_000 + unseen, "{most}");
-    // The burst is used up before a new instance lends.
-    assert!(most >= quota - BURST + 30_000, "{most}: little was lent");
-    // The loans of each window come anew.
-    let total: u64 = fleet.admitted.iter().map(|(_, units)| units).sum();
-    assert!(total >= RATE_PER_S * 30 + 2 * 30_000, "{total}");
-}
-
 #[test]
-fn loans_leave_the_rate() {
+fn tolerance_lends_and_takes_back() {
     let mut quotas = Quotas::default();
-    let tolerance = Tolerance {
-        units: 20_000,
-        window_ms: WINDOW_MS,
-    };
-    let mut admit = |units, tolerance, now_ms| {
-        let now = TimeMs(now_ms);
-        quotas.admit(&workspace(), units, Hearing::ALONE, tolerance, now)
-    };
-    admit(0, tolerance, 0);
-    assert_eq!(
-        admit(BURST, tolerance, 9_000),
-        Decision::Admitted { lent: 0 }
+    let tolerance = Tolerance { units: 5_000 };
+    quotas.admit(&workspace(), 0, Hearing::ALONE, Tolerance::NONE, TimeMs(0));
+    let mut within = 0;
+    while quotas.admit(
+        &workspace(),
+        COST,
+        Hearing::ALONE,
+        Tolerance::NONE,
+        TimeMs(5_000),
+    ) == Decision::Admitted
+    {
+        within += COST;
+    }
+    let mut beyond = 0;
+    while quotas.admit(&workspace(), COST, Hearing::ALONE, tolerance, TimeMs(5_000))
+        == Decision::Admitted
+    {
+        beyond += COST;
+    }
+    assert_eq!((within, beyond), (BURST, 5_000));
+    // What was lent comes out of the rate: nothing more for half a second.
+    let later = quotas.admit(
+        &workspace(),
+        COST,
+        Hearing::ALONE,
+        Tolerance::NONE,
+        TimeMs(5_400),
     );
-    assert_eq!(
-        admit(15_000, tolerance, 9_000),
-        Decision::Admitted { lent: 15_000 }
+    assert!(matches!(later, Decision::Rejected { .. }));
+    let later = quotas.admit(
+        &workspace(),
+        COST,
+        Hearing::ALONE,
+        Tolerance::NONE,
+        TimeMs(5_600),
     );
-    // No more than is tolerated, and nothing while upstreams are busy.
-    assert!(!is_admitted(admit(6_000, tolerance, 9_000)));
-    assert!(!is_admitted(admit(1_000, tolerance.without_loans(), 9_000)));
-    // Within the rate nothing has changed: a tenth of a second brings a thousand units.
-    assert!(is_admitted(admit(1_000, tolerance.without_loans(), 9_100)));
-    // A window later the loan no longer counts.
-    admit(BURST, tolerance, 16_900);
-    assert!(!is_admitted(admit(10_000, tolerance, 16_950)));
-    assert!(is_admitted(admit(10_000, tolerance, 17_050)));
+    assert_eq!(later, Decision::Admitted);
 }
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -18,6 +18,7 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement;
 use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::quota::Tolerance;
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::QuotaUnit;
 use dogwoodpier_core::gateway::routes::Route;
@@ -98,7 +99,7 @@
         client_wait_ms,
         deadline_ms,
     };
-    let lent_units = charge_quota(gateway, &request)?;
+    charge_quota(gateway, &request)?;
     gateway.events.write(
         "admitted",
         serde_json::json!({
@@ -108,7 +109,6 @@
             "workspace": request.workspace.as_ref().map(|workspace| &*workspace.name),
             "configuration_version": configuration.version,
             "wait_ms": request.client_wait_ms,
-            "lent_units": lent_units,
         }),
     );
     Ok(request)
@@ -190,10 +190,9 @@
         .unwrap_or(Err(Rejection::new(Reason::BodyTimeout)))
 }
 
-// Charges a request to its workspace. Returns the units that were lent for it.
-fn charge_quota(gateway: &Gateway, request: &ClientRequest) -> Result<u64, Rejection> {
+fn charge_quota(gateway: &Gateway, request: &ClientRequest) -> Result<(), Rejection> {
     let Some(workspace) = &request.workspace else {
-        return Ok(0);
+        return Ok(());
     };
     let units = match workspace.unit {
         QuotaUnit::Requests => 1,
@@ -202,17 +201,18 @@
         }),
     };
     let now = clock::now();
-    let mut tolerance = gateway.settings.load().quota_tolerance;
-    if !has_room(gateway, request) {
-        tolerance = tolerance.without_loans();
-    }
+    let tolerance = if has_room(gateway, request) {
+        gateway.settings.load().quota_tolerance
+    } else {
+        Tolerance::NONE
+    };
     let mut beliefs = gateway.beliefs();
     let hearing = beliefs.exchange.hearing(now);
     match beliefs
         .quotas
         .admit(workspace, units, hearing, tolerance, now)
     {
-        Decision::Admitted { lent } => Ok(lent),
+        Decision::Admitted => Ok(()),
         Decision::Rejected { retry_after_ms } => {
             let level = beliefs.quotas.level(&workspace.name);
             gateway.events.write(
@@ -222,7 +222,7 @@
                     "workspace": &*workspace.name,
                     "units": units,
                     "level": level,
-                    "tolerance": tolerance.units,
+                    "lent": tolerance.units,
                     "rate_per_s": workspace.rate_per_s,
                     "members": hearing.members,
                     "heard": hearing.heard,
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -11,7 +11,6 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::exchange::Report;
-use dogwoodpier_core::gateway::quota::Totals;
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
 
@@ -91,7 +90,6 @@
 fn take_report(gateway: &SharedGateway, report: Report) {
     let now = clock::now();
     let configuration = gateway.configuration.load_full();
-    let tolerance = gateway.settings.load().quota_tolerance;
     for (kind, revision) in &report.seen_revisions {
         gateway.revisions.note_peer(kind, *revision);
     }
@@ -116,9 +114,7 @@
                 .as_ref()
                 .and_then(|configuration| configuration.workspaces.get(&charge.workspace));
             if let Some(workspace) = workspace {
-                let quotas = &mut beliefs.quotas;
-                quotas.charge(workspace, charge.charged, hearing, tolerance, now);
-                quotas.note_loan(workspace, charge.lent, hearing, tolerance, now);
+                beliefs.quotas.charge(workspace, charge.units, hearing, now);
             }
         }
     }
@@ -161,7 +157,7 @@
 #[derive(Default)]
 struct LastToAll {
     sent_ms: TimeMs,
-    admitted: Totals,
+    admitted: BTreeMap<Arc<str>, u64>,
     unusable: BTreeSet<Arc<str>>,
 }
 
@@ -181,28 +177,25 @@
         let Some(configuration) = configuration.as_ref() else {
             return false;
         };
-        let unseen = |now: &BTreeMap<Arc<str>, u64>, before: &BTreeMap<Arc<str>, u64>| {
-            now.iter().any(|(name, total)| {
-                let reported = before.get(name).copied().unwrap_or(0);
-                let workspace = configuration.workspaces.get(name);
-                workspace.is_some_and(|workspace| total - reported > workspace.burst / BURST_PARTS)
-            })
-        };
-        unseen(&report.admitted.charged, &self.admitted.charged)
-            || unseen(&report.admitted.lent, &self.admitted.lent)
+        report.admitted.iter().any(|(name, total)| {
+            let reported = self.admitted.get(name).copied().unwrap_or(0);
+            configuration
+                .workspaces
+                .get(name)
+                .is_some_and(|workspace| total - reported > workspace.burst / BURST_PARTS)
+        })
     }
 }
 
 fn compose(gateway: &SharedGateway, sequence: u64) -> Report {
     let now = clock::now();
     let configuration = gateway.configuration.load_full();
-    let tolerance = gateway.settings.load().quota_tolerance;
     let mut beliefs = gateway.beliefs();
     if let Some(configuration) = configuration {
         let hearing = beliefs.exchange.hearing(now);
         beliefs
             .quotas
-            .advance(configuration.workspaces.values(), hearing, tolerance, now);
+            .advance(configuration.workspaces.values(), hearing, now);
     }
     Report {
         instance: gateway.settings.load().instance.clone(),
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -113,7 +113,6 @@
     let entry_grace_s = number(&mut root, "entry_grace_s", 0.0, 3_600.0, report);
     let memory_mb = number(&mut root, "memory_mb", 32.0, 1_048_576.0, report);
     let tolerance = number(&mut root, "quota_tolerance_units", 0.0, 1e15, report);
-    let quota_window_s = number(&mut root, "quota_window_s", 0.1, 3_600.0, report);
     let mut retries = root.table("retries", report);
     let ratio = number(&mut retries, "ratio", 0.0, 10.0, report);
     let allowance = number(&mut retries, "allowance", 0.0, 1e9, report);
@@ -135,7 +134,6 @@
         },
         quota_tolerance: Tolerance {
             units: (tolerance? * QUOTA_TOLERANCE_SHARE) as u64,
-            window_ms: (quota_window_s? * MS_PER_S) as u64,
         },
         grace_ms: (grace_s? * MS_PER_S) as u64,
         entry_grace_ms: (entry_grace_s? * MS_PER_S) as u64,
