Bound what is held of an event, and end events at CRLF as well

An engine that never ends an event had all its bytes held until the stream's end, and one that ends lines with CRLF had its whole answer held. Each part also searched all that was held again.

Ruled out: streams that aren't resumable (their bytes pass as they come).

--- a/crates/dogwoodpier-gateway/src/events.rs
+++ b/crates/dogwoodpier-gateway/src/events.rs
@@ -4,47 +4,73 @@
 use bytes::BytesMut;
 use http::HeaderValue;
 
-const EVENT_END: &[u8] = b"\n\n";
+// Ends of an event, with either kind of line ends.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 const ID_FIELD: &str = "id:";
+// Longest event that is held back until it is whole. Events of engines have some hundred bytes.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 /// Splits a stream into whole events and remembers the last one's id.
 #[derive(Debug, Default)]
 pub struct Events {
     partial: BytesMut,
+    // Bytes of `partial` in which no event ends.
+    searched: usize,
     last_id: Option<HeaderValue>,
+    // An event was too long, so parts of it were given out.
+    overflowed: bool,
 }
 
 impl Events {
     /// Returns the state of a stream whose client already has the events up to `last_id`.
     pub fn after(last_id: Option<HeaderValue>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
-    /// Takes bytes in and returns the whole events among all that were taken.
+    /// Takes bytes in and returns the whole events among all that were taken. Of a stream with an
+    /// event too long to be held, all bytes are returned as they come.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
-        let end = self
-            .partial
-            .windows(EVENT_END.len())
-            .rposition(|window| window == EVENT_END);
+        if self.overflowed {
+            return self.partial.split().freeze();
+        }
+        // An end may have begun in what was searched before.
+        let from = self.searched.saturating_sub(EVENT_ENDS[1].len());
+        let end = EVENT_ENDS
+            .iter()
+            .filter_map(|end| last_end(&self.partial[from..], end))
+            .max();
         let Some(end) = end else {
-            return Bytes::new();
+            self.searched = self.partial.len();
+            if self.searched <= MAX_EVENT_BYTES {
+                return Bytes::new();
+            }
+            self.overflowed = true;
+            return self.partial.split().freeze();
         };
-        let whole = self.partial.split_to(end + EVENT_END.len()).freeze();
+        let whole = self.partial.split_to(from + end).freeze();
+        self.searched = self.partial.len();
         self.note_ids(&whole);
         whole
     }
 
+    /// Returns whether all that was given out are whole events, so that a stream may go on after them.
+    pub fn are_whole(&self) -> bool {
+        !self.overflowed
+    }
+
     /// Returns what is left at the end of a stream.
     pub fn take_rest(&mut self) -> Bytes {
+        self.searched = 0;
         self.partial.split().freeze()
     }
 
     /// Forgets the beginning of an event that was cut.
     pub fn drop_partial(&mut self) {
+        self.searched = 0;
         self.partial.clear();
     }
 
@@ -65,3 +91,9 @@
         }
     }
 }
+
+// Returns where the last occurrence of `end` ends.
+fn last_end(bytes: &[u8], end: &[u8]) -> Option<usize> {
+    let start = bytes.windows(end.len()).rposition(|window| window == end)?;
+    Some(start + end.len())
+}
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -169,6 +169,9 @@
         let Some(resume) = &mut self.resume else {
             return false;
         };
+        if !resume.events.are_whole() {
+            return false;
+        }
         resume.events.drop_partial();
         let failed = self.guard.upstream().id.clone();
         let last_event = resume.events.last_id();
