Count grants and reported use apart, so that a new broker doesn't overfill engines

A peer's use was the larger of what it was granted here and what it reported. When the broker changes (four restarts in turn), the new one has no grants for what runs already, so its first grants hid behind the reported ones: each peer got as many again for nothing.

Ruled out: slots or memory of the entries (12 and right; placed now logs slots, requests and KV tokens of the chosen engine), lapsed handles, unheard peers.

Reports name the questions by which their use was granted, so a broker adds just the grants that aren't in a report yet. Test: new_broker_counts_both (5; the code before says 3) and ended_grant_leaves_with_report.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -3,7 +3,8 @@
 //! Load pattern: many instances place requests on the same few engines, each with load reports that
 //! are hundreds of milliseconds old. Every instance tells its peers how many requests it has at
 //! each upstream, so that all of them count the same free slots. Counts replace each other and
-//! totals only grow, so lost or repeated messages do no harm.
+//! totals only grow, so lost or repeated messages do no harm. An instance that begins to place for
+//! the others finds in their reports what they were given before, and adds what it gives.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -41,15 +42,6 @@
         self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
         self.kv_tokens = self.kv_tokens.saturating_sub(other.kv_tokens);
     }
-
-    // Returns what is in use if both tell of the same requests, one of them before the other.
-    fn union(self, other: Self) -> Self {
-        Self {
-            requests: self.requests.max(other.requests),
-            prefill_tokens: self.prefill_tokens.max(other.prefill_tokens),
-            kv_tokens: self.kv_tokens.max(other.kv_tokens),
-        }
-    }
 }
 
 /// A place at an upstream that this instance gave to a peer.
@@ -82,6 +74,9 @@
     pub leaving: bool,
     /// Use of upstreams by id; those not named are unused.
     pub uses: BTreeMap<Arc<str>, Use>,
+    /// Questions by which the sender was granted what it uses, by upstream. A receiver that granted
+    /// them tells by these which grants are in `uses` already.
+    pub tickets: BTreeMap<Arc<str>, Vec<u64>>,
     /// Units admitted since the start, by workspace.
     pub admitted: BTreeMap<Arc<str>, u64>,
     /// Upstreams that the sender can't reach, and for how many milliseconds it avoids them.
@@ -118,7 +113,14 @@
     report: Option<Report>,
     heard_ms: Option<TimeMs>,
     known_since_ms: TimeMs,
-    grants: Vec<Grant>,
+    grants: Vec<HeldGrant>,
+}
+
+#[derive(Debug)]
+struct HeldGrant {
+    grant: Grant,
+    // The peer's report counts it.
+    is_reported: bool,
 }
 
 impl Peer {
@@ -132,40 +134,33 @@
     }
 
     fn use_of(&self, upstream: &str) -> Use {
-        let mut granted = Use::default();
-        for grant in &self.grants {
-            if *grant.upstream == *upstream {
-                granted.add(grant.used);
-            }
-        }
         let reported = self
             .report
             .as_ref()
-            .and_then(|report| report.uses.get(upstream))
-            .copied()
-            .unwrap_or_default();
-        granted.union(reported)
+            .and_then(|report| report.uses.get(upstream));
+        let mut total = reported.copied().unwrap_or_default();
+        for held in &self.grants {
+            if *held.grant.upstream == *upstream && !held.is_reported {
+                total.add(held.grant.used);
+            }
+        }
+        total
     }
 
-    // Drops grants that the peer no longer uses: it reports fewer requests than it was granted.
+    // Tells the grants that the last report counts from those that it doesn't yet, and drops those
+    // that the peer has ended.
     fn settle(&mut self, now: TimeMs) {
         let Some(report) = &self.report else {
             return;
         };
-        let mut left: BTreeMap<Arc<str>, u32> = report
-            .uses
-            .iter()
-            .map(|(upstream, used)| (upstream.clone(), used.requests))
-            .collect();
-        // The newest grants are the last to be dropped.
-        self.grants.reverse();
-        self.grants.retain(|grant| {
-            let left = left.entry(grant.upstream.clone()).or_default();
-            let shown = *left > 0;
-            *left = left.saturating_sub(1);
-            shown || now.since(grant.granted_ms) <= GRANT_SETTLED_MS
+        self.grants.retain_mut(|held| {
+            let HeldGrant { grant, is_reported } = held;
+            let tickets = report.tickets.get(&grant.upstream);
+            let is_shown = tickets.is_some_and(|tickets| tickets.contains(&grant.ticket));
+            let has_ended = *is_reported && !is_shown;
+            *is_reported = is_shown;
+            is_shown || (!has_ended && now.since(grant.granted_ms) <= GRANT_SETTLED_MS)
         });
-        self.grants.reverse();
     }
 }
 
@@ -246,7 +241,10 @@
             .entry(instance.clone())
             .or_insert_with(|| Peer::new(now))
             .grants
-            .push(grant);
+            .push(HeldGrant {
+                grant,
+                is_reported: false,
+            });
     }
 
     /// Ends the use of a place by a peer, without waiting for its next report.
@@ -257,12 +255,13 @@
         let place = peer
             .grants
             .iter()
-            .position(|grant| grant.ticket == ticket && *grant.upstream == *upstream);
+            .position(|held| held.grant.ticket == ticket && *held.grant.upstream == *upstream);
         let Some(place) = place else {
             return;
         };
-        let grant = peer.grants.remove(place);
-        if let Some(report) = &mut peer.report
+        let HeldGrant { grant, is_reported } = peer.grants.remove(place);
+        if is_reported
+            && let Some(report) = &mut peer.report
             && let Some(used) = report.uses.get_mut(upstream)
         {
             used.subtract(grant.used);
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -49,7 +49,9 @@
     }
 }
 
-fn report(sequence: u64, requests: u32) -> Report {
+// Returns a report of a peer with some requests at an engine, of which these were granted by this
+// instance.
+fn report(sequence: u64, requests: u32, tickets: &[u64]) -> Report {
     let used = Use {
         requests,
         ..Use::default()
@@ -61,6 +63,7 @@
         sequence,
         leaving: false,
         uses: if requests == 0 { BTreeMap::new() } else { uses },
+        tickets: [("e1".into(), tickets.to_vec())].into(),
         admitted: BTreeMap::new(),
         down_for_ms: BTreeMap::new(),
         leaving_upstreams: Default::default(),
@@ -144,35 +147,66 @@
 fn grants_bridge_reports() {
     let mut exchange = Exchange::new(ExchangeOptions::default());
     let peer: Arc<str> = "peer".into();
-    exchange.receive(report(1, 0), TimeMs(0));
+    exchange.receive(report(1, 0, &[]), TimeMs(0));
     for ticket in 0..3 {
         exchange.grant(&peer, grant(ticket, 10));
     }
     // The peer's report doesn't show the grants yet; they count all the same, and only once.
-    exchange.receive(report(2, 1), TimeMs(50));
+    exchange.receive(report(2, 1, &[0]), TimeMs(50));
     assert_eq!(exchange.use_of("e1", TimeMs(50)).requests, 3);
-    exchange.receive(report(3, 3), TimeMs(100));
+    exchange.receive(report(3, 3, &[0, 1, 2]), TimeMs(100));
     assert_eq!(exchange.use_of("e1", TimeMs(100)).requests, 3);
     // A release counts at once, before the next report.
     exchange.release("peer", 1, "e1");
     assert_eq!(exchange.use_of("e1", TimeMs(110)).requests, 2);
 }
 
+// Grants of the broker before come with reports, those of this one are added to them.
+#[test]
+fn new_broker_counts_both() {
+    let mut exchange = Exchange::new(ExchangeOptions::default());
+    let peer: Arc<str> = "peer".into();
+    exchange.receive(report(1, 3, &[90, 91, 92]), TimeMs(0));
+    for ticket in 0..2 {
+        exchange.grant(&peer, grant(ticket, 10));
+    }
+    assert_eq!(exchange.use_of("e1", TimeMs(20)).requests, 5);
+    // One of the older ones ends while the first grant is reported.
+    exchange.receive(report(2, 3, &[90, 91, 0]), TimeMs(50));
+    assert_eq!(exchange.use_of("e1", TimeMs(50)).requests, 4);
+    // Both releases count once, whether they were reported or not.
+    exchange.release("peer", 0, "e1");
+    exchange.release("peer", 1, "e1");
+    assert_eq!(exchange.use_of("e1", TimeMs(60)).requests, 2);
+}
+
+// A request that ended while its release was lost no longer counts once the report lacks it.
+#[test]
+fn ended_grant_leaves_with_report() {
+    let mut exchange = Exchange::new(ExchangeOptions::default());
+    let peer: Arc<str> = "peer".into();
+    exchange.grant(&peer, grant(7, 0));
+    exchange.receive(report(1, 1, &[7]), TimeMs(50));
+    assert_eq!(exchange.use_of("e1", TimeMs(50)).requests, 1);
+    exchange.receive(report(2, 0, &[]), TimeMs(100));
+    assert_eq!(exchange.use_of("e1", TimeMs(100)).requests, 0);
+}
+
 #[test]
 fn lost_release_settles() {
     let mut exchange = Exchange::new(ExchangeOptions::default());
     let peer: Arc<str> = "peer".into();
     exchange.grant(&peer, grant(1, 0));
-    exchange.receive(report(1, 0), TimeMs(100));
+    exchange.receive(report(1, 0, &[]), TimeMs(100));
     assert_eq!(exchange.use_of("e1", TimeMs(100)).requests, 1);
-    exchange.receive(report(2, 0), TimeMs(700));
+    exchange.receive(report(2, 0, &[]), TimeMs(700));
     assert_eq!(exchange.use_of("e1", TimeMs(700)).requests, 0);
 }
 
 #[test]
 fn dead_peer_frees_slots() {
     let mut exchange = Exchange::new(ExchangeOptions::default());
-    exchange.receive(report(1, 5), TimeMs(0));
+    exchange.receive(report(1, 5, &[]), TimeMs(0));
     assert_eq!(exchange.use_of("e1", TimeMs(900)).requests, 5);
     assert_eq!(exchange.use_of("e1", TimeMs(1_100)).requests, 0);
     assert_eq!(exchange.hearing(TimeMs(1_100)).members, 2);
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -84,6 +84,7 @@
                     sequence: self.sequence,
                     leaving: false,
                     uses: Default::default(),
+                    tickets: Default::default(),
                     admitted: self.quotas[from].admitted().clone(),
                     down_for_ms: Default::default(),
                     leaving_upstreams: Default::default(),
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -140,7 +140,6 @@
 }
 
 /// Questions under way, asked and answered.
-#[derive(Default)]
 pub struct Broker {
     next_ticket: AtomicU64,
     // Questions of this instance.
@@ -151,6 +150,18 @@
     suspects: Mutex<BTreeMap<Arc<str>, TimeMs>>,
 }
 
+impl Default for Broker {
+    fn default() -> Self {
+        Self {
+            // Peers may still remember questions of the process before this one.
+            next_ticket: AtomicU64::new(rand::random()),
+            own: Mutex::default(),
+            peers: Mutex::default(),
+            suspects: Mutex::default(),
+        }
+    }
+}
+
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -203,6 +203,7 @@
         sequence,
         leaving: gateway.drain.is_draining() && gateway.drain.in_flight() == 0,
         uses: beliefs.uses.clone(),
+        tickets: beliefs.tickets.clone(),
         admitted: beliefs.quotas.admitted().clone(),
         down_for_ms: beliefs.records.down(now),
         leaving_upstreams: beliefs.upstreams.leaving(),
--- a/crates/dogwoodpier-gateway/src/lines.rs
+++ b/crates/dogwoodpier-gateway/src/lines.rs
@@ -243,15 +243,21 @@
     }
 }
 
+// Logs a place, with what its engine holds now, this request included.
 fn log_placed(gateway: &Gateway, claim: &Claim, place: &Place, waiting: usize) {
+    let decode = place.decode.upstream();
+    let used = gateway.beliefs().use_of(&decode.id, clock::now());
     gateway.events.write(
         "placed",
         serde_json::json!({
             "request_id": &*claim.request_id,
             "service": &*claim.service,
-            "decode": &*place.decode.upstream().id,
+            "decode": &*decode.id,
             "prefill": place.prefill.as_ref().map(|prefill| &*prefill.upstream().id),
             "kv_tokens": claim.kv_tokens,
+            "decode_slots": decode.slots,
+            "decode_requests": used.requests,
+            "decode_kv_tokens": used.kv_tokens,
             "waiting": waiting,
         }),
     );
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -139,6 +139,7 @@
             quotas: Quotas::default(),
             retries: RetryBudget::default(),
             uses: Default::default(),
+            tickets: Default::default(),
         }),
         socket,
         broker: Broker::default(),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::exchange::Exchange;
 use dogwoodpier_core::gateway::exchange::Grant;
 use dogwoodpier_core::gateway::exchange::Use;
@@ -105,6 +106,8 @@
     pub retries: RetryBudget,
     /// Use of upstreams by requests of this instance.
     pub uses: BTreeMap<Arc<str>, Use>,
+    /// Questions by which they were granted, by upstream.
+    pub tickets: BTreeMap<Arc<str>, Vec<u64>>,
 }
 
 /// Shared handle.
@@ -179,6 +182,10 @@
                         .entry(upstream.id.clone())
                         .or_default()
                         .add(used);
+                    if let Holder::Granted { ticket, .. } = &holder {
+                        let tickets = beliefs.tickets.entry(upstream.id.clone()).or_default();
+                        tickets.push(*ticket);
+                    }
                     self.use_changed.notify_one();
                 }
                 Holder::HandedOver => {}
@@ -233,18 +240,21 @@
         let now = clock::now();
         self.upstreams
             .serving(service)
-            .map(|upstream| {
-                let mut used = self.exchange.use_of(&upstream.id, now);
-                if let Some(own) = self.uses.get(&upstream.id) {
-                    used.add(*own);
-                }
-                Candidate {
-                    upstream: upstream.clone(),
-                    used,
-                }
+            .map(|upstream| Candidate {
+                upstream: upstream.clone(),
+                used: self.use_of(&upstream.id, now),
             })
             .collect()
     }
+
+    /// Returns what all instances have at an upstream.
+    pub fn use_of(&self, upstream: &str, now: TimeMs) -> Use {
+        let mut used = self.exchange.use_of(upstream, now);
+        if let Some(own) = self.uses.get(upstream) {
+            used.add(*own);
+        }
+        used
+    }
 }
 
 /// For whom a request is counted at an upstream.
@@ -304,6 +314,14 @@
 
     fn end_own(&self) {
         let mut beliefs = self.gateway.beliefs();
+        if let Holder::Granted { ticket, .. } = &self.holder
+            && let Some(tickets) = beliefs.tickets.get_mut(&self.upstream.id)
+        {
+            tickets.retain(|held| held != ticket);
+            if tickets.is_empty() {
+                beliefs.tickets.remove(&self.upstream.id);
+            }
+        }
         if self.result == broker::Result::Used {
             beliefs.records.note_freed(&self.upstream.id);
         }
