--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -224,29 +224,27 @@
     pub used: Use,
 }
 
-// Part of the slots and of the memory up to which upstreams count as lightly used. Above it a burst
-// that has just begun would find no room.
-const LIGHT_USE: f64 = 0.6;
+// Part of the slots and of the memory up to which engines count as lightly used. A stream keeps its
+// slot for seconds, so a burst that has just begun would find no room above it.
+const LIGHT_USE_OF_ENGINES: f64 = 0.6;
+// The same for plain services: their slots are free again after milliseconds.
+const LIGHT_USE_OF_SERVICES: f64 = 1.0;
 
 /// Returns whether upstreams that take `capacity_kv_tokens` each, if they are engines, are lightly
 /// used altogether.
 pub fn is_lightly_used(candidates: &[Candidate], capacity_kv_tokens: Option<u64>) -> bool {
-    let slots: u32 = candidates
-        .iter()
-        .map(|candidate| candidate.upstream.slots)
-        .sum();
-    let requests: u32 = candidates
-        .iter()
-        .map(|candidate| candidate.used.requests)
-        .sum();
-    let kv_tokens: u64 = candidates
-        .iter()
-        .map(|candidate| candidate.used.kv_tokens)
-        .sum();
-    let has_memory = capacity_kv_tokens.is_none_or(|capacity| {
-        (kv_tokens as f64) < (capacity * candidates.len() as u64) as f64 * LIGHT_USE
-    });
-    f64::from(requests) < f64::from(slots) * LIGHT_USE && has_memory
+    let mut used = Use::default();
+    let mut slots = 0;
+    for candidate in candidates {
+        used.add(candidate.used);
+        slots += candidate.upstream.slots;
+    }
+    let Some(capacity) = capacity_kv_tokens else {
+        return f64::from(used.requests) < f64::from(slots) * LIGHT_USE_OF_SERVICES;
+    };
+    let memory = (capacity * candidates.len() as u64) as f64;
+    f64::from(used.requests) < f64::from(slots) * LIGHT_USE_OF_ENGINES
+        && (used.kv_tokens as f64) < memory * LIGHT_USE_OF_ENGINES
 }
 
 /// Who asks, and where it is.
