--- a/crates/dogwoodpier-core/examples/escrow_report/scenario.rs
+++ b/crates/dogwoodpier-core/examples/escrow_report/scenario.rs
@@ -25,7 +25,7 @@
 pub enum Failure {
     /// Nothing.
     None,
-    /// A node; its heirs claim its slots once their promises are over.
+    /// A node; its standbys claim its slots once their promises are over.
     Reclaimed,
     /// A node while the platform is out, so that nobody can claim its slots.
     PlatformOut,
--- a/crates/dogwoodpier-core/src/claims/copies.rs
+++ b/crates/dogwoodpier-core/src/claims/copies.rs
@@ -1,4 +1,4 @@
-//! Copies of another holder's records, kept by the slot's heir or designated successor.
+//! Copies of another holder's records, kept by the slot's standby or designated successor.
 
 use std::collections::BTreeMap;
 
@@ -9,7 +9,7 @@
 use super::record::ClaimKey;
 use super::record::Record;
 
-/// Records that a holder asks its heir to keep.
+/// Records that a holder asks its standby to keep.
 #[plain]
 pub struct KeepMessage {
     /// Version of the slot at which the holder acts.
--- a/crates/dogwoodpier-core/src/claims/table.rs
+++ b/crates/dogwoodpier-core/src/claims/table.rs
@@ -80,7 +80,7 @@
     outcome_bytes: usize,
     last_revision: u64,
     platform_revision: u64,
-    heir: HeirProgress,
+    standby: StandbyProgress,
     // Attempts that were given up before their ask arrived.
     released: BTreeMap<u64, TimeMs>,
     blocked_deadline_ms: TimeMs,
@@ -94,10 +94,10 @@
     expires_ms: TimeMs,
 }
 
-// What the heir has confirmed at a version of the slot.
+// What the standby has confirmed at a version of the slot.
 #[plain]
 #[derive(Default)]
-struct HeirProgress {
+struct StandbyProgress {
     version: u64,
     kept_revision: u64,
 }
@@ -125,7 +125,7 @@
             outcome_bytes: 0,
             last_revision: 0,
             platform_revision: 0,
-            heir: HeirProgress::default(),
+            standby: StandbyProgress::default(),
             released: BTreeMap::new(),
             blocked_deadline_ms: now.after(retention_ms),
             frozen_version: 0,
@@ -180,8 +180,8 @@
     pub fn thaw(&mut self, version: u64) {
         if self.frozen_version == version {
             self.frozen_version = 0;
-            // The successor may be the heir, which has dropped its copies too.
-            self.heir = HeirProgress::default();
+            // The successor may be the standby, which has dropped its copies too.
+            self.standby = StandbyProgress::default();
         }
     }
 
@@ -257,10 +257,14 @@
         false
     }
 
-    /// Returns what the heir should be sent next at the slot's version, or `None` if it has it all.
+    /// Returns what the standby should be sent next at the slot's version, or `None` if it has it all.
     pub fn keep_message(&self, version: u64, now: TimeMs) -> Option<KeepMessage> {
-        let baseline = self.heir.version != version;
-        let kept_revision = if baseline { 0 } else { self.heir.kept_revision };
+        let baseline = self.standby.version != version;
+        let kept_revision = if baseline {
+            0
+        } else {
+            self.standby.kept_revision
+        };
         if !baseline && kept_revision.max(self.platform_revision) == self.last_revision {
             return None;
         }
@@ -276,12 +280,12 @@
         })
     }
 
-    /// Takes in the heir's answer to a message.
-    pub fn heir_answered(&mut self, message: &KeepMessage, kept: bool) {
+    /// Takes in the standby's answer to a message.
+    pub fn standby_answered(&mut self, message: &KeepMessage, kept: bool) {
         if !kept {
-            self.heir = HeirProgress::default();
-        } else if message.baseline || self.heir.version == message.version {
-            self.heir = HeirProgress {
+            self.standby = StandbyProgress::default();
+        } else if message.baseline || self.standby.version == message.version {
+            self.standby = StandbyProgress {
                 version: message.version,
                 kept_revision: message.through_revision,
             };
@@ -315,9 +319,9 @@
         settings.window_ms.saturating_add(settings.dispatch_ms)
     }
 
-    /// Returns whether the heir has confirmed copies at a version of the slot.
-    pub fn has_heir_at(&self, version: u64) -> bool {
-        self.heir.version == version
+    /// Returns whether the standby has confirmed copies at a version of the slot.
+    pub fn has_standby_at(&self, version: u64) -> bool {
+        self.standby.version == version
     }
 
     /// Returns the number of known keys.
@@ -335,7 +339,7 @@
         if stamp.tenure_version != self.tenure_version || stamp.revision <= self.platform_revision {
             return true;
         }
-        self.heir.version == held_version && stamp.revision <= self.heir.kept_revision
+        self.standby.version == held_version && stamp.revision <= self.standby.kept_revision
     }
 
     fn is_newer(&self, record: &Record) -> bool {
--- a/crates/dogwoodpier-core/src/reservations.rs
+++ b/crates/dogwoodpier-core/src/reservations.rs
@@ -1,4 +1,4 @@
-//! Reservations at one decode engine, as its keeper counts them.
+//! Reservations at one decode engine, as its coordinator counts them.
 //!
 //! The book is soft state: it may be wrong about the engine, whose own refusal decides. Audits of
 //! what the engine really holds correct it.
--- a/crates/dogwoodpier-core/src/selection.rs
+++ b/crates/dogwoodpier-core/src/selection.rs
@@ -1,6 +1,6 @@
 //! Choice of engines from hints.
 //!
-//! Hints lag, so the choice need not be right: the keeper and the engine decide. Randomness is
+//! Hints lag, so the choice need not be right: the coordinator and the engine decide. Randomness is
 //! passed in and spreads nodes with equal hints over equal engines.
 
 use std::sync::Arc;
--- a/crates/dogwoodpier-core/src/slots/plan.rs
+++ b/crates/dogwoodpier-core/src/slots/plan.rs
@@ -43,8 +43,8 @@
     pub now: TimeMs,
 }
 
-/// Chooses whom to ask for a promise besides the heir: another heir, once the heir's promise is more
-/// than half over or the heir is no longer alive.
+/// Chooses whom to ask for a promise besides the standby: another standby, once the standby's promise is more
+/// than half over or the standby is no longer alive.
 pub(super) fn choose_candidate(table: &mut SlotTable, slot: u32, outlook: &Outlook) {
     let promise_ms = table.timing.promise_ms;
     let now = outlook.now;
@@ -52,15 +52,18 @@
     let Some(record) = entry.own_record(&table.me) else {
         return;
     };
-    let heir = record.heir.clone();
+    let standby = record.standby.clone();
     let failed = entry.candidate.as_ref().filter(|candidate| {
         let promise_left_ms = promise_left_ms(entry, &candidate.peer, now);
         now.since(candidate.chosen_ms) > promise_ms / 3 && promise_left_ms < promise_ms / 4
     });
     let keep = entry.candidate.is_some() && failed.is_none();
-    let healthy = heir.as_ref().is_some_and(|heir| {
-        let alive = outlook.members.iter().any(|m| m.peer.is_same_life_as(heir));
-        alive && promise_left_ms(entry, heir, now) > promise_ms / 2
+    let healthy = standby.as_ref().is_some_and(|standby| {
+        let alive = outlook
+            .members
+            .iter()
+            .any(|m| m.peer.is_same_life_as(standby));
+        alive && promise_left_ms(entry, standby, now) > promise_ms / 2
     });
     let candidate = if healthy {
         None
@@ -68,8 +71,8 @@
         entry.candidate.clone()
     } else {
         let failed = failed.map(|candidate| &candidate.peer);
-        let excluded = [heir.as_ref(), failed];
-        pick_heir(table, slot, &outlook.members, &excluded).map(|peer| Candidate {
+        let excluded = [standby.as_ref(), failed];
+        pick_standby(table, slot, &outlook.members, &excluded).map(|peer| Candidate {
             peer,
             chosen_ms: now,
         })
@@ -77,8 +80,8 @@
     table.slots[slot as usize].candidate = candidate;
 }
 
-/// Returns an heir for a slot, rather one in another data centre.
-pub(super) fn pick_heir(
+/// Returns a standby for a slot, rather one in another data centre.
+pub(super) fn pick_standby(
     table: &SlotTable,
     slot: u32,
     members: &[Member],
@@ -120,9 +123,9 @@
             open_or_retry(entry, wanted, MAX_ATTEMPTS, outlook.now, new_id)
         }
         None if may_claim(table, slot, outlook) => {
-            // The claimer doesn't act yet, so it may name an heir whose promise it still has to ask.
-            let heir = pick_heir(table, slot, &outlook.members, &[]);
-            let wanted = claim(&table.me, heir, entry);
+            // The claimer doesn't act yet, so it may name a standby whose promise it still has to ask.
+            let standby = pick_standby(table, slot, &outlook.members, &[]);
+            let wanted = claim(&table.me, standby, entry);
             open_or_retry(entry, wanted, 1, outlook.now, new_id)
         }
         None => None,
@@ -159,10 +162,10 @@
     Some(wanted)
 }
 
-fn claim(me: &PeerId, heir: Option<PeerId>, entry: &Slot) -> SlotRecord {
+fn claim(me: &PeerId, standby: Option<PeerId>, entry: &Slot) -> SlotRecord {
     SlotRecord {
         holder: me.clone(),
-        heir,
+        standby,
         levels: BTreeMap::new(),
         write_id: 0,
         replaced_version: entry.version(),
@@ -171,7 +174,7 @@
     }
 }
 
-// What the holder changes: nothing, its lease, its heir, or that it is the holder after all.
+// What the holder changes: nothing, its lease, its standby, or that it is the holder after all.
 fn own_change(
     table: &SlotTable,
     entry: &Slot,
@@ -180,8 +183,8 @@
 ) -> Option<SlotRecord> {
     let timing = &table.timing;
     let now = outlook.now;
-    let with_heir = |heir: Option<PeerId>| SlotRecord {
-        heir,
+    let with_standby = |standby: Option<PeerId>| SlotRecord {
+        standby,
         renewals: record.renewals + 1,
         levels: BTreeMap::new(),
         ..record.clone()
@@ -189,27 +192,27 @@
     if entry.stopped {
         return Some(SlotRecord {
             levels: entry.parked_levels.clone(),
-            ..with_heir(record.heir.clone())
+            ..with_standby(record.standby.clone())
         });
     }
     if let Some(candidate) = &entry.candidate
         && promise_left_ms(entry, &candidate.peer, now) > timing.promise_ms / 4
     {
-        return Some(with_heir(Some(candidate.peer.clone())));
+        return Some(with_standby(Some(candidate.peer.clone())));
     }
-    let heir_left_ms = |heir| promise_left_ms(entry, heir, now);
-    let heir_weak = record
-        .heir
+    let standby_left_ms = |standby| promise_left_ms(entry, standby, now);
+    let standby_weak = record
+        .standby
         .as_ref()
-        .is_some_and(|heir| heir_left_ms(heir) < timing.promise_ms / 3);
-    if heir_weak && outlook.members.is_empty() {
-        return Some(with_heir(None));
+        .is_some_and(|standby| standby_left_ms(standby) < timing.promise_ms / 3);
+    if standby_weak && outlook.members.is_empty() {
+        return Some(with_standby(None));
     }
     let renewal_due = entry
         .lease_deadline_ms
         .is_none_or(|deadline_ms| deadline_ms <= now.after(timing.long_lease_ms - timing.renew_ms));
     // An open write is closed by another one, so that it no longer binds this node.
-    (renewal_due || !entry.attempts.is_empty()).then(|| with_heir(record.heir.clone()))
+    (renewal_due || !entry.attempts.is_empty()).then(|| with_standby(record.standby.clone()))
 }
 
 fn may_claim(table: &SlotTable, slot: u32, outlook: &Outlook) -> bool {
@@ -230,14 +233,17 @@
     }
     // A holder that has just been named must have the time to ask for its first promise.
     let settled = now >= seen.first_ms.after(table.timing.promise_ms);
-    let heir = seen.record.heir.as_ref();
-    if heir.is_some_and(|heir| me.is_same_life_as(heir)) && settled {
+    let standby = seen.record.standby.as_ref();
+    if standby.is_some_and(|standby| me.is_same_life_as(standby)) && settled {
         return true;
     }
     let promises_over_ms = table
         .bound_ms
         .after(lease::outlasting(lease::MAX_PROMISE_MS));
-    if heir.is_some_and(|heir| me.is_other_life_of(heir)) && settled && now >= promises_over_ms {
+    if standby.is_some_and(|standby| me.is_other_life_of(standby))
+        && settled
+        && now >= promises_over_ms
+    {
         return true;
     }
     now >= seen.still_since_ms.after(table.timing.long_lease_ms)
--- a/crates/dogwoodpier-core/src/slots/promise.rs
+++ b/crates/dogwoodpier-core/src/slots/promise.rs
@@ -1,4 +1,4 @@
-//! What an heir has promised, and what it has tried.
+//! What a standby has promised, and what it has tried.
 
 use crate::TimeMs;
 
--- a/crates/dogwoodpier-core/src/slots/record.rs
+++ b/crates/dogwoodpier-core/src/slots/record.rs
@@ -39,14 +39,14 @@
     /// Node that may act on the slot.
     pub holder: PeerId,
     /// Node that may claim the slot once its promise has run out.
-    pub heir: Option<PeerId>,
+    pub standby: Option<PeerId>,
     /// Bucket levels by workspace that come with a hand-over, otherwise empty.
     #[serde(default)]
     pub levels: BTreeMap<Arc<str>, MicroTokens>,
     /// Random id of the write, by which its author knows it again.
     pub write_id: u64,
     /// Version that the write by which the holder became holder replaced, zero if it created the
-    /// object. Renewals and changes of heir leave it as it is, so it names the tenure.
+    /// object. Renewals and changes of standby leave it as it is, so it names the tenure.
     #[serde(default)]
     pub replaced_version: u64,
     /// `replaced_version` of the tenure before, zero if there was none or it was the first.
--- a/crates/dogwoodpier-core/src/slots/slot.rs
+++ b/crates/dogwoodpier-core/src/slots/slot.rs
@@ -37,7 +37,7 @@
     pub(super) in_doubt: bool,
 }
 
-/// A peer that is asked for a promise before it is named heir.
+/// A peer that is asked for a promise before it is named standby.
 #[plain]
 pub(super) struct Candidate {
     pub(super) peer: PeerId,
@@ -88,11 +88,11 @@
             return None;
         }
         let pending = self.attempts.iter().map(|attempt| &attempt.record);
-        for heir in pending
+        for standby in pending
             .chain([record])
-            .filter_map(|record| record.heir.as_ref())
+            .filter_map(|record| record.standby.as_ref())
         {
-            let promise_ms = self.promise_deadline_ms(heir)?;
+            let promise_ms = self.promise_deadline_ms(standby)?;
             deadline_ms = deadline_ms.min(promise_ms);
         }
         Some(deadline_ms)
@@ -111,7 +111,7 @@
         let pending = self.attempts.iter().map(|attempt| &attempt.record);
         pending
             .chain([record])
-            .filter_map(|record| record.heir.clone())
+            .filter_map(|record| record.standby.clone())
             .chain(self.candidate.as_ref().map(|c| c.peer.clone()))
             .collect()
     }
--- a/crates/dogwoodpier-core/src/slots/table.rs
+++ b/crates/dogwoodpier-core/src/slots/table.rs
@@ -22,7 +22,7 @@
 #[plain]
 #[derive(Copy, Eq)]
 pub struct Timing {
-    /// Length of an heir's promise, at most [`lease::MAX_PROMISE_MS`].
+    /// Length of a standby's promise, at most [`lease::MAX_PROMISE_MS`].
     pub promise_ms: u64,
     /// Time for which a version must stand still before anybody may claim the slot.
     pub long_lease_ms: u64,
@@ -41,8 +41,8 @@
     pub replaced_version: u64,
     /// `replaced_version` of the tenure before.
     pub replaced_tenure: u64,
-    /// Heir that promised not to claim it, if there is one.
-    pub heir: Option<PeerId>,
+    /// Standby that promised not to claim it, if there is one.
+    pub standby: Option<PeerId>,
     /// Time from which its floors count for this node.
     pub since_ms: TimeMs,
     /// Time until which this node may act on it.
@@ -99,8 +99,8 @@
     pub slot: u32,
     /// Next holder.
     pub successor: PeerId,
-    /// Heir of the next holder.
-    pub heir: Option<PeerId>,
+    /// Standby of the next holder.
+    pub standby: Option<PeerId>,
     /// Levels taken out of this node's buckets.
     pub levels: BTreeMap<Arc<str>, MicroTokens>,
     /// Random id of the write.
@@ -152,7 +152,7 @@
             version: seen.version,
             replaced_version: seen.record.replaced_version,
             replaced_tenure: seen.record.replaced_tenure,
-            heir: seen.record.heir.clone(),
+            standby: seen.record.standby.clone(),
             since_ms: entry.since_ms,
             act_deadline_ms,
         })
@@ -322,7 +322,7 @@
             .collect()
     }
 
-    /// Decides, as heir or heir to be, on a promise that `holder` asks for.
+    /// Decides, as standby or standby to be, on a promise that `holder` asks for.
     pub fn grant(
         &mut self,
         holder: &PeerId,
@@ -347,13 +347,13 @@
     }
 
     /// Takes in a promise that was asked for at `asked_ms`.
-    pub fn take_grant(&mut self, heir: &PeerId, grant: Grant, asked_ms: TimeMs) {
+    pub fn take_grant(&mut self, standby: &PeerId, grant: Grant, asked_ms: TimeMs) {
         let me = &self.me;
         if let Some(entry) = self.slots.get_mut(grant.slot as usize)
             && entry.own_record(me).is_some()
             && grant.version <= entry.version()
         {
-            entry.take_promise(heir, grant.promise_ms, asked_ms);
+            entry.take_promise(standby, grant.promise_ms, asked_ms);
         }
     }
 
@@ -374,10 +374,15 @@
         writes
     }
 
-    /// Returns an heir for a slot that goes to `successor`: this node if it stays.
-    pub fn heir_after(&self, slot: u32, successor: &PeerId, outlook: &Outlook) -> Option<PeerId> {
+    /// Returns a standby for a slot that goes to `successor`: this node if it stays.
+    pub fn standby_after(
+        &self,
+        slot: u32,
+        successor: &PeerId,
+        outlook: &Outlook,
+    ) -> Option<PeerId> {
         if outlook.draining {
-            plan::pick_heir(self, slot, &outlook.members, &[Some(successor)])
+            plan::pick_standby(self, slot, &outlook.members, &[Some(successor)])
         } else {
             Some(self.me.clone())
         }
@@ -395,7 +400,7 @@
         entry.parked_levels = hand_over.levels.clone();
         let record = SlotRecord {
             holder: hand_over.successor,
-            heir: hand_over.heir,
+            standby: hand_over.standby,
             levels: hand_over.levels,
             write_id: hand_over.write_id,
             replaced_version: entry.version(),
--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -30,7 +30,7 @@
 /// Keys that orders come with.
 pub const KEYS: usize = 2;
 const FINGERPRINT: u64 = 7;
-/// Length of the heir's promise.
+/// Length of the standby's promise.
 pub const PROMISE_MS: u64 = 3_000;
 const CALL_TIMEOUT_MS: u64 = 1_000;
 const WINDOW_MS: u64 = 20_000;
@@ -53,7 +53,7 @@
     Double(usize),
     Lose(usize),
     Renew(usize),
-    ReplaceHeir(usize, usize),
+    ReplaceStandby(usize, usize),
     TakeOver(usize),
     /// Whether the successor hears of the claims; whether the slot is written.
     HandOver(bool, bool),
@@ -63,11 +63,11 @@
     Outage(bool),
     CutOff(usize, bool),
     Wait(u64),
-    /// The holder dies or is paused, and its heir takes over once its promise has run out.
+    /// The holder dies or is paused, and its standby takes over once its promise has run out.
     FailOver(bool),
     /// The platform answers, every node runs, and everything that is due happens.
     Heal,
-    /// Every copy of claims that is on its way to the heir is lost, or to the platform.
+    /// Every copy of claims that is on its way to the standby is lost, or to the platform.
     LoseCopies(bool),
     /// Every ask and answer arrives, but no copy of claims.
     DeliverAnswers,
@@ -111,7 +111,7 @@
                 version: 0,
                 changed_ms: now,
                 holder: Life(0, 0),
-                heir: Life(1, 0),
+                standby: Life(1, 0),
                 groups: BTreeMap::new(),
             },
             nodes: (0..NODES).map(|_| Node::default()).collect(),
@@ -136,19 +136,19 @@
         !self.platform.down && !self.nodes[node].cut_off && !self.nodes[node].paused
     }
 
-    fn write_slot(&mut self, holder: Life, heir: Life) {
+    fn write_slot(&mut self, holder: Life, standby: Life) {
         let platform = &mut self.platform;
         platform.revision += 1;
         platform.version = platform.revision;
         platform.changed_ms = self.now;
         platform.holder = holder;
-        platform.heir = heir;
+        platform.standby = standby;
     }
 
     // A conditional write of the slot, then the load of its claims.
-    fn become_holder(&mut self, holder: Life, heir: Life) {
+    fn become_holder(&mut self, holder: Life, standby: Life) {
         let superseded_version = self.platform.version;
-        self.write_slot(holder, heir);
+        self.write_slot(holder, standby);
         let now = self.now;
         let version = self.platform.version;
         let groups = self.platform.groups.values();
@@ -160,7 +160,7 @@
         };
         node.tenure = Some(Tenure {
             version,
-            heir,
+            standby,
             act_deadline_ms: now,
             table: ClaimTable::take_over(settings(), superseded_version, loaded, handover, now),
             groups: Groups::new(0, GROUP_BYTES, WRITE_INTERVAL_MS),
@@ -170,39 +170,39 @@
         });
     }
 
-    // A heartbeat: the heir promises before the holder counts on it.
+    // A heartbeat: the standby promises before the holder counts on it.
     fn renew(&mut self, node: usize) {
         let now = self.now;
         let Some(tenure) = &self.nodes[node].tenure else {
             return;
         };
-        let heir = tenure.heir;
-        // An heir that has taken over promises nothing to the former holder.
+        let standby = tenure.standby;
+        // A standby that has taken over promises nothing to the former holder.
         let superseded = self.platform.version != tenure.version;
-        let silent = self.nodes[node].paused || self.nodes[heir.0].paused;
-        if superseded || silent || !self.lives(heir) {
+        let silent = self.nodes[node].paused || self.nodes[standby.0].paused;
+        if superseded || silent || !self.lives(standby) {
             return;
         }
         // The long lease bounds what a holder that is cut off from the platform may do.
         let lease_deadline_ms = self.platform.changed_ms.after(LONG_LEASE_MS);
-        self.nodes[heir.0].promise_deadline_ms = now.after(PROMISE_MS);
+        self.nodes[standby.0].promise_deadline_ms = now.after(PROMISE_MS);
         if let Some(tenure) = &mut self.nodes[node].tenure {
             tenure.act_deadline_ms = now.after(PROMISE_MS).min(lease_deadline_ms);
         }
     }
 
-    fn replace_heir(&mut self, node: usize, heir: usize) {
+    fn replace_standby(&mut self, node: usize, standby: usize) {
         let holder = self.life(node);
         let may_write = self.reaches_platform(node) && self.platform.holder == holder;
-        if !may_write || heir == node || self.nodes[heir].paused {
+        if !may_write || standby == node || self.nodes[standby].paused {
             return;
         }
-        let heir = self.life(heir);
-        self.nodes[heir.0].promise_deadline_ms = self.now.after(PROMISE_MS);
-        self.write_slot(holder, heir);
+        let standby = self.life(standby);
+        self.nodes[standby.0].promise_deadline_ms = self.now.after(PROMISE_MS);
+        self.write_slot(holder, standby);
         if let Some(tenure) = &mut self.nodes[node].tenure {
             tenure.version = self.platform.version;
-            tenure.heir = heir;
+            tenure.standby = standby;
         }
         self.renew(node);
     }
@@ -210,10 +210,10 @@
     fn take_over(&mut self, node: usize) {
         let life = self.life(node);
         let promise_deadline_ms = self.nodes[node].promise_deadline_ms;
-        let as_heir = self.platform.heir == life && self.now >= promise_deadline_ms;
+        let as_standby = self.platform.standby == life && self.now >= promise_deadline_ms;
         let by_lease = self.now.since(self.platform.changed_ms) >= LONG_LEASE_MS;
         let holds = self.platform.holder == life;
-        if self.reaches_platform(node) && !holds && (as_heir || by_lease) {
+        if self.reaches_platform(node) && !holds && (as_standby || by_lease) {
             self.become_holder(life, self.life((node + 1) % NODES));
             self.renew(node);
         }
@@ -328,7 +328,7 @@
         {
             tenure.keep_sent_ms = Some(now);
             self.messages
-                .push(Message::Keep(from, tenure.heir.0, message));
+                .push(Message::Keep(from, tenure.standby.0, message));
         }
         if let Some(write) = tenure.groups.next_write(&tenure.table, false, now) {
             tenure.write_sent_ms = Some(now);
@@ -373,7 +373,7 @@
             Message::Kept(to, message, kept) if self.lives(to) => {
                 if let Some(tenure) = &mut self.nodes[to.0].tenure {
                     tenure.keep_sent_ms = None;
-                    tenure.table.heir_answered(&message, kept);
+                    tenure.table.standby_answered(&message, kept);
                 }
             }
             Message::Write(from, write) if !self.platform.down => {
@@ -509,14 +509,14 @@
     }
 
     fn fail_over(&mut self, dies: bool) {
-        let (holder, heir) = (self.platform.holder.0, self.platform.heir.0);
+        let (holder, standby) = (self.platform.holder.0, self.platform.standby.0);
         if dies {
             self.crash(holder);
         } else {
             self.nodes[holder].paused = true;
         }
         self.now = self.now.after(PROMISE_MS + 100);
-        self.take_over(heir);
+        self.take_over(standby);
     }
 
     fn heal(&mut self) {
@@ -538,10 +538,10 @@
         }
     }
 
-    fn lose_copies(&mut self, to_heir: bool) {
+    fn lose_copies(&mut self, to_standby: bool) {
         self.messages.retain(|message| match message {
-            Message::Keep(..) => !to_heir,
-            Message::Write(..) => to_heir,
+            Message::Keep(..) => !to_standby,
+            Message::Write(..) => to_standby,
             _ => true,
         });
     }
@@ -555,7 +555,7 @@
             Step::Wait(wait_ms) => self.now = self.now.after(wait_ms),
             Step::Outage(down) => self.platform.down = down,
             Step::Renew(node) => self.renew(node),
-            Step::ReplaceHeir(node, heir) => self.replace_heir(node, heir),
+            Step::ReplaceStandby(node, standby) => self.replace_standby(node, standby),
             Step::TakeOver(node) => self.take_over(node),
             Step::HandOver(told, written) => self.hand_over(told, written),
             Step::Crash(node) => self.crash(node),
@@ -563,7 +563,7 @@
             Step::Resume(node) => self.nodes[node].paused = false,
             Step::Heal => self.heal(),
             Step::FailOver(dies) => self.fail_over(dies),
-            Step::LoseCopies(to_heir) => self.lose_copies(to_heir),
+            Step::LoseCopies(to_standby) => self.lose_copies(to_standby),
             Step::DeliverAnswers => self.deliver_answers(),
             Step::CutOff(node, cut) => self.nodes[node].cut_off = cut,
             Step::Work(node) if !self.nodes[node].paused => self.work(node),
--- a/crates/dogwoodpier-core/tests/claim_fleet/parts.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/parts.rs
@@ -35,7 +35,7 @@
     pub version: u64,
     pub changed_ms: TimeMs,
     pub holder: Life,
-    pub heir: Life,
+    pub standby: Life,
     pub groups: BTreeMap<Arc<str>, (u64, GroupContent)>,
 }
 
@@ -51,7 +51,7 @@
 
 pub struct Tenure {
     pub version: u64,
-    pub heir: Life,
+    pub standby: Life,
     pub act_deadline_ms: TimeMs,
     pub table: ClaimTable,
     pub groups: Groups,
--- a/crates/dogwoodpier-core/tests/engine_book.rs
+++ b/crates/dogwoodpier-core/tests/engine_book.rs
@@ -1,4 +1,4 @@
-//! A keeper's book fills the room that is left beside a large request, without starving it.
+//! A coordinator's book fills the room that is left beside a large request, without starving it.
 
 use std::sync::Arc;
 
--- a/crates/dogwoodpier-core/tests/engine_holds.rs
+++ b/crates/dogwoodpier-core/tests/engine_holds.rs
@@ -1,7 +1,7 @@
 //! No engine keeps memory for requests that are gone, and none loses that of a request alive.
 //!
 //! A few nodes make and end holds at model engines; cancels and their answers are lost, nodes are
-//! killed, cut off and come back as another incarnation, and a keeper audits the engines. The
+//! killed, cut off and come back as another incarnation, and a coordinator audits the engines. The
 //! oracle knows which requests live. The engine is its plain model: it frees what is cancelled and
 //! refuses cancelled tags.
 
@@ -59,13 +59,13 @@
     Lose { loss: Loss },
     /// A node dies and comes back as another incarnation.
     Kill { node: usize },
-    /// The keeper can't reach a node, or can again.
+    /// The coordinator can't reach a node, or can again.
     Cut { node: usize, cut: bool },
     /// An engine crashes and comes back empty.
     Crash { engine: usize },
-    /// Another node becomes keeper.
-    MoveKeeper,
-    /// The keeper reads what an engine holds and judges it later.
+    /// Another node becomes coordinator.
+    MoveCoordinator,
+    /// The coordinator reads what an engine holds and judges it later.
     List { engine: usize },
     /// Time passes.
     Wait { ms: u64 },
@@ -95,7 +95,7 @@
             1 => (0..NODES).prop_map(|node| Step::Kill { node }),
             1 => (0..NODES, proptest::bool::ANY).prop_map(|(node, cut)| Step::Cut { node, cut }),
             1 => (0..ENGINES).prop_map(|engine| Step::Crash { engine }),
-            1 => Just(Step::MoveKeeper),
+            1 => Just(Step::MoveCoordinator),
             2 => (0..ENGINES).prop_map(|engine| Step::List { engine }),
             4 => (TICK_MS..8_000).prop_map(|ms| Step::Wait { ms }),
             1 => Just(Step::Settle),
@@ -260,7 +260,7 @@
         }
     }
 
-    // What the keeper knows of the node that made a hold.
+    // What the coordinator knows of the node that made a hold.
     fn owner(&self, hold: HoldId) -> Owner {
         let node = self
             .nodes
@@ -341,7 +341,7 @@
                 // A late reservation must not come back to life at the new process.
                 world.on_the_way.retain(|(at, _)| *at != engine);
             }
-            Step::MoveKeeper => {
+            Step::MoveCoordinator => {
                 world.audits = (0..ENGINES).map(|_| Audit::default()).collect();
                 world.listed.clear();
             }
--- a/crates/dogwoodpier-core/tests/order_claims.rs
+++ b/crates/dogwoodpier-core/tests/order_claims.rs
@@ -1,6 +1,6 @@
 //! Orders with an idempotency key are dispatched at most once, whatever fails around their claims.
 //!
-//! Three nodes share one slot. The platform's objects, the promises between holder and heir, and
+//! Three nodes share one slot. The platform's objects, the promises between holder and standby, and
 //! messages that are lost, late, doubled or crossed are a model; the decisions are the real ones.
 //! The oracle is the list of dispatches of each key.
 
@@ -46,7 +46,7 @@
             1 => index().prop_map(Step::Double),
             1 => index().prop_map(Step::Lose),
             2 => node().prop_map(Step::Renew),
-            2 => (node(), node()).prop_map(|(node, heir)| Step::ReplaceHeir(node, heir)),
+            2 => (node(), node()).prop_map(|(node, standby)| Step::ReplaceStandby(node, standby)),
             3 => node().prop_map(Step::TakeOver),
             2 => (any::<bool>(), any::<bool>())
                 .prop_map(|(told, written)| Step::HandOver(told, written)),
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn a_dead_heir_refuses_no_order_while_the_platform_answers() {
+fn a_dead_standby_refuses_no_order_while_the_platform_answers() {
     let steps = [Step::Run, Step::Crash(1), Step::Ask(0, 2), Step::Run];
     assert_eq!(dispatches_after(&steps), 1);
 }
@@ -149,7 +149,7 @@
         Step::Run,
     ];
     assert_eq!(dispatches_after(&frozen), 0);
-    let next_version = [Step::ReplaceHeir(0, 2), Step::Ask(0, 1), Step::Run];
+    let next_version = [Step::ReplaceStandby(0, 2), Step::Ask(0, 1), Step::Run];
     let steps = [&frozen[..], &next_version[..]].concat();
     assert_eq!(dispatches_after(&steps), 1);
 }
--- a/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
+++ b/crates/dogwoodpier-core/tests/rate_escrow/fleet.rs
@@ -62,7 +62,7 @@
     },
 }
 
-// The right to a slot as the platform and the heir's promise give it.
+// The right to a slot as the platform and the standby's promise give it.
 pub struct Right {
     holder: usize,
     version: u64,
@@ -389,7 +389,7 @@
         let right = &mut self.rights[slot as usize];
         let node = right.holder;
         // One that does not know yet that it is holder again gets no promise for its former right: its
-        // former heir has sent a claim for that.
+        // former standby has sent a claim for that.
         let is_known = self.peers[node].versions[slot as usize] == right.version;
         if self.peers[node].paused || !is_known {
             return;
@@ -398,12 +398,12 @@
         let backings = &mut self.peers[node].backings;
         if let Some(backing) = backings.iter_mut().find(|backing| backing.slot == slot) {
             backing.act_deadline_ms = deadline_ms;
-            // The heir has promised for a little longer than the holder counts.
+            // The standby has promised for a little longer than the holder counts.
             self.rights[slot as usize].ends_true_ms = self.true_ms + PROMISE_MS;
         }
     }
 
-    // The heir claims the slot of a holder that is dead, paused or cut off.
+    // The standby claims the slot of a holder that is dead, paused or cut off.
     pub fn reclaim(&mut self, node: usize, slot: u32) {
         let right = &mut self.rights[slot as usize];
         if self.true_ms < right.ends_true_ms || self.peers[node].paused || right.holder == node {
--- a/crates/dogwoodpier-core/tests/slot_lease/fleet.rs
+++ b/crates/dogwoodpier-core/tests/slot_lease/fleet.rs
@@ -66,7 +66,7 @@
     },
     Promise {
         to: u64,
-        heir: PeerId,
+        standby: PeerId,
         grant: Grant,
         asked_ms: TimeMs,
     },
@@ -196,12 +196,12 @@
         process.is_some_and(|process| process.table.held(slot, self.now(node)).is_some())
     }
 
-    /// Returns whether the platform's object names the node as heir.
-    pub fn is_heir(&self, slot: u32, node: usize) -> bool {
+    /// Returns whether the platform's object names the node as standby.
+    pub fn is_standby(&self, slot: u32, node: usize) -> bool {
         let object = self.objects[slot as usize].as_ref();
-        let heir = object.and_then(|object| object.record.heir.clone());
+        let standby = object.and_then(|object| object.record.standby.clone());
         let process = self.processes[node].as_ref();
-        heir.is_some() && heir == process.map(|process| process.peer.clone())
+        standby.is_some() && standby == process.map(|process| process.peer.clone())
     }
 
     /// Checks that nobody acts on a slot beside or after another holder of a higher version. A paused
@@ -351,11 +351,11 @@
             let Some(process) = self.running(from) else {
                 continue;
             };
-            let heir = process.table.heir_after(slot, &successor, &outlook);
+            let standby = process.table.standby_after(slot, &successor, &outlook);
             let hand_over = HandOver {
                 slot,
                 successor: successor.clone(),
-                heir,
+                standby,
                 levels: BTreeMap::new(),
                 write_id,
             };
@@ -429,22 +429,22 @@
                 let Some(process) = self.running(to_node) else {
                     return;
                 };
-                let heir = process.peer.clone();
+                let standby = process.peer.clone();
                 let grant = process.table.grant(&from, slot, version, now);
                 let to = from.incarnation;
                 self.network.extend(grant.map(|grant| Message::Promise {
                     to,
-                    heir,
+                    standby,
                     grant,
                     asked_ms,
                 }));
             }
             Message::Promise {
                 to,
-                heir,
+                standby,
                 grant,
                 asked_ms,
-            } => self.with_process(to, |table, _| table.take_grant(&heir, grant, asked_ms)),
+            } => self.with_process(to, |table, _| table.take_grant(&standby, grant, asked_ms)),
         }
     }
 
--- a/crates/dogwoodpier-core/tests/slot_lease/main.rs
+++ b/crates/dogwoodpier-core/tests/slot_lease/main.rs
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn dead_holders_slots_go_to_the_heir() {
+fn dead_holders_slots_go_to_the_standby() {
     let mut fleet = Fleet::new();
     fleet.run_healthy(5_000);
     assert_eq!(fleet.held_by_anybody(), SLOTS);
@@ -68,13 +68,13 @@
 }
 
 #[test]
-fn next_life_of_the_heir_claims_after_the_longest_promise() {
+fn next_life_of_the_standby_claims_after_the_longest_promise() {
     let mut fleet = Fleet::new();
     fleet.run_healthy(5_000);
     for node in 0..NODES {
         fleet.kill(node);
     }
-    // Two of three come back: each slot's holder or heir is among them.
+    // Two of three come back: each slot's holder or standby is among them.
     fleet.start(0);
     fleet.start(1);
     fleet.run_healthy(15_000);
@@ -137,13 +137,13 @@
     assert!(fleet.held_by(other) > 0);
 }
 
-// A write that names another heir took effect, but its answer is lost.
+// A write that names another standby took effect, but its answer is lost.
 #[test]
-fn holder_needs_the_promise_of_an_heir_that_may_be_named() {
+fn holder_needs_the_promise_of_an_standby_that_may_be_named() {
     let mut fleet = Fleet::new();
     fleet.run_healthy(5_000);
     let [holder, first, second] = fleet.nodes_from_actor(0);
-    let (heir, next) = if fleet.is_heir(0, first) {
+    let (standby, next) = if fleet.is_standby(0, first) {
         (first, second)
     } else {
         (second, first)
@@ -159,7 +159,7 @@
         fleet.apply(Step::Beat { node: holder });
         fleet.deliver_all();
     }
-    assert!(fleet.is_heir(0, next) && !fleet.is_heir(0, heir));
+    assert!(fleet.is_standby(0, next) && !fleet.is_standby(0, standby));
     fleet.apply(Step::Read {
         node: next,
         is_watch: false,
--- a/crates/dogwoodpier-node/examples/orders/main.rs
+++ b/crates/dogwoodpier-node/examples/orders/main.rs
@@ -118,7 +118,7 @@
 }
 
 fn may_grant(slot: &Value) -> bool {
-    slot["held"] == true && slot["blocked"] == false && slot["heir_confirmed"] == true
+    slot["held"] == true && slot["blocked"] == false && slot["standby_confirmed"] == true
 }
 
 async fn run_phase(
--- a/crates/dogwoodpier-node/src/claims/convert.rs
+++ b/crates/dogwoodpier-node/src/claims/convert.rs
@@ -20,7 +20,7 @@
 use dogwoodpier_proto::RecordedOutcome;
 use dogwoodpier_proto::SlotRef;
 
-/// Returns the message for the heir.
+/// Returns the message for the standby.
 pub fn keep_request(holder: NodeId, slot: u32, message: &KeepMessage) -> KeepClaimsRequest {
     KeepClaimsRequest {
         holder: Some(holder),
--- a/crates/dogwoodpier-node/src/claims/copying.rs
+++ b/crates/dogwoodpier-node/src/claims/copying.rs
@@ -1,4 +1,4 @@
-//! Copies the records of held slots to the heir and to the platform.
+//! Copies the records of held slots to the standby and to the platform.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -71,30 +71,30 @@
     let claims = Arc::new(SlotClaims::new(slot));
     slots.insert(slot, claims.clone());
     tokio::spawn(maintain(node.clone(), claims.clone()));
-    tokio::spawn(copy_to_heir(node.clone(), claims.clone()));
+    tokio::spawn(copy_to_standby(node.clone(), claims.clone()));
     tokio::spawn(copy_to_platform(node.clone(), claims));
 }
 
-async fn copy_to_heir(node: SharedNode, claims: Arc<SlotClaims>) {
+async fn copy_to_standby(node: SharedNode, claims: Arc<SlotClaims>) {
     loop {
         let next = claims.with_held(&node, |tenure, held, now| {
             let message = tenure.table.keep_message(held.version, now)?;
-            Some((held.heir.clone(), message))
+            Some((held.standby.clone(), message))
         });
-        let Some(Some((heir, message))) = next else {
+        let Some(Some((standby, message))) = next else {
             // Nothing to copy, or not the holder now.
-            let _ = tokio::time::timeout(TICK, claims.wake_heir.notified()).await;
+            let _ = tokio::time::timeout(TICK, claims.wake_standby.notified()).await;
             continue;
         };
-        let kept = match &heir {
-            Some(heir) => send_to_heir(&node, claims.slot, heir, &message).await,
+        let kept = match &standby {
+            Some(standby) => send_to_standby(&node, claims.slot, standby, &message).await,
             None => false,
         };
-        claims.heir_fails.store(!kept, Ordering::Relaxed);
+        claims.standby_fails.store(!kept, Ordering::Relaxed);
         if let Some(tenure) = lock(&claims.tenure).as_mut()
             && tenure.table.tenure_version() == message.tenure_version
         {
-            tenure.table.heir_answered(&message, kept);
+            tenure.table.standby_answered(&message, kept);
         }
         if kept {
             claims.note_progress();
@@ -105,10 +105,10 @@
     }
 }
 
-async fn send_to_heir(
+async fn send_to_standby(
     node: &SharedNode,
     slot: u32,
-    heir: &NodeInfo,
+    standby: &NodeInfo,
     message: &KeepMessage,
 ) -> bool {
     let request = convert::keep_request(node.id(), slot, message);
@@ -116,7 +116,7 @@
         .transport()
         .call(
             "keep_claims",
-            &heir.peer_address,
+            &standby.peer_address,
             request,
             |mut client, request| async move { client.keep_claims(request).await },
         )
@@ -126,7 +126,7 @@
 
 async fn copy_to_platform(node: SharedNode, claims: Arc<SlotClaims>) {
     loop {
-        let urgent = claims.heir_fails.load(Ordering::Relaxed);
+        let urgent = claims.standby_fails.load(Ordering::Relaxed);
         let write = claims.with_held(&node, |tenure, _, now| {
             tenure.groups.next_write(&tenure.table, urgent, now)
         });
--- a/crates/dogwoodpier-node/src/claims/holder.rs
+++ b/crates/dogwoodpier-node/src/claims/holder.rs
@@ -44,12 +44,12 @@
     pub slot: u32,
     /// Table and groups, absent until they are loaded.
     pub tenure: Mutex<Option<Tenure>>,
-    /// Wakes the task that copies to the heir.
-    pub wake_heir: Notify,
+    /// Wakes the task that copies to the standby.
+    pub wake_standby: Notify,
     /// Wakes the task that writes to the platform.
     pub wake_platform: Notify,
-    /// True while the heir doesn't confirm copies, so that the platform must not wait.
-    pub heir_fails: AtomicBool,
+    /// True while the standby doesn't confirm copies, so that the platform must not wait.
+    pub standby_fails: AtomicBool,
     // Counts the confirmations of copies.
     progress: watch::Sender<u64>,
 }
@@ -72,9 +72,9 @@
         Self {
             slot,
             tenure: Mutex::default(),
-            wake_heir: Notify::new(),
+            wake_standby: Notify::new(),
             wake_platform: Notify::new(),
-            heir_fails: AtomicBool::new(false),
+            standby_fails: AtomicBool::new(false),
             progress: watch::Sender::new(0),
         }
     }
@@ -118,13 +118,13 @@
             "tenure_version": tenure.table.tenure_version(),
             "keys": tenure.table.len(),
             "unflushed": tenure.table.unflushed().len(),
-            "heir_confirmed": tenure.table.has_heir_at(tenure.version),
+            "standby_confirmed": tenure.table.has_standby_at(tenure.version),
             "blocked": tenure.table.is_blocked(now),
         }))
     }
 
     fn wake(&self) {
-        self.wake_heir.notify_one();
+        self.wake_standby.notify_one();
         self.wake_platform.notify_one();
     }
 
--- a/crates/dogwoodpier-node/src/claims/mod.rs
+++ b/crates/dogwoodpier-node/src/claims/mod.rs
@@ -1,15 +1,15 @@
 //! Claims of idempotency keys: at most one dispatch for each key of a workspace.
 //!
 //! `requester` asks for claims and reports outcomes, `holder` decides on the slots that this node
-//! holds, `copying` keeps its records in a second place, `heir` keeps those of other holders, and
+//! holds, `copying` keeps its records in a second place, `standby` keeps those of other holders, and
 //! `loading` brings a new holder's table up to date.
 
 mod convert;
 mod copying;
-mod heir;
 mod holder;
 mod loading;
 mod requester;
+mod standby;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/dogwoodpier-node/src/claims/requester.rs
+++ b/crates/dogwoodpier-node/src/claims/requester.rs
@@ -168,17 +168,19 @@
     unanswered()
 }
 
-// Returns whom to ask in a turn: this node if it may decide, else the holder and the heir in turn,
+// Returns whom to ask in a turn: this node if it may decide, else the holder and the standby in turn,
 // since news of a failover may be late.
 fn target(node: &SharedNode, slot: u32, turn: usize) -> Option<Target> {
     if node.slots.held(slot, clock::now()).is_some() {
         return Some(Target::Own);
     }
-    let heir = match turn % 2 {
+    let standby = match turn % 2 {
         0 => None,
-        _ => node.slots.heir(slot),
+        _ => node.slots.standby(slot),
     };
-    heir.or_else(|| node.slots.holder(slot)).map(Target::Peer)
+    standby
+        .or_else(|| node.slots.holder(slot))
+        .map(Target::Peer)
 }
 
 async fn ask_once(node: &SharedNode, item: &ClaimItem, target: &Target) -> Option<ClaimResult> {
--- a/crates/dogwoodpier-node/src/claims/heir.rs
+++ b/crates/dogwoodpier-node/src/claims/standby.rs
@@ -16,7 +16,7 @@
 use super::lock;
 
 impl Claims {
-    /// Keeps copies as heir, or as the designated successor of a hand-over.
+    /// Keeps copies as standby, or as the designated successor of a hand-over.
     pub fn keep(
         &self,
         _node: &SharedNode,
--- a/crates/dogwoodpier-node/src/keeper/audit.rs
+++ b/crates/dogwoodpier-node/src/coordinator/audit.rs
@@ -24,7 +24,7 @@
 use crate::counters;
 use crate::state::SharedNode;
 
-use super::keeper_of;
+use super::coordinator_of;
 
 const INTERVAL: Duration = Duration::from_secs(1);
 // Silence after which a node that can't be asked no longer counts as alive.
@@ -43,9 +43,11 @@
         let engines = node.upstreams.engines();
         let kept: Vec<Arc<str>> = engines
             .into_iter()
-            .filter(|engine| keeper_of(&node, engine).is_none())
+            .filter(|engine| coordinator_of(&node, engine).is_none())
             .collect();
-        node.keeper.lock().retain(|engine, _| kept.contains(engine));
+        node.coordinator
+            .lock()
+            .retain(|engine, _| kept.contains(engine));
         let audits = kept.iter().map(|engine| audit(&node, engine));
         futures_util::future::join_all(audits).await;
     }
@@ -73,12 +75,13 @@
         .collect();
     // At once: what the list shows is out of date as soon as holds end.
     if let Some(capacity) = node.upstreams.capacity(name) {
-        node.keeper.take_audit(name, &held, capacity, clock::now());
+        node.coordinator
+            .take_audit(name, &held, capacity, clock::now());
     }
     let owners = owners(node, &held).await;
     let now = clock::now();
     let orphans = node
-        .keeper
+        .coordinator
         .lock()
         .entry(name.clone())
         .or_default()
--- a/crates/dogwoodpier-node/src/keeper/mod.rs
+++ b/crates/dogwoodpier-node/src/coordinator/mod.rs
@@ -1,6 +1,6 @@
 //! Reservations at the decode engines that this node keeps.
 //!
-//! Each engine has a keeper, a node that all pick by rendezvous hash. Keepers are soft: two at once
+//! Each engine has a coordinator, a node that all pick by rendezvous hash. Coordinators are soft: two at once
 //! may reserve a little too much, and then the engine's own refusal decides.
 
 mod audit;
@@ -42,7 +42,7 @@
 
 /// Reservations and queues of the decode engines that this node keeps.
 #[derive(Default)]
-pub struct Keeper {
+pub struct Coordinator {
     books: Mutex<BTreeMap<Arc<str>, Kept>>,
 }
 
@@ -55,7 +55,7 @@
 }
 
 /// Returns the peer that keeps an engine, or `None` if this node does.
-pub fn keeper_of(node: &SharedNode, engine: &str) -> Option<NodeInfo> {
+pub fn coordinator_of(node: &SharedNode, engine: &str) -> Option<NodeInfo> {
     let own_name = &*node.settings.instance;
     let alive = node.peers.alive(clock::now());
     let own = (!node.drain.is_draining()).then_some(own_name);
@@ -72,7 +72,7 @@
         .cloned()
 }
 
-impl Keeper {
+impl Coordinator {
     /// Grants a reservation, waits in the workspace's queue for one, or refuses early.
     pub async fn reserve(&self, node: &SharedNode, request: ReserveRequest) -> ReserveReply {
         let now = clock::now();
--- a/crates/dogwoodpier-node/src/lib.rs
+++ b/crates/dogwoodpier-node/src/lib.rs
@@ -8,8 +8,8 @@
 pub mod claims;
 pub mod cli;
 pub mod config;
+pub mod coordinator;
 pub mod counters;
-pub mod keeper;
 pub mod limits;
 pub mod peers;
 pub mod pipeline;
--- a/crates/dogwoodpier-node/src/peers/heartbeat.rs
+++ b/crates/dogwoodpier-node/src/peers/heartbeat.rs
@@ -17,7 +17,7 @@
 
 // In a fleet with no more peers than this, everybody hears everybody.
 const FULL_MESH_PEERS: usize = 16;
-// Peers that get a heartbeat in each round of a larger fleet, besides the heirs.
+// Peers that get a heartbeat in each round of a larger fleet, besides the standbys.
 const LARGE_FLEET_FANOUT: usize = 2;
 const KNOWN_SAMPLE: usize = 1;
 
@@ -112,7 +112,7 @@
     }
 }
 
-// Chooses the peers of one round: the heirs, who must hear of us, and a random sample.
+// Chooses the peers of one round: the standbys, who must hear of us, and a random sample.
 fn round(node: &Node) -> Vec<NodeInfo> {
     let mut chosen: BTreeMap<String, NodeInfo> = BTreeMap::new();
     let fanout = if node.peers.count() <= FULL_MESH_PEERS {
@@ -122,13 +122,13 @@
     };
     let sample = node.peers.sample(fanout);
     let own = node.id();
-    // This node can be the heir of a slot that it hands over.
-    let heirs = node
+    // This node can be the standby of a slot that it hands over.
+    let standbys = node
         .slots
-        .heirs()
+        .standbys()
         .into_iter()
         .filter(|info| info.id.as_ref() != Some(&own));
-    for info in heirs.chain(sample) {
+    for info in standbys.chain(sample) {
         chosen.insert(info.peer_address.clone(), info);
     }
     chosen.into_values().collect()
--- a/crates/dogwoodpier-node/src/peers/service.rs
+++ b/crates/dogwoodpier-node/src/peers/service.rs
@@ -177,7 +177,7 @@
     ) -> Result<Response<ReserveReply>, Status> {
         Ok(Response::new(
             self.node
-                .keeper
+                .coordinator
                 .reserve(&self.node, request.into_inner())
                 .await,
         ))
@@ -187,7 +187,9 @@
         &self,
         request: Request<ReleaseRequest>,
     ) -> Result<Response<ReleaseReply>, Status> {
-        self.node.keeper.release(request.into_inner(), clock::now());
+        self.node
+            .coordinator
+            .release(request.into_inner(), clock::now());
         Ok(Response::new(ReleaseReply {}))
     }
 
--- a/crates/dogwoodpier-node/src/pipeline/dispatch.rs
+++ b/crates/dogwoodpier-node/src/pipeline/dispatch.rs
@@ -18,7 +18,7 @@
 use dogwoodpier_upstream::service::ServiceReply;
 
 use crate::clock;
-use crate::quarantine::Passage;
+use crate::quarantine::RunPermit;
 use crate::state::SharedNode;
 use crate::upstreams::Service;
 
@@ -58,11 +58,11 @@
     request: &Request,
     route: &Route,
     id: &str,
-    passage: &mut Passage,
+    permit: &mut RunPermit,
 ) -> Result<ServiceReply, Failure> {
     let mut last = no_upstream(route);
     for service in node.upstreams.services(&route.pool) {
-        match call(node, &service, request, route, id, passage).await {
+        match call(node, &service, request, route, id, permit).await {
             Err(failure) if failure.execution == Execution::NotRun => last = failure,
             result => return result,
         }
@@ -75,7 +75,7 @@
     node: &SharedNode,
     request: &Request,
     route: &Route,
-    passage: &mut Passage,
+    permit: &mut RunPermit,
 ) -> Result<ServiceReply, Failure> {
     let mut last = no_upstream(route);
     let services = node.upstreams.services(&route.pool);
@@ -83,7 +83,7 @@
     for (index, service) in services.into_iter().take(MAX_TRIES).enumerate() {
         // Each try has its own id, so that a late answer of an earlier one is told apart.
         let id = format!("{}-{index}", request.id);
-        match call(node, &service, request, route, &id, passage).await {
+        match call(node, &service, request, route, &id, permit).await {
             Err(failure) => last = worse(last, failure),
             Ok(reply) if reply.status.is_server_error() && index + 1 < count.min(MAX_TRIES) => {
                 last.execution = Execution::Ran;
@@ -93,7 +93,7 @@
         if clock::now() >= request.deadline_ms {
             break;
         }
-        enter_again(node, request, passage).await?;
+        enter_again(node, request, permit).await?;
     }
     Err(last)
 }
@@ -102,18 +102,18 @@
 async fn enter_again(
     node: &SharedNode,
     request: &Request,
-    passage: &mut Passage,
+    permit: &mut RunPermit,
 ) -> Result<(), Failure> {
-    if !passage.has_crashed() {
+    if !permit.has_crashed() {
         return Ok(());
     }
     // Its turn ends before it asks for the next one.
-    *passage = Passage::default();
+    *permit = RunPermit::default();
     let entered = node
         .quarantine
         .enter_again(node, request.fingerprint, request.deadline_ms)
         .await;
-    *passage = entered.map_err(|refusal| Failure {
+    *permit = entered.map_err(|refusal| Failure {
         reason: refusal.reason,
         execution: refusal.execution,
         message: refusal.message,
@@ -137,7 +137,7 @@
     request: &Request,
     route: &Route,
     id: &str,
-    passage: &mut Passage,
+    permit: &mut RunPermit,
 ) -> Result<ServiceReply, Failure> {
     let call = service_call(node, request, route, id)?;
     let result = service.client.call(call).await;
@@ -148,7 +148,7 @@
         && (!route.idempotent || has_crashed(service).await)
     {
         let start = node.upstreams.start_of(&service.name);
-        passage.crashed(&service.name, start).await;
+        permit.crashed(&service.name, start).await;
     }
     let reply = result.map_err(failed)?;
     check(&reply, id)?;
--- a/crates/dogwoodpier-node/src/pipeline/forward.rs
+++ b/crates/dogwoodpier-node/src/pipeline/forward.rs
@@ -16,7 +16,7 @@
 use crate::claims::Claimed;
 use crate::claims::Grant;
 use crate::clock;
-use crate::quarantine::Passage;
+use crate::quarantine::RunPermit;
 use crate::state::SharedNode;
 
 use super::admit;
@@ -32,7 +32,7 @@
 
 /// What a request needs before it is dispatched.
 pub struct Admitted {
-    passage: Passage,
+    permit: RunPermit,
     admission: Option<Admission>,
 }
 
@@ -48,7 +48,7 @@
     route: &Route,
 ) -> Result<Admitted, Refusal> {
     let deadline_ms = request.deadline_ms;
-    let passage = node
+    let permit = node
         .quarantine
         .enter(node, request.fingerprint, deadline_ms)
         .await?;
@@ -58,7 +58,7 @@
         }
         _ => None,
     };
-    Ok(Admitted { passage, admission })
+    Ok(Admitted { permit, admission })
 }
 
 /// Sends an admitted request to an upstream of the route's pool and returns the answer. The caller
@@ -135,10 +135,10 @@
     id: &str,
     mut admitted: Admitted,
 ) -> Result<ServiceReply, Failure> {
-    let passage = &mut admitted.passage;
+    let permit = &mut admitted.permit;
     let result = match route.idempotent {
-        true => dispatch::repeatable(node, request, route, passage).await,
-        false => dispatch::once(node, request, route, id, passage).await,
+        true => dispatch::repeatable(node, request, route, permit).await,
+        false => dispatch::once(node, request, route, id, permit).await,
     };
     let has_run = match &result {
         Ok(_) => true,
--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -24,7 +24,7 @@
 
 use crate::clock;
 use crate::counters;
-use crate::quarantine::Passage;
+use crate::quarantine::RunPermit;
 use crate::settings::RoutingPolicy;
 use crate::state::SharedNode;
 
@@ -81,7 +81,7 @@
     /// Time by which the first decode must be reserved.
     pub queue_deadline_ms: TimeMs,
     /// Right to run now.
-    pub passage: Passage,
+    pub permit: RunPermit,
     /// Tokens taken.
     pub admission: Admission,
 }
@@ -342,10 +342,10 @@
         }
         let fingerprint = self.job.request.fingerprint;
         let start = self.node.upstreams.start_of(name);
-        self.job.passage.crashed(name, start).await;
+        self.job.permit.crashed(name, start).await;
         // Others that were running there may go first now, or this request not at all.
-        self.job.passage = Passage::default();
-        self.job.passage = self
+        self.job.permit = RunPermit::default();
+        self.job.permit = self
             .node
             .quarantine
             .enter_again(self.node, fingerprint, self.job.request.deadline_ms)
--- a/crates/dogwoodpier-node/src/pipeline/queue.rs
+++ b/crates/dogwoodpier-node/src/pipeline/queue.rs
@@ -1,4 +1,4 @@
-//! Finds a decode engine for a request, and waits in a keeper's queue while all are full.
+//! Finds a decode engine for a request, and waits in a coordinator's queue while all are full.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
 
 use super::reserve::Seat;
 use super::reserve::Wanted;
-use super::reserve::ask_keeper;
+use super::reserve::ask_coordinator;
 use super::reserve::take_room;
 
 // Engines with room by the hints that are asked before the request waits in a queue.
@@ -71,7 +71,7 @@
     search.seat(engine)
 }
 
-/// Returns a reservation without a keeper, as the baselines do: at the first engine in their order
+/// Returns a reservation without a coordinator, as the baselines do: at the first engine in their order
 /// that has room, or `None`.
 pub async fn find_unkept_seat(
     node: &SharedNode,
@@ -196,7 +196,7 @@
     }
 
     async fn ask(&mut self, engine: &Arc<str>, wait_ms: u64) -> Outcome {
-        let reply = ask_keeper(self.node, engine, self.wanted, &mut self.hold, wait_ms).await;
+        let reply = ask_coordinator(self.node, engine, self.wanted, &mut self.hold, wait_ms).await;
         match reply.verdict() {
             ReserveVerdict::Reserved => self.take(engine).await,
             ReserveVerdict::Waiting => Outcome::Waiting,
@@ -218,7 +218,7 @@
         match take_room(self.node, &engine, self.wanted.room, &mut self.hold).await {
             Ok(true) => Outcome::Seated(name.clone()),
             Ok(false) => {
-                // The keeper's book was wrong; its next audit mends it.
+                // The coordinator's book was wrong; its next audit mends it.
                 self.leave(name);
                 tokio::time::sleep(POLL).await;
                 Outcome::Waiting
--- a/crates/dogwoodpier-node/src/pipeline/reserve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/reserve.rs
@@ -1,4 +1,4 @@
-//! Reserves a decode sequence and KV pieces, at the engine's keeper and at the engine.
+//! Reserves a decode sequence and KV pieces, at the engine's coordinator and at the engine.
 
 use std::sync::Arc;
 
@@ -11,7 +11,7 @@
 use dogwoodpier_upstream::wire;
 
 use crate::clock;
-use crate::keeper::keeper_of;
+use crate::coordinator::coordinator_of;
 use crate::state::SharedNode;
 use crate::upstreams::Engine;
 use crate::upstreams::Hold;
@@ -41,16 +41,16 @@
     pub hold: Hold,
 }
 
-/// Asks an engine's keeper for a reservation, and lets it keep the request in its queue for
-/// `wait_ms`. A keeper that can't be reached is passed over: the engine decides.
-pub async fn ask_keeper(
+/// Asks an engine's coordinator for a reservation, and lets it keep the request in its queue for
+/// `wait_ms`. A coordinator that can't be reached is passed over: the engine decides.
+pub async fn ask_coordinator(
     node: &SharedNode,
     engine: &Arc<str>,
     wanted: &Wanted,
     hold: &mut Hold,
     wait_ms: u64,
 ) -> ReserveReply {
-    hold.ask_keeper(engine);
+    hold.ask_coordinator(engine);
     let now = clock::now();
     let request = ReserveRequest {
         sender: Some(node.info()),
@@ -64,8 +64,8 @@
         cost_tokens: wanted.cost_tokens,
         wait_ms,
     };
-    let Some(keeper) = keeper_of(node, engine) else {
-        let reply = node.keeper.reserve(node, request).await;
+    let Some(coordinator) = coordinator_of(node, engine) else {
+        let reply = node.coordinator.reserve(node, request).await;
         note(node, engine, &reply);
         return reply;
     };
@@ -74,7 +74,7 @@
         .transport()
         .call(
             "reserve",
-            &keeper.peer_address,
+            &coordinator.peer_address,
             request,
             |mut client, request| async move { client.reserve(request).await },
         )
--- a/crates/dogwoodpier-node/src/pipeline/serve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -143,7 +143,7 @@
     let mut request = request(&read, Some(&authenticated.name), request_timeout_ms);
     // The prompt holds all that is needed of it.
     request.body = Bytes::new();
-    let passage = node
+    let permit = node
         .quarantine
         .enter(node, request.fingerprint, request.deadline_ms)
         .await?;
@@ -159,7 +159,7 @@
         call: call.clone(),
         request,
         authenticated,
-        passage,
+        permit,
         admission,
     };
     let workspace = job.authenticated.name.clone();
--- a/crates/dogwoodpier-node/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-node/src/quarantine/mod.rs
@@ -4,7 +4,7 @@
 //! for the fleet, picked by rendezvous hash (`turn`), so that the number of crashes doesn't grow with
 //! the number of nodes that its caller asks.
 
-mod passage;
+mod run_permit;
 mod turn;
 
 use std::sync::Mutex;
@@ -34,7 +34,7 @@
 use crate::peers;
 use crate::state::SharedNode;
 
-pub use self::passage::Passage;
+pub use self::run_permit::RunPermit;
 
 const CRASH_MS: u64 = 600_000;
 const QUARANTINE_MS: u64 = 3_600_000;
@@ -73,8 +73,8 @@
         node: &SharedNode,
         fingerprint: u64,
         deadline_ms: TimeMs,
-    ) -> Result<Passage, Refusal> {
-        let mut passage = Passage::new(node, fingerprint);
+    ) -> Result<RunPermit, Refusal> {
+        let mut permit = RunPermit::new(node, fingerprint);
         loop {
             let now = clock::now();
             let wanted = match lock(&self.suspects).standing(fingerprint, now) {
@@ -85,17 +85,17 @@
                     return Err(quarantined(retry_after_ms));
                 }
             };
-            // What the turn's keeper knows may change the standing, so it is looked up again.
-            if passage.has(wanted) {
-                return Ok(passage);
+            // What the turn's coordinator knows may change the standing, so it is looked up again.
+            if permit.has(wanted) {
+                return Ok(permit);
             }
             if now >= deadline_ms {
                 return Err(too_late());
             }
             match wanted {
-                Some(turn) if passage.ask(turn).await => {}
+                Some(turn) if permit.ask(turn).await => {}
                 Some(_) => tokio::time::sleep(PAUSE).await,
-                None => passage = Passage::new(node, fingerprint),
+                None => permit = RunPermit::new(node, fingerprint),
             }
         }
     }
@@ -106,7 +106,7 @@
         node: &SharedNode,
         fingerprint: u64,
         deadline_ms: TimeMs,
-    ) -> Result<Passage, Refusal> {
+    ) -> Result<RunPermit, Refusal> {
         let entered = self.enter(node, fingerprint, deadline_ms).await;
         entered.map_err(|refusal| Refusal {
             execution: Execution::Unknown,
--- a/crates/dogwoodpier-node/src/quarantine/passage.rs
+++ b/crates/dogwoodpier-node/src/quarantine/run_permit.rs
@@ -12,7 +12,7 @@
 
 /// The right of one request to run now. Dropping it gives the turn back, if it has one.
 #[derive(Default)]
-pub struct Passage {
+pub struct RunPermit {
     entry: Option<Entry>,
     crashed: bool,
 }
@@ -26,8 +26,8 @@
     renewal: Option<JoinHandle<()>>,
 }
 
-impl Passage {
-    /// Returns the passage of a request without a turn.
+impl RunPermit {
+    /// Returns the permit of a request without a turn.
     pub(super) fn new(node: &SharedNode, fingerprint: u64) -> Self {
         Self {
             entry: Some(Entry {
--- a/crates/dogwoodpier-node/src/quarantine/turn.rs
+++ b/crates/dogwoodpier-node/src/quarantine/turn.rs
@@ -48,7 +48,7 @@
         done,
         crashes: node.quarantine.reports_of(fingerprint, now),
     };
-    let Some(keeper) = keeper(node, turn, now) else {
+    let Some(coordinator) = coordinator(node, turn, now) else {
         return node.quarantine.take_turn(&request, now);
     };
     let answer = node
@@ -56,7 +56,7 @@
         .transport()
         .call(
             "take_turn",
-            &keeper.peer_address,
+            &coordinator.peer_address,
             request.clone(),
             |mut client, request| async move { client.take_turn(request).await },
         )
@@ -66,7 +66,7 @@
 }
 
 // Returns the node that gives out a turn, or `None` if it is this one.
-fn keeper(node: &SharedNode, turn: Turn, now: TimeMs) -> Option<NodeInfo> {
+fn coordinator(node: &SharedNode, turn: Turn, now: TimeMs) -> Option<NodeInfo> {
     let name = match turn {
         Turn::OneCopy(fingerprint) => format!("turn-{fingerprint:016x}"),
         Turn::Alone => "turn-alone".to_owned(),
--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -69,7 +69,7 @@
 #[derive(Copy, Default, Eq)]
 #[serde(rename_all = "kebab-case")]
 pub enum RoutingPolicy {
-    /// A decode reservation from the engine's keeper before the prefill, and engines by price.
+    /// A decode reservation from the engine's coordinator before the prefill, and engines by price.
     #[default]
     Reserve,
     /// Engines in turn, no reservation before the prefill.
@@ -86,7 +86,7 @@
     pub heartbeat_interval_ms: u64,
     /// Silence after which a peer no longer counts as a member.
     pub member_timeout_ms: u64,
-    /// Length of an heir's promise.
+    /// Length of a standby's promise.
     pub promise_ms: u64,
     /// Time for which a slot's version must stand still before anyone may claim it.
     pub long_lease_ms: u64,
--- a/crates/dogwoodpier-node/src/slots/balance.rs
+++ b/crates/dogwoodpier-node/src/slots/balance.rs
@@ -132,11 +132,11 @@
     let now = clock::now();
     let outlook = super::outlook(node, now);
     let write = node.limits.release_slot(node, slot, now, |table, levels| {
-        let heir = table.heir_after(slot, successor, &outlook);
+        let standby = table.standby_after(slot, successor, &outlook);
         let hand_over = HandOver {
             slot,
             successor: successor.clone(),
-            heir,
+            standby,
             levels,
             write_id: rand::random(),
         };
@@ -156,7 +156,7 @@
 
 /// Hands over every slot that this node holds; part of a graceful shutdown.
 ///
-/// Slots that nobody takes, or that the platform can't move, stay: their heirs claim them once the
+/// Slots that nobody takes, or that the platform can't move, stay: their standbys claim them once the
 /// promises are over.
 pub async fn release_all(node: &SharedNode) {
     node.limits.return_all(node).await;
--- a/crates/dogwoodpier-node/src/slots/claim.rs
+++ b/crates/dogwoodpier-node/src/slots/claim.rs
@@ -1,4 +1,4 @@
-//! The writes that the table plans: claims, renewals, changes of heir.
+//! The writes that the table plans: claims, renewals, changes of standby.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -48,7 +48,7 @@
             .write(|table| table.plan(&outlook, MAX_WRITES, rand::random));
         let held = node.slots.read(|table| table.all_held(now).len());
         gauge!(counters::SLOTS_HELD_COUNT).set(held.unwrap_or(0) as f64);
-        ask_new_heirs(&node, &mut asked);
+        ask_new_standbys(&node, &mut asked);
         let results: Vec<bool> =
             futures_util::future::join_all(writes.into_iter().flatten().map(|w| send(&node, w)))
                 .await;
@@ -111,16 +111,16 @@
 }
 
 // Asks for the first promise at once, since a slot can't be used without.
-fn ask_new_heirs(node: &SharedNode, asked: &mut BTreeSet<(u32, u64)>) {
+fn ask_new_standbys(node: &SharedNode, asked: &mut BTreeSet<(u32, u64)>) {
     let peers = node.slots.read(SlotTable::asked_peers).unwrap_or_default();
-    let mut new_heirs = BTreeMap::new();
+    let mut new_standbys = BTreeMap::new();
     for (slot, peer) in &peers {
         if !asked.contains(&(*slot, peer.incarnation)) {
-            new_heirs.insert(peer.incarnation, peer.clone());
+            new_standbys.insert(peer.incarnation, peer.clone());
         }
     }
-    for heir in new_heirs.values() {
-        tokio::spawn(peers::beat(node.clone(), super::node_info(heir)));
+    for standby in new_standbys.values() {
+        tokio::spawn(peers::beat(node.clone(), super::node_info(standby)));
     }
     let pair = |(slot, peer): &(u32, PeerId)| (*slot, peer.incarnation);
     *asked = peers.iter().map(pair).collect();
--- a/crates/dogwoodpier-node/src/slots/mod.rs
+++ b/crates/dogwoodpier-node/src/slots/mod.rs
@@ -60,12 +60,12 @@
     /// Version of the slot's object, its fencing number.
     pub version: u64,
     /// Version that this node's tenure replaced, zero if it is the slot's first. It stays the same
-    /// through renewals and changes of heir.
+    /// through renewals and changes of standby.
     pub replaced_version: u64,
     /// `replaced_version` of the tenure before.
     pub replaced_tenure: u64,
-    /// The heir that promises not to claim it, absent while this node knows no other member.
-    pub heir: Option<NodeInfo>,
+    /// The standby that promises not to claim it, absent while this node knows no other member.
+    pub standby: Option<NodeInfo>,
     /// Time until which this node may act on the slot, by its own clock.
     pub act_deadline_ms: TimeMs,
 }
@@ -79,7 +79,7 @@
             version: held.version,
             replaced_version: held.replaced_version,
             replaced_tenure: held.replaced_tenure,
-            heir: held.heir.as_ref().map(node_info),
+            standby: held.standby.as_ref().map(node_info),
             act_deadline_ms: held.act_deadline_ms,
         })
     }
@@ -89,10 +89,10 @@
         self.read(|table| table.record(slot).map(|record| node_info(&record.holder)))?
     }
 
-    /// Returns the presumed heir of a slot, who is the likely holder once the holder is dead.
-    pub fn heir(&self, slot: u32) -> Option<NodeInfo> {
-        let heir = |table: &SlotTable| table.record(slot)?.heir.as_ref().map(node_info);
-        self.read(heir)?
+    /// Returns the presumed standby of a slot, who is the likely holder once the holder is dead.
+    pub fn standby(&self, slot: u32) -> Option<NodeInfo> {
+        let standby = |table: &SlotTable| table.record(slot)?.standby.as_ref().map(node_info);
+        self.read(standby)?
     }
 
     /// Returns the number of slots of the fleet, zero while it is unknown.
@@ -106,16 +106,16 @@
         held.iter().map(backing).collect()
     }
 
-    /// Returns the heirs of the slots that this node holds, with the promises it needs from each;
+    /// Returns the standbys of the slots that this node holds, with the promises it needs from each;
     /// the heartbeat asks for them.
-    pub fn promise_requests(&self, heir: &str, _now: TimeMs) -> Vec<SlotRef> {
-        let requests = self.read(|table| table.promise_requests(heir));
+    pub fn promise_requests(&self, standby: &str, _now: TimeMs) -> Vec<SlotRef> {
+        let requests = self.read(|table| table.promise_requests(standby));
         let slot_ref = |(slot, version)| SlotRef { slot, version };
         requests.into_iter().flatten().map(slot_ref).collect()
     }
 
-    /// Returns the heirs, present and to be, that this node must send heartbeats to.
-    pub fn heirs(&self) -> Vec<NodeInfo> {
+    /// Returns the standbys, present and to be, that this node must send heartbeats to.
+    pub fn standbys(&self) -> Vec<NodeInfo> {
         let peers = self.read(SlotTable::asked_peers).unwrap_or_default();
         let by_instance: BTreeMap<Arc<str>, PeerId> = peers
             .into_iter()
@@ -124,7 +124,7 @@
         by_instance.values().map(node_info).collect()
     }
 
-    /// Decides, as heir, on promises that a holder asks for.
+    /// Decides, as standby, on promises that a holder asks for.
     pub fn grant_promises(
         &self,
         holder: &NodeInfo,
@@ -147,10 +147,10 @@
         granted.into_iter().flatten().map(promise).collect()
     }
 
-    /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`. `heir` is who
-    /// answered, since a promise of another incarnation than the heir's is none.
-    pub fn take_promises(&self, heir: &NodeInfo, promises: &[SlotPromise], sent_ms: TimeMs) {
-        let heir = peer_id(heir);
+    /// Takes promises in that came in answer to a heartbeat sent at `sent_ms`. `standby` is who
+    /// answered, since a promise of another incarnation than the standby's is none.
+    pub fn take_promises(&self, standby: &NodeInfo, promises: &[SlotPromise], sent_ms: TimeMs) {
+        let standby = peer_id(standby);
         self.write(|table| {
             for promise in promises {
                 let Some(slot) = &promise.slot else {
@@ -161,7 +161,7 @@
                     version: slot.version,
                     promise_ms: promise.promise_ms,
                 };
-                table.take_grant(&heir, grant, sent_ms);
+                table.take_grant(&standby, grant, sent_ms);
             }
         });
         self.wake.notify_one();
@@ -182,7 +182,7 @@
                     serde_json::json!({
                         "slot": slot,
                         "holder": record.map(|record| record.holder.instance.clone()),
-                        "heir": record.and_then(|record| Some(record.heir.as_ref()?.instance.clone())),
+                        "standby": record.and_then(|record| Some(record.standby.as_ref()?.instance.clone())),
                         "fencing_number": held.as_ref().map(|held| held.version),
                         "act_remaining_ms": held.map(|held| held.act_deadline_ms.remaining(now)),
                     })
--- a/crates/dogwoodpier-node/src/start.rs
+++ b/crates/dogwoodpier-node/src/start.rs
@@ -16,7 +16,7 @@
 
 use crate::claims;
 use crate::config;
-use crate::keeper;
+use crate::coordinator;
 use crate::limits;
 use crate::peers;
 use crate::servers::callers;
@@ -91,7 +91,7 @@
         claims: claims::Claims::default(),
         quarantine: crate::quarantine::Quarantine::default(),
         upstreams: upstreams::Upstreams::default(),
-        keeper: keeper::Keeper::default(),
+        coordinator: coordinator::Coordinator::default(),
         drain: Arc::default(),
         settings,
     }
@@ -105,7 +105,7 @@
     tokio::spawn(slots::run(node.clone()));
     tokio::spawn(limits::run(node.clone()));
     tokio::spawn(claims::run(node.clone()));
-    tokio::spawn(keeper::run(node.clone()));
+    tokio::spawn(coordinator::run(node.clone()));
 }
 
 async fn wait_for_stop() -> anyhow::Result<()> {
--- a/crates/dogwoodpier-node/src/state.rs
+++ b/crates/dogwoodpier-node/src/state.rs
@@ -7,8 +7,8 @@
 
 use crate::claims::Claims;
 use crate::config::ConfigStore;
+use crate::coordinator::Coordinator;
 use crate::drain::Drain;
-use crate::keeper::Keeper;
 use crate::limits::Limits;
 use crate::peers::Peers;
 use crate::quarantine::Quarantine;
@@ -39,7 +39,7 @@
     /// Upstreams and what is known of their load.
     pub upstreams: Upstreams,
     /// Reservations at the decode engines that this node keeps.
-    pub keeper: Keeper,
+    pub coordinator: Coordinator,
     /// Graceful shutdown.
     pub drain: Arc<Drain>,
 }
@@ -79,7 +79,7 @@
             "claims": self.claims.dump(&self.slots, now),
             "quarantine": self.quarantine.dump(now),
             "upstreams": self.upstreams.dump(now),
-            "keeper": self.keeper.dump(now),
+            "coordinator": self.coordinator.dump(now),
         })
     }
 }
--- a/crates/dogwoodpier-node/src/upstreams/cancels.rs
+++ b/crates/dogwoodpier-node/src/upstreams/cancels.rs
@@ -1,4 +1,4 @@
-//! Sends cancels until engines acknowledge them, and gives reservations back to keepers.
+//! Sends cancels until engines acknowledge them, and gives reservations back to coordinators.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,8 +13,8 @@
 use dogwoodpier_upstream::wire::CancelRequest;
 
 use crate::clock;
+use crate::coordinator;
 use crate::counters;
-use crate::keeper;
 use crate::state::SharedNode;
 
 use super::lock;
@@ -77,22 +77,22 @@
 }
 
 async fn release(node: SharedNode, items: Vec<ReleaseItem>) {
-    let mut by_keeper: BTreeMap<String, Vec<ReleaseItem>> = BTreeMap::new();
+    let mut by_coordinator: BTreeMap<String, Vec<ReleaseItem>> = BTreeMap::new();
     for item in items {
-        let keeper = keeper::keeper_of(&node, &item.engine);
-        let address = keeper.map_or_else(String::new, |info| info.peer_address);
-        by_keeper.entry(address).or_default().push(item);
+        let coordinator = coordinator::coordinator_of(&node, &item.engine);
+        let address = coordinator.map_or_else(String::new, |info| info.peer_address);
+        by_coordinator.entry(address).or_default().push(item);
     }
-    for (address, items) in by_keeper {
+    for (address, items) in by_coordinator {
         let request = ReleaseRequest {
             sender: Some(node.id()),
             items,
         };
         if address.is_empty() {
-            node.keeper.release(request, clock::now());
+            node.coordinator.release(request, clock::now());
             continue;
         }
-        // A lost release is made good by the keeper's audit of the engine.
+        // A lost release is made good by the coordinator's audit of the engine.
         let _ = node
             .peers
             .transport()
--- a/crates/dogwoodpier-node/src/upstreams/hold.rs
+++ b/crates/dogwoodpier-node/src/upstreams/hold.rs
@@ -51,12 +51,12 @@
         self.touched.remove(engine);
     }
 
-    /// Notes that the engine's keeper may have a reservation or a place in its queue.
-    pub fn ask_keeper(&mut self, engine: &Arc<str>) {
+    /// Notes that the engine's coordinator may have a reservation or a place in its queue.
+    pub fn ask_coordinator(&mut self, engine: &Arc<str>) {
         self.reserved.insert(engine.clone());
     }
 
-    /// Gives back what one engine and its keeper have for the hold.
+    /// Gives back what one engine and its coordinator have for the hold.
     pub fn leave(&mut self, engine: &Arc<str>) {
         let touched = self.touched.remove(engine);
         let reserved = self.reserved.remove(engine);
--- a/crates/dogwoodpier-node/src/upstreams/mod.rs
+++ b/crates/dogwoodpier-node/src/upstreams/mod.rs
@@ -115,7 +115,7 @@
         self.directory().tokens_per_piece(pool)
     }
 
-    /// Takes in what a keeper or an engine just said about its room.
+    /// Takes in what a coordinator or an engine just said about its room.
     pub fn note_room(&self, engine: &str, free: Room, wait_ms: u64, now: TimeMs) {
         self.directory().note_room(engine, free, wait_ms, now);
     }
--- a/crates/dogwoodpier-node/tests/order_delivery.rs
+++ b/crates/dogwoodpier-node/tests/order_delivery.rs
@@ -59,7 +59,7 @@
     };
     let slots = dump["claims"]["slots"].as_array().cloned();
     let is_ready = |slot: &&serde_json::Value| {
-        slot["held"] == true && slot["blocked"] == false && slot["heir_confirmed"] == true
+        slot["held"] == true && slot["blocked"] == false && slot["standby_confirmed"] == true
     };
     slots.unwrap_or_default().iter().filter(is_ready).count()
 }
--- a/crates/dogwoodpier-node/tests/rate_fleet.rs
+++ b/crates/dogwoodpier-node/tests/rate_fleet.rs
@@ -111,10 +111,10 @@
     slots.iter().filter(held).count()
 }
 
-// A second fault on a slot before its new heir is named costs the long lease.
-fn heirs_are_alive(dump: &Value) -> bool {
+// A second fault on a slot before its new standby is named costs the long lease.
+fn standbys_are_alive(dump: &Value) -> bool {
     let slots = dump["slots"].as_array().map_or(&[][..], Vec::as_slice);
-    let alive = |slot: &Value| slot["heir"] == "node-1" || slot["heir"] == "node-3";
+    let alive = |slot: &Value| slot["standby"] == "node-1" || slot["standby"] == "node-3";
     slots.iter().all(alive)
 }
 
@@ -145,10 +145,10 @@
     fleet
         .node("node-1")
         .wait_for("the dead node's slots are claimed", |dump| {
-            slots_of(dump, "node-2") == 0 && heirs_are_alive(dump)
+            slots_of(dump, "node-2") == 0 && standbys_are_alive(dump)
         })
         .await
-        .expect("heirs claim");
+        .expect("standbys claim");
     calls.advance("two nodes serve").await;
 
     fleet.node("node-3").pause().expect("the node stops");
@@ -158,7 +158,7 @@
             acts_on(dump) == 32
         })
         .await
-        .expect("the heir claims");
+        .expect("the standby claims");
     fleet.node("node-3").resume().expect("the node goes on");
     calls.advance("the paused node is back").await;
 
--- a/crates/dogwoodpier-proto/src/generated.rs
+++ b/crates/dogwoodpier-proto/src/generated.rs
@@ -24,7 +24,7 @@
 pub struct HeartbeatRequest {
     #[prost(message, optional, tag = "1")]
     pub sender: ::core::option::Option<NodeInfo>,
-    /// Slots of which the receiver is heir and on which the sender asks a promise.
+    /// Slots of which the receiver is standby and on which the sender asks a promise.
     #[prost(message, repeated, tag = "2")]
     pub promise_requests: ::prost::alloc::vec::Vec<SlotRef>,
     /// Highest configuration version in force at the sender.
@@ -68,7 +68,7 @@
 pub struct SlotPromise {
     #[prost(message, optional, tag = "1")]
     pub slot: ::core::option::Option<SlotRef>,
-    /// The heir won't claim within this time from its answer.
+    /// The standby won't claim within this time from its answer.
     #[prost(uint64, tag = "2")]
     pub promise_ms: u64,
 }
@@ -379,7 +379,7 @@
     pub weight: u32,
     #[prost(uint64, tag = "9")]
     pub cost_tokens: u64,
-    /// Time for which the keeper may hold the call while the request waits in its queue. Zero asks
+    /// Time for which the coordinator may hold the call while the request waits in its queue. Zero asks
     /// for a reservation now or never.
     #[prost(uint64, tag = "10")]
     pub wait_ms: u64,
@@ -391,7 +391,7 @@
     /// Estimated wait for a reservation.
     #[prost(uint64, tag = "2")]
     pub wait_ms: u64,
-    /// Room at the engine by the keeper's book.
+    /// Room at the engine by the coordinator's book.
     #[prost(uint32, tag = "3")]
     pub free_sequences: u32,
     #[prost(uint32, tag = "4")]
@@ -767,7 +767,7 @@
                 .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "RecordOutcomes"));
             self.inner.unary(req, path, codec).await
         }
-        /// Keeps copies of claims in the heir's memory.
+        /// Keeps copies of claims in the standby's memory.
         pub async fn keep_claims(
             &mut self,
             request: impl tonic::IntoRequest<super::KeepClaimsRequest>,
@@ -839,7 +839,7 @@
                 .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "TakeTurn"));
             self.inner.unary(req, path, codec).await
         }
-        /// Asks the keeper of a decode engine for a reservation.
+        /// Asks the coordinator of a decode engine for a reservation.
         pub async fn reserve(
             &mut self,
             request: impl tonic::IntoRequest<super::ReserveRequest>,
@@ -861,7 +861,7 @@
                 .insert(GrpcMethod::new("dogwoodpier.peer.v1.Peer", "Reserve"));
             self.inner.unary(req, path, codec).await
         }
-        /// Gives reservations back to the keeper.
+        /// Gives reservations back to the coordinator.
         pub async fn release(
             &mut self,
             request: impl tonic::IntoRequest<super::ReleaseRequest>,
@@ -1009,7 +1009,7 @@
             tonic::Response<super::RecordOutcomesReply>,
             tonic::Status,
         >;
-        /// Keeps copies of claims in the heir's memory.
+        /// Keeps copies of claims in the standby's memory.
         async fn keep_claims(
             &self,
             request: tonic::Request<super::KeepClaimsRequest>,
@@ -1027,12 +1027,12 @@
             &self,
             request: tonic::Request<super::TurnRequest>,
         ) -> std::result::Result<tonic::Response<super::TurnReply>, tonic::Status>;
-        /// Asks the keeper of a decode engine for a reservation.
+        /// Asks the coordinator of a decode engine for a reservation.
         async fn reserve(
             &self,
             request: tonic::Request<super::ReserveRequest>,
         ) -> std::result::Result<tonic::Response<super::ReserveReply>, tonic::Status>;
-        /// Gives reservations back to the keeper.
+        /// Gives reservations back to the coordinator.
         async fn release(
             &self,
             request: tonic::Request<super::ReleaseRequest>,
