Say plainly why settings are loaded again

Ruled out: a change of behaviour (settings_reload passes as before). Before: a string decided; after: whether a signal came. One comment of the retry budget says what its kept part is for.

--- a/crates/dogwoodpier-core/src/gateway/retries.rs
+++ b/crates/dogwoodpier-core/src/gateway/retries.rs
@@ -87,7 +87,7 @@
 
     /// Takes one retry out of the budget, or returns false if none is left. `members` is the number
     /// of instances that share the allowance. `kept` is the part of the budget, from 0 to 1, that
-    /// stays for sends that nobody can take back.
+    /// stays for sends which turn out to be retries only afterwards.
     pub fn take_retry(
         &mut self,
         service: &Arc<str>,
--- a/crates/dogwoodpier-gateway/src/reload.rs
+++ b/crates/dogwoodpier-gateway/src/reload.rs
@@ -53,19 +53,22 @@
     };
     let mut loaded = FileState::of(&file);
     loop {
-        let cause = tokio::select! {
+        let is_told = tokio::select! {
             hangup = hangups.recv() => match hangup {
-                Some(()) => "signal",
+                Some(()) => true,
                 None => return,
             },
-            () = tokio::time::sleep(LOOK_INTERVAL) => "file changed",
+            () = tokio::time::sleep(LOOK_INTERVAL) => false,
         };
         let found = FileState::of(&file);
-        if cause == "file changed" && found == loaded {
-            continue;
+        if is_told || found != loaded {
+            loaded = found;
+            load(
+                &gateway,
+                &file,
+                if is_told { "signal" } else { "file changed" },
+            );
         }
-        loaded = found;
-        load(&gateway, &file, cause);
     }
 }
 
