--- a/crates/dogwoodpier-fakes/src/fleet/process.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/process.rs
@@ -33,6 +33,15 @@
         Self::spawn(program, arguments, Stdio::from(output), log)
     }
 
+    /// Starts a program whose output goes to a pipe that nobody reads.
+    pub fn start_blocked(
+        program: &Path,
+        arguments: &[String],
+        log: PathBuf,
+    ) -> anyhow::Result<Self> {
+        Self::spawn(program, arguments, Stdio::piped(), log)
+    }
+
     /// Starts a stand-in and waits until it says where it listens.
     pub async fn start_stand_in(
         program: &Path,
