Let instances of large fleets prefill with less than a whole retry left

With 86 instances each has 0.63 of the allowance and few generations in a window; may_prefill asked for a whole retry, so decode engines read the prompts of instances that had none.

Before: small_share_allows_prefills and small_budgets_keep_nothing fail.

Conclusion: any part of a retry will do for a prefill, whole retries are kept.

--- a/crates/dogwoodpier-core/src/gateway/retries.rs
+++ b/crates/dogwoodpier-core/src/gateway/retries.rs
@@ -87,7 +87,7 @@
 
     /// Takes one retry out of the budget, or returns false if none is left. `members` is the number
     /// of instances that share the allowance. `kept` is the part of the budget, from 0 to 1, that
-    /// stays for sends which turn out to be retries only afterwards.
+    /// stays, in whole retries, for sends which turn out to be retries only afterwards.
     pub fn take_retry(
         &mut self,
         service: &Arc<str>,
@@ -97,7 +97,7 @@
         now: TimeMs,
     ) -> bool {
         let (taken, allowed) = self.level(service, options, members, now);
-        if taken + 1.0 > allowed * (1.0 - kept) {
+        if taken + 1.0 > allowed - (allowed * kept).floor() {
             return false;
         }
         self.charge(service, options, now);
@@ -109,7 +109,8 @@
         self.part(service, options, now).retries += 1;
     }
 
-    /// Returns whether a retry is left, without taking it.
+    /// Returns whether any part of a retry is left, without taking it. An instance of a large fleet
+    /// often has less than a whole one.
     pub fn has_retry(
         &mut self,
         service: &Arc<str>,
@@ -118,7 +119,7 @@
         now: TimeMs,
     ) -> bool {
         let (taken, allowed) = self.level(service, options, members, now);
-        taken + 1.0 <= allowed
+        taken < allowed
     }
 
     // Returns the retries taken in the window and those allowed.
--- a/crates/dogwoodpier-core/tests/gateway_budget.rs
+++ b/crates/dogwoodpier-core/tests/gateway_budget.rs
@@ -69,3 +69,27 @@
     assert!(rejected >= 10, "{rejected}");
     assert_eq!(f64::from(retries + rejected), OPTIONS.allowance);
 }
+
+// One of 86 instances, of whose service it has seen a single request.
+#[test]
+fn small_share_allows_prefills() {
+    let service: Arc<str> = "engines".into();
+    let mut budget = RetryBudget::default();
+    let now = TimeMs(0);
+    budget.count_request(&service, &OPTIONS, now);
+    assert!(budget.has_retry(&service, &OPTIONS, 86, now));
+    // A rejected one uses it up.
+    budget.charge(&service, &OPTIONS, now);
+    assert!(!budget.has_retry(&service, &OPTIONS, 86, now));
+}
+
+#[test]
+fn small_budgets_keep_nothing() {
+    let service: Arc<str> = "engines".into();
+    let mut budget = RetryBudget::default();
+    let now = TimeMs(0);
+    for _ in 0..3 {
+        budget.count_request(&service, &OPTIONS, now);
+    }
+    assert!(budget.take_retry(&service, &OPTIONS, 86, KEPT_FOR_PREFILLS, now));
+}
