Ask for room only when a quota is used up; share what stood twice

Cause, by reading the whole change once more: admission summed up the use of all upstreams over all peers for every request of a workspace, though only one whose bucket is empty can be lent anything. take_retry and may_prefill, and sending and preparing a connection, each held the same steps; a claim was copied for a log line that is seldom written; UseGuard::used had no caller.

Ruled out: a change of behaviour: a request that the bucket admits is admitted as before, one that it doesn't is asked again with the tolerance; log lines have the same fields.

Conclusion: less work on the way of each request.

--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -201,40 +201,43 @@
         }),
     };
     let now = clock::now();
-    let tolerance = if has_room(gateway, request) {
-        gateway.settings.load().quota_tolerance
-    } else {
-        Tolerance::NONE
+    let admit = |tolerance: Tolerance| {
+        let mut beliefs = gateway.beliefs();
+        let hearing = beliefs.exchange.hearing(now);
+        let quotas = &mut beliefs.quotas;
+        (
+            quotas.admit(workspace, units, hearing, tolerance, now),
+            hearing,
+        )
     };
-    let mut beliefs = gateway.beliefs();
-    let hearing = beliefs.exchange.hearing(now);
-    match beliefs
-        .quotas
-        .admit(workspace, units, hearing, tolerance, now)
-    {
-        Decision::Admitted => Ok(()),
-        Decision::Rejected { retry_after_ms } => {
-            let level = beliefs.quotas.level(&workspace.name);
-            gateway.events.write(
-                "over_quota",
-                serde_json::json!({
-                    "request_id": request.id_text(),
-                    "workspace": &*workspace.name,
-                    "units": units,
-                    "level": level,
-                    "lent": tolerance.units,
-                    "rate_per_s": workspace.rate_per_s,
-                    "members": hearing.members,
-                    "heard": hearing.heard,
-                }),
-            );
-            Err(Rejection::come_back(
-                Reason::OverQuota,
-                retry_after_ms,
-                request.client_wait_ms,
-            ))
-        }
+    let (mut decision, mut hearing) = admit(Tolerance::NONE);
+    let mut tolerance = Tolerance::NONE;
+    // The use of all upstreams is summed up only for those who need to be lent something.
+    if decision != Decision::Admitted && has_room(gateway, request) {
+        tolerance = gateway.settings.load().quota_tolerance;
+        (decision, hearing) = admit(tolerance);
     }
+    let Decision::Rejected { retry_after_ms } = decision else {
+        return Ok(());
+    };
+    gateway.events.write(
+        "over_quota",
+        serde_json::json!({
+            "request_id": request.id_text(),
+            "workspace": &*workspace.name,
+            "units": units,
+            "level": gateway.beliefs().quotas.level(&workspace.name),
+            "lent": tolerance.units,
+            "rate_per_s": workspace.rate_per_s,
+            "members": hearing.members,
+            "heard": hearing.heard,
+        }),
+    );
+    Err(Rejection::come_back(
+        Reason::OverQuota,
+        retry_after_ms,
+        request.client_wait_ms,
+    ))
 }
 
 // Returns whether the upstreams of a request's service are lightly used.
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -1,6 +1,6 @@
 //! Names of the metrics.
 
-/// Requests by route kind and outcome.
+/// Requests by outcome.
 pub const REQUESTS_TOTAL: &str = "dogwoodpier_gateway_requests_total";
 /// Answers of the gateway itself, by reason.
 pub const REJECTED_TOTAL: &str = "dogwoodpier_gateway_rejected_total";
--- a/crates/dogwoodpier-gateway/src/lines.rs
+++ b/crates/dogwoodpier-gateway/src/lines.rs
@@ -88,7 +88,7 @@
 }
 
 struct Waiting {
-    claim: Claim,
+    claim: Arc<Claim>,
     holder: Holder,
     place: oneshot::Sender<Place>,
 }
@@ -183,12 +183,11 @@
 /// Waits for a place in the lines of this instance.
 pub async fn wait(gateway: &SharedGateway, claim: Claim, holder: Holder) -> Result<Place, Refused> {
     let now = clock::now();
-    let name = claim.service.clone();
-    let of_log = claim.clone();
+    let claim = Arc::new(claim);
     let leave_deadline_ms = claim.leave_deadline_ms;
     let (ticket, receiver) = {
         let mut services = gateway.lines.lock();
-        let service = services.entry(name.clone()).or_default();
+        let service = services.entry(claim.service.clone()).or_default();
         if (service.line.is_empty() || claim.except.is_some())
             && let Some(place) = take_place(gateway, &claim, &holder)
         {
@@ -213,7 +212,7 @@
         }
         let (sender, receiver) = oneshot::channel();
         let waiting = Waiting {
-            claim,
+            claim: claim.clone(),
             holder,
             place: sender,
         };
@@ -223,7 +222,7 @@
     gateway.lines.slot_freed();
     let _ticket = Ticket {
         gateway,
-        service: &name,
+        service: &claim.service,
         ticket,
     };
     let limit = Duration::from_millis(leave_deadline_ms.remaining(now));
@@ -233,11 +232,11 @@
             let length = gateway
                 .lines
                 .lock()
-                .get(&name)
+                .get(&claim.service)
                 .map_or(0, |service| service.line.len());
-            log_not_placed(gateway, &of_log, length, "no slot while it waited");
+            log_not_placed(gateway, &claim, length, "no slot while it waited");
             Err(Refused {
-                retry_after_ms: gateway.lines.retry_after_ms(&name),
+                retry_after_ms: gateway.lines.retry_after_ms(&claim.service),
             })
         }
     }
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -1,5 +1,7 @@
 //! Requests to plain services: one whole answer each.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::HeaderMap;
@@ -51,10 +53,11 @@
 }
 
 /// What became of a request so far.
+#[derive(Default)]
 struct Progress {
     attempts: Attempts,
     timed_out: bool,
-    tried: Vec<std::sync::Arc<str>>,
+    tried: Vec<Arc<str>>,
     // An upstream's own failure, given to the client if nothing better comes.
     failure: Option<Answer>,
 }
@@ -64,12 +67,7 @@
     gateway: &SharedGateway,
     request: &ClientRequest,
 ) -> Result<Response<AnswerBody>, Rejection> {
-    let mut progress = Progress {
-        attempts: Attempts::default(),
-        timed_out: false,
-        tried: Vec::new(),
-        failure: None,
-    };
+    let mut progress = Progress::default();
     loop {
         let Some(guard) = choose(gateway, request, &progress.tried) else {
             return finish(request, progress, Reason::NoUpstream);
@@ -117,7 +115,7 @@
 fn choose(
     gateway: &SharedGateway,
     request: &ClientRequest,
-    tried: &[std::sync::Arc<str>],
+    tried: &[Arc<str>],
 ) -> Option<UseGuard> {
     let upstream = {
         let settings = gateway.settings.load();
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::KEPT_FOR_PREFILLS;
 use dogwoodpier_core::gateway::retries::RetryBudget;
+use dogwoodpier_core::gateway::retries::RetryOptions;
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::Route;
 use dogwoodpier_core::gateway::shutdown::Stop;
@@ -136,25 +137,29 @@
             Some(_) => KEPT_FOR_PREFILLS,
             None => 0.0,
         };
-        let settings = self.settings.load();
-        let mut beliefs = self.beliefs();
-        let members = beliefs.exchange.hearing(now).members;
-        let service = &request.service.name;
-        beliefs
-            .retries
-            .take_retry(service, &settings.retries, members, kept, now)
+        self.with_retries(request, now, |retries, service, options, members| {
+            retries.take_retry(service, options, members, kept, now)
+        })
     }
 
     /// Returns whether a prefill may be sent: a rejection would count as a retry.
     pub fn may_prefill(&self, request: &ClientRequest) -> bool {
         let now = clock::now();
-        let settings = self.settings.load();
+        self.with_retries(request, now, |retries, service, options, members| {
+            retries.has_retry(service, options, members, now)
+        })
+    }
+
+    // Asks the budget for a request's service, as shared with the members of the fleet.
+    fn with_retries<A>(&self, request: &ClientRequest, now: TimeMs, ask: A) -> bool
+    where
+        A: FnOnce(&mut RetryBudget, &Arc<str>, &RetryOptions, u32) -> bool,
+    {
+        let options = self.settings.load().retries;
         let mut beliefs = self.beliefs();
         let members = beliefs.exchange.hearing(now).members;
         let service = &request.service.name;
-        beliefs
-            .retries
-            .has_retry(service, &settings.retries, members, now)
+        ask(&mut beliefs.retries, service, &options, members)
     }
 
     /// Counts a prefill that was rejected.
@@ -295,11 +300,6 @@
         &self.upstream
     }
 
-    /// Returns what the request takes there.
-    pub fn used(&self) -> Use {
-        self.used
-    }
-
     /// Notes how the upstream did, for the broker that granted it.
     pub fn set_result(&mut self, result: broker::Result) {
         self.result = result;
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -91,10 +91,7 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<Reply, SendError> {
         loop {
-            let (mut sender, connected) = match self.take_idle(&to.id) {
-                Some(sender) => (sender, false),
-                None => (connect(to).await?, true),
-            };
+            let (mut sender, connected) = self.take_or_connect(to).await?;
             let mut error = match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.reply(to, sender, response, connected)),
                 Err(error) => error,
@@ -111,10 +108,7 @@
 
     /// Makes a connection if none is idle. Returns whether one was made.
     pub async fn prepare(&self, to: &Destination) -> Result<bool, SendError> {
-        let (sender, connected) = match self.take_idle(&to.id) {
-            Some(sender) => (sender, false),
-            None => (connect(to).await?, true),
-        };
+        let (sender, connected) = self.take_or_connect(to).await?;
         let returning = Returning {
             connections: self.clone(),
             id: to.id.clone(),
@@ -153,6 +147,14 @@
         }
     }
 
+    // Returns an idle connection, or a new one and true.
+    async fn take_or_connect(&self, to: &Destination) -> Result<(Sender, bool), SendError> {
+        match self.take_idle(&to.id) {
+            Some(sender) => Ok((sender, false)),
+            None => Ok((connect(to).await?, true)),
+        }
+    }
+
     fn take_idle(&self, id: &str) -> Option<Sender> {
         let now = Instant::now();
         let mut all = self.idle();
