One way to load and check a settings file

Cause: the settings of the node and of the gateway each had the same loading and parsing around their own fields, and main.rs had each of its two answers twice. Ruled out: merging the fields themselves: names follow different rules. Before: two copies. After: dogwoodpier_config::settings, with the reader and the check handed in; settings_messages and settings_reload pass as they were. Conclusion: messages and exit codes are unchanged.

--- a/crates/dogwoodpier-config/src/lib.rs
+++ b/crates/dogwoodpier-config/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod problem;
 pub mod reader;
 pub mod resolve;
+pub mod settings;
 pub mod storage;
 
 pub use declarations::Declarations;
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -6,9 +6,9 @@
 
 use dogwoodpier_config::Finding;
 use dogwoodpier_config::Problems;
-use dogwoodpier_config::reader;
 use dogwoodpier_config::reader::Fields;
 use dogwoodpier_config::reader::Report;
+use dogwoodpier_config::settings;
 use dogwoodpier_core::gateway::exchange::ExchangeOptions;
 use dogwoodpier_core::gateway::quota::Tolerance;
 use dogwoodpier_core::gateway::retries::RetryOptions;
@@ -86,19 +86,12 @@
 
 /// Loads settings from a file, or returns everything that is wrong with them.
 pub fn load(file: &Path) -> Result<Settings, Problems> {
-    let name = file.display().to_string();
-    let text = reader::read_file(file)?;
-    parse(&name, &text)
+    settings::load(file, parse)
 }
 
 /// Parses and checks settings. `file` names the text in messages.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Problems> {
-    let mut report = Report::new(file, text);
-    let table = report.parse();
-    let settings = read(Fields::root(table.get_ref()), &mut report);
-    report
-        .finish(())
-        .map(|()| settings.expect("a clean report has read all settings"))
+    settings::parse(file, text, read, |_, _| ())
 }
 
 fn read(mut root: Fields<'_, '_>, report: &mut Report<'_>) -> Option<Settings> {
--- a/crates/dogwoodpier-node/src/main.rs
+++ b/crates/dogwoodpier-node/src/main.rs
@@ -19,40 +19,35 @@
 
 fn main() -> ExitCode {
     match cli::order(&cli::command().get_matches()) {
-        Some(Order::Run(file)) => load(&file).map_or_else(|code| code, run),
-        Some(Order::Check(file)) => load(&file).map_or_else(
-            |code| code,
-            |_| {
-                println!("{}: the settings are right", file.display());
-                ExitCode::SUCCESS
-            },
-        ),
-        Some(Order::Gateway(file)) => match gateway_settings::load(&file) {
-            Ok(settings) => exit_code(run_gateway(settings, file)),
-            Err(problems) => wrong_settings(&problems),
-        },
-        Some(Order::CheckGateway(file)) => match gateway_settings::load(&file) {
-            Ok(_) => {
-                println!("{}: the settings are right", file.display());
-                ExitCode::SUCCESS
-            }
-            Err(problems) => wrong_settings(&problems),
-        },
+        Some(Order::Run(file)) => with(settings::load(&file), |settings| exit_code(run(settings))),
+        Some(Order::Check(file)) => with(settings::load(&file), |_| report_right(&file)),
+        Some(Order::Gateway(file)) => with(gateway_settings::load(&file), |settings| {
+            exit_code(run_gateway(settings, file))
+        }),
+        Some(Order::CheckGateway(file)) => {
+            with(gateway_settings::load(&file), |_| report_right(&file))
+        }
         None => ExitCode::from(EXIT_WRONG_SETTINGS),
     }
 }
 
-fn wrong_settings(problems: &Problems) -> ExitCode {
-    eprintln!("{problems}");
-    ExitCode::from(EXIT_WRONG_SETTINGS)
-}
-
-fn load(file: &Path) -> Result<Settings, ExitCode> {
-    settings::load(file).map_err(|problems| wrong_settings(&problems))
+// Goes on with settings, or prints what is wrong with them.
+fn with<T, G>(settings: Result<T, Problems>, go_on: G) -> ExitCode
+where
+    G: FnOnce(T) -> ExitCode,
+{
+    settings.map_or_else(
+        |problems| {
+            eprintln!("{problems}");
+            ExitCode::from(EXIT_WRONG_SETTINGS)
+        },
+        go_on,
+    )
 }
 
-fn run(settings: Settings) -> ExitCode {
-    exit_code(try_run(settings))
+fn report_right(file: &Path) -> ExitCode {
+    println!("{}: the settings are right", file.display());
+    ExitCode::SUCCESS
 }
 
 fn exit_code(result: anyhow::Result<()>) -> ExitCode {
@@ -65,7 +60,7 @@
     }
 }
 
-fn try_run(settings: Settings) -> anyhow::Result<()> {
+fn run(settings: Settings) -> anyhow::Result<()> {
     telemetry::start_logs(&settings.log, &settings.instance)?;
     recorder::start()?;
     tokio::runtime::Builder::new_multi_thread()
--- a/crates/dogwoodpier-node/src/settings.rs
+++ b/crates/dogwoodpier-node/src/settings.rs
@@ -9,9 +9,9 @@
 
 use dogwoodpier_config::Finding;
 use dogwoodpier_config::Problems;
-use dogwoodpier_config::reader;
 use dogwoodpier_config::reader::Fields;
 use dogwoodpier_config::reader::Report;
+use dogwoodpier_config::settings;
 use dogwoodpier_derive::wire;
 
 use crate::telemetry::FORMAT_JSON;
@@ -190,24 +190,12 @@
 
 /// Loads settings from a file, or returns everything that is wrong with them.
 pub fn load(file: &Path) -> Result<Settings, Problems> {
-    let name = file.display().to_string();
-    let text = reader::read_file(file)?;
-    parse(&name, &text)
+    settings::load(file, parse)
 }
 
 /// Parses and checks settings. `file` names the text in messages.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Problems> {
-    let mut report = Report::new(file, text);
-    let table = report.parse();
-    let settings = read(Fields::root(table.get_ref()), &mut report);
-    if report.is_clean()
-        && let Some(settings) = &settings
-    {
-        check(settings, &mut report);
-    }
-    report
-        .finish(())
-        .map(|()| settings.expect("a clean report has read all settings"))
+    settings::parse(file, text, read, check)
 }
 
 fn read(mut root: Fields<'_, '_>, report: &mut Report<'_>) -> Option<Settings> {
