--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -1,19 +1,15 @@
 //! A model of three nodes that share one slot, around the real decisions on claims.
 
+mod messages;
 mod parts;
+mod slot;
 
 use std::collections::BTreeMap;
 
 use dogwoodpier_core::TimeMs;
-use dogwoodpier_core::claims::Ask;
-use dogwoodpier_core::claims::Asked;
 use dogwoodpier_core::claims::Attempt;
 use dogwoodpier_core::claims::ClaimKey;
 use dogwoodpier_core::claims::ClaimSettings;
-use dogwoodpier_core::claims::ClaimTable;
-use dogwoodpier_core::claims::GroupWrite;
-use dogwoodpier_core::claims::Groups;
-use dogwoodpier_core::claims::Handover;
 use dogwoodpier_core::claims::Outcome;
 use dogwoodpier_core::claims::RecordState;
 use dogwoodpier_core::claims::Verdict;
@@ -22,7 +18,6 @@
 use self::parts::Message;
 use self::parts::Node;
 use self::parts::Platform;
-use self::parts::Tenure;
 use self::parts::Tried;
 
 /// Nodes.
@@ -136,126 +131,6 @@
         !self.platform.down && !self.nodes[node].cut_off && !self.nodes[node].paused
     }
 
-    fn write_slot(&mut self, holder: Life, standby: Life) {
-        let platform = &mut self.platform;
-        platform.revision += 1;
-        platform.version = platform.revision;
-        platform.changed_ms = self.now;
-        platform.holder = holder;
-        platform.standby = standby;
-    }
-
-    // A conditional write of the slot, then the load of its claims.
-    fn become_holder(&mut self, holder: Life, standby: Life) {
-        let superseded_version = self.platform.version;
-        self.write_slot(holder, standby);
-        let now = self.now;
-        let version = self.platform.version;
-        let groups = self.platform.groups.values();
-        let loaded = groups.flat_map(|group| group.1.records.clone()).collect();
-        let node = &mut self.nodes[holder.0];
-        let handover = match superseded_version {
-            0 => Some(Handover::default()),
-            version => node.copies.complete_at(version),
-        };
-        node.tenure = Some(Tenure {
-            version,
-            standby,
-            act_deadline_ms: now,
-            table: ClaimTable::take_over(settings(), superseded_version, loaded, handover, now),
-            groups: Groups::new(0, GROUP_BYTES, WRITE_INTERVAL_MS),
-            waiting: Vec::new(),
-            keep_sent_ms: None,
-            write_sent_ms: None,
-        });
-    }
-
-    // A heartbeat: the standby promises before the holder counts on it.
-    fn renew(&mut self, node: usize) {
-        let now = self.now;
-        let Some(tenure) = &self.nodes[node].tenure else {
-            return;
-        };
-        let standby = tenure.standby;
-        // A standby that has taken over promises nothing to the former holder.
-        let superseded = self.platform.version != tenure.version;
-        let silent = self.nodes[node].paused || self.nodes[standby.0].paused;
-        if superseded || silent || !self.lives(standby) {
-            return;
-        }
-        // The long lease bounds what a holder that is cut off from the platform may do.
-        let lease_deadline_ms = self.platform.changed_ms.after(LONG_LEASE_MS);
-        self.nodes[standby.0].promise_deadline_ms = now.after(PROMISE_MS);
-        if let Some(tenure) = &mut self.nodes[node].tenure {
-            tenure.act_deadline_ms = now.after(PROMISE_MS).min(lease_deadline_ms);
-        }
-    }
-
-    fn replace_standby(&mut self, node: usize, standby: usize) {
-        let holder = self.life(node);
-        let may_write = self.reaches_platform(node) && self.platform.holder == holder;
-        if !may_write || standby == node || self.nodes[standby].paused {
-            return;
-        }
-        let standby = self.life(standby);
-        self.nodes[standby.0].promise_deadline_ms = self.now.after(PROMISE_MS);
-        self.write_slot(holder, standby);
-        if let Some(tenure) = &mut self.nodes[node].tenure {
-            tenure.version = self.platform.version;
-            tenure.standby = standby;
-        }
-        self.renew(node);
-    }
-
-    fn take_over(&mut self, node: usize) {
-        let life = self.life(node);
-        let promise_deadline_ms = self.nodes[node].promise_deadline_ms;
-        let as_standby = self.platform.standby == life && self.now >= promise_deadline_ms;
-        let by_lease = self.now.since(self.platform.changed_ms) >= LONG_LEASE_MS;
-        let holds = self.platform.holder == life;
-        if self.reaches_platform(node) && !holds && (as_standby || by_lease) {
-            self.become_holder(life, self.life((node + 1) % NODES));
-            self.renew(node);
-        }
-    }
-
-    fn hand_over(&mut self, told: bool, written: bool) {
-        let node = self.platform.holder.0;
-        let successor = (node + 2) % NODES;
-        let version = self.platform.version;
-        let holds = self.platform.holder == self.life(node);
-        if !self.reaches_platform(node) || !holds || self.nodes[successor].paused {
-            return;
-        }
-        let Some(tenure) = &mut self.nodes[node].tenure else {
-            return;
-        };
-        let message = tenure.table.freeze(version, self.now);
-        if told {
-            self.nodes[successor].copies.keep(&message, self.now);
-        }
-        if told && !written && self.attempts.len().is_multiple_of(2) {
-            // The successor confirms that it has dropped them; the holder goes on at once.
-            self.nodes[successor].copies.withdraw(version);
-            if let Some(tenure) = &mut self.nodes[node].tenure {
-                tenure.table.thaw(version);
-            }
-        }
-        if written {
-            self.nodes[node].tenure = None;
-            self.become_holder(self.life(successor), self.life(node));
-            self.renew(successor);
-        }
-    }
-
-    fn crash(&mut self, node: usize) {
-        self.nodes[node] = Node {
-            incarnation: self.nodes[node].incarnation + 1,
-            cut_off: self.nodes[node].cut_off,
-            ..Node::default()
-        };
-    }
-
     fn ask(&mut self, key: usize, at: usize) {
         if self.nodes[at].paused {
             return;
@@ -347,152 +222,6 @@
         }
     }
 
-    fn receiver(&self, message: &Message) -> usize {
-        match message {
-            Message::Ask(_, to) | Message::Ended(_, to, _) | Message::Keep(_, to, _) => *to,
-            Message::Kept(to, ..) | Message::Write(to, _) | Message::Written(to, ..) => to.0,
-            Message::Answer(attempt, _) => self.attempts[*attempt].from.0,
-        }
-    }
-
-    fn deliver(&mut self, message: Message) {
-        let to = self.receiver(&message);
-        // What was sent to the platform arrives, whatever has become of the sender.
-        if self.nodes[to].paused && !matches!(message, Message::Write(..)) {
-            self.messages.push(message);
-            return;
-        }
-        match message {
-            Message::Ask(attempt, to) => self.take_ask(attempt, to),
-            Message::Ended(attempt, to, state) => self.take_end(attempt, to, state),
-            Message::Answer(attempt, verdict) => self.take_answer(attempt, &verdict),
-            Message::Keep(from, to, message) => {
-                let kept = self.nodes[to].copies.keep(&message, self.now);
-                self.messages.push(Message::Kept(from, message, kept));
-            }
-            Message::Kept(to, message, kept) if self.lives(to) => {
-                if let Some(tenure) = &mut self.nodes[to.0].tenure {
-                    tenure.keep_sent_ms = None;
-                    tenure.table.standby_answered(&message, kept);
-                }
-            }
-            Message::Write(from, write) if !self.platform.down => {
-                let result = self.write_group(&write);
-                if !self.nodes[from.0].cut_off {
-                    self.messages.push(Message::Written(from, write, result));
-                }
-            }
-            Message::Written(to, write, result) if self.lives(to) => {
-                self.take_written(to.0, &write, result);
-            }
-            _ => {}
-        }
-    }
-
-    fn write_group(&mut self, write: &GroupWrite) -> Result<u64, u64> {
-        let platform = &mut self.platform;
-        let current = platform.groups.get(&write.name).map_or(0, |group| group.0);
-        if current != write.expected_version {
-            return Err(current);
-        }
-        platform.revision += 1;
-        let group = (platform.revision, write.content.clone());
-        platform.groups.insert(write.name.clone(), group);
-        Ok(platform.revision)
-    }
-
-    fn take_written(&mut self, to: usize, write: &GroupWrite, result: Result<u64, u64>) {
-        let Some(tenure) = &mut self.nodes[to].tenure else {
-            return;
-        };
-        // An answer after its timeout is dropped, as the client does.
-        if tenure.write_sent_ms.take().is_none() {
-            return;
-        }
-        match result {
-            Ok(version) => tenure.groups.written(&mut tenure.table, write, version),
-            Err(version) => tenure.groups.conflicted(version),
-        }
-    }
-
-    fn take_ask(&mut self, attempt: usize, to: usize) {
-        let now = self.now;
-        let tried = &self.attempts[attempt];
-        let ask = Ask {
-            key: key(tried.key),
-            fingerprint: FINGERPRINT,
-            attempt_id: tried.attempt.attempt_id,
-        };
-        let Some(tenure) = &mut self.nodes[to].tenure else {
-            return;
-        };
-        let Some(held_version) = tenure.held_version(now) else {
-            return;
-        };
-        match tenure.table.ask(&ask, held_version, now) {
-            Asked::Answer(verdict) => self.messages.push(Message::Answer(attempt, verdict)),
-            Asked::Recorded => tenure.waiting.push(attempt),
-        }
-    }
-
-    fn take_end(&mut self, attempt: usize, to: usize, state: RecordState) {
-        let now = self.now;
-        let tried = &self.attempts[attempt];
-        let id = tried.attempt.attempt_id;
-        if let Some(tenure) = &mut self.nodes[to].tenure
-            && let Some(held_version) = tenure.held_version(now)
-        {
-            let key = key(tried.key);
-            tenure.table.record(&key, id, state, held_version, now);
-        }
-    }
-
-    fn take_answer(&mut self, attempt: usize, verdict: &Verdict) {
-        let now = self.now;
-        if !self.lives(self.attempts[attempt].from) {
-            return;
-        }
-        let tried = &mut self.attempts[attempt];
-        let may_dispatch = !tried.given_up && !tried.dispatched && tried.attempt.may_dispatch(now);
-        match verdict {
-            Verdict::Granted if may_dispatch => {
-                tried.dispatched = true;
-                self.check_dispatch(attempt);
-            }
-            Verdict::Unavailable {
-                never_dispatched: true,
-                ..
-            } => self.check_not_run(attempt),
-            _ => {}
-        }
-    }
-
-    // The oracle: within a window, a key is dispatched once.
-    fn check_dispatch(&mut self, attempt: usize) {
-        let now = self.now;
-        let key = self.attempts[attempt].key;
-        let recent = |at_ms: TimeMs| now.since(at_ms) < WINDOW_MS;
-        let earlier = self
-            .dispatches
-            .iter()
-            .find(|(other, _, at_ms)| *other == key && recent(*at_ms));
-        assert!(
-            earlier.is_none(),
-            "key {key} dispatched twice: {earlier:?} and attempt {attempt} at {now:?}"
-        );
-        self.dispatches.push((key, attempt, now));
-    }
-
-    // `not-run` is said of a key only if nothing was dispatched with it before the attempt.
-    fn check_not_run(&self, attempt: usize) {
-        let tried = &self.attempts[attempt];
-        let asked_ms = tried.asked_ms;
-        let ran = self.dispatches.iter().find(|(key, _, at_ms)| {
-            *key == tried.key && *at_ms < asked_ms && self.now.since(*at_ms) < WINDOW_MS
-        });
-        assert!(ran.is_none(), "not-run told of {attempt}, but {ran:?} ran");
-    }
-
     fn run(&mut self) {
         for _ in 0..4 {
             for node in (0..NODES)
