--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -2,9 +2,15 @@
 //!
 //! Load pattern: many instances place requests on the same few engines, each with load reports that
 //! are hundreds of milliseconds old. Every instance tells its peers how many requests it has at
-//! each upstream, so that all of them count the same free slots. Counts replace each other and
-//! totals only grow, so lost or repeated messages do no harm. An instance that begins to place for
+//! each upstream, so that all of them count the same free slots. Counts replace each other, so
+//! lost or repeated messages do no harm. An instance that begins to place for
 //! the others finds in their reports what they were given before, and adds what it gives.
+//!
+//! In a fleet of hundreds, reports of all to all would take a small instance's whole processor and
+//! link. So the time between two reports grows with the fleet and the number that arrives a second
+//! stays the same; what every instance knows, such as the store's latest revision, still reaches a
+//! peer soon, from whoever reports next. The sums of all uses are kept as reports come in: a broker
+//! looks at each engine for each request.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -74,11 +80,11 @@
     pub leaving: bool,
     /// Use of upstreams by id; those not named are unused.
     pub uses: BTreeMap<Arc<str>, Use>,
+    /// Time for which the receiver counts these uses, unless it hears of others before.
+    pub uses_valid_ms: u64,
     /// Questions by which the sender was granted what it uses, by upstream. A receiver that granted
     /// them tells by these which grants are in `uses` already.
     pub tickets: BTreeMap<Arc<str>, Vec<u64>>,
-    /// Units admitted since the start, by workspace.
-    pub admitted: BTreeMap<Arc<str>, u64>,
     /// Upstreams that the sender can't reach, and for how many milliseconds it avoids them.
     pub down_for_ms: BTreeMap<Arc<str>, u64>,
     /// Upstreams that take no more work, with the start of their incarnation: the receiver may be cut
@@ -88,32 +94,50 @@
     pub seen_revisions: BTreeMap<Arc<str>, u64>,
 }
 
-/// Units that a peer admitted since its report before.
+/// Pace of the reports to all peers, and bounds on the trust in them.
 #[plain]
-pub struct Charge {
-    /// Name of the workspace.
-    pub workspace: Arc<str>,
-    /// Units to charge.
-    pub units: u64,
+#[derive(Copy, Eq)]
+pub struct ExchangeOptions {
+    /// Shortest time between two reports of an instance to all peers.
+    pub heartbeat_ms: u64,
+    /// Reports of peers that an instance takes in a second; those of larger fleets come less often.
+    pub reports_per_s: u64,
+    /// Shortest silence after which a peer is presumed dead and no longer counts as a member.
+    pub death_ms: u64,
 }
 
 impl Default for ExchangeOptions {
     fn default() -> Self {
         Self {
-            // Three heartbeats of a peer, so that one lost message does no harm.
-            silence_ms: 1_000,
+            // A third of the silence after which a peer of a small fleet isn't relied on.
+            heartbeat_ms: 300,
+            // A hundredth of a core and a tenth of a megabit a second on the smallest instances.
+            reports_per_s: 100,
             // Longer than a freeze or a partition that an instance usually survives.
             death_ms: 15_000,
         }
     }
 }
 
+const NEVER_MS: TimeMs = TimeMs(u64::MAX);
+
+// Silence after which a peer isn't relied on, in heartbeats: three may be lost or late.
+const SILENT_HEARTBEATS: f64 = 10.0 / 3.0;
+// The same for a peer's death.
+const DEAD_HEARTBEATS: u64 = 5;
+
 #[derive(Debug)]
 struct Peer {
     report: Option<Report>,
     heard_ms: Option<TimeMs>,
     known_since_ms: TimeMs,
+    // Time until which the uses of its report count.
+    uses_deadline_ms: TimeMs,
+    // Part of what it can carry against other instances.
+    capacity: f64,
     grants: Vec<HeldGrant>,
+    // Its part of the sums.
+    counted: BTreeMap<Arc<str>, Use>,
 }
 
 #[derive(Debug)]
@@ -129,22 +153,31 @@
             report: None,
             heard_ms: None,
             known_since_ms: now,
+            uses_deadline_ms: TimeMs::default(),
+            capacity: 1.0,
             grants: Vec::new(),
+            counted: BTreeMap::new(),
         }
     }
 
-    fn use_of(&self, upstream: &str) -> Use {
-        let reported = self
-            .report
-            .as_ref()
-            .and_then(|report| report.uses.get(upstream));
-        let mut total = reported.copied().unwrap_or_default();
-        for held in &self.grants {
-            if *held.grant.upstream == *upstream && !held.is_reported {
-                total.add(held.grant.used);
-            }
+    // Returns what it uses by its report and the grants that the report doesn't show yet.
+    fn uses(&self) -> BTreeMap<Arc<str>, Use> {
+        let reported = self.report.as_ref().map(|report| report.uses.clone());
+        let mut uses = reported.unwrap_or_default();
+        for held in self.grants.iter().filter(|held| !held.is_reported) {
+            uses.entry(held.grant.upstream.clone())
+                .or_default()
+                .add(held.grant.used);
         }
-        total
+        uses
+    }
+
+    fn last_ms(&self) -> TimeMs {
+        self.heard_ms.unwrap_or(self.known_since_ms)
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.report.as_ref().is_some_and(|report| report.leaving)
     }
 
     // Tells the grants that the last report counts from those that it doesn't yet, and drops those
@@ -164,21 +197,15 @@
     }
 }
 
-/// Bounds on the trust in reports.
-#[plain]
-#[derive(Copy, Eq)]
-pub struct ExchangeOptions {
-    /// Silence after which a peer's report no longer counts.
-    pub silence_ms: u64,
-    /// Silence after which a peer is presumed dead and no longer counts as a member.
-    pub death_ms: u64,
-}
-
 /// The peers of an instance and their last reports.
 #[derive(Debug)]
 pub struct Exchange {
     options: ExchangeOptions,
     peers: BTreeMap<Arc<str>, Peer>,
+    // Sums of what the peers use, by upstream.
+    sums: BTreeMap<Arc<str>, Use>,
+    // Time before which no peer's part of the sums runs out.
+    expiry_ms: TimeMs,
 }
 
 impl Exchange {
@@ -187,68 +214,82 @@
         Self {
             options,
             peers: BTreeMap::new(),
+            sums: BTreeMap::new(),
+            expiry_ms: NEVER_MS,
         }
     }
 
-    /// Notes that an instance is registered.
-    pub fn register(&mut self, instance: &Arc<str>, now: TimeMs) {
-        self.peers
+    /// Notes that an instance is registered, and what it can carry against others.
+    pub fn register(&mut self, instance: &Arc<str>, capacity: f64, now: TimeMs) {
+        let peer = self
+            .peers
             .entry(instance.clone())
             .or_insert_with(|| Peer::new(now));
+        peer.capacity = capacity;
     }
 
     /// Forgets an instance whose registration is gone.
     pub fn forget(&mut self, instance: &str) {
-        self.peers.remove(instance);
+        if let Some(peer) = self.peers.remove(instance) {
+            subtract_all(&mut self.sums, &peer.counted);
+        }
+    }
+
+    /// Returns the time between two reports of an instance to all peers.
+    pub fn heartbeat_ms(&self) -> u64 {
+        let members = self.peers.len() as u64 + 1;
+        let paced_ms = members * 1_000 / self.options.reports_per_s.max(1);
+        paced_ms.max(self.options.heartbeat_ms)
     }
 
-    /// Takes a report in. Returns what the peer admitted since the last one.
-    ///
-    /// The totals of an incarnation that is met for the first time are not charged: they may be
-    /// older than any window.
-    pub fn receive(&mut self, report: Report, now: TimeMs) -> Vec<Charge> {
+    /// Returns the silence after which a peer isn't relied on.
+    pub fn silence_ms(&self) -> u64 {
+        (self.heartbeat_ms() as f64 * SILENT_HEARTBEATS) as u64
+    }
+
+    /// Takes a report in. Of one incarnation, later reports replace earlier ones.
+    pub fn receive(&mut self, report: Report, now: TimeMs) {
+        if self.expiry_ms < now {
+            self.expire(now);
+        }
+        let instance = report.instance.clone();
         let peer = self
             .peers
-            .entry(report.instance.clone())
+            .entry(instance.clone())
             .or_insert_with(|| Peer::new(now));
-        let mut charges = Vec::new();
         if let Some(last) = &peer.report
             && last.incarnation == report.incarnation
+            && report.sequence <= last.sequence
         {
-            if report.sequence <= last.sequence {
-                return charges;
-            }
-            for (workspace, total) in &report.admitted {
-                let before = last.admitted.get(workspace).copied().unwrap_or(0);
-                if *total > before {
-                    charges.push(Charge {
-                        workspace: workspace.clone(),
-                        units: total - before,
-                    });
-                }
-            }
+            return;
         }
+        peer.uses_deadline_ms = now.after(report.uses_valid_ms);
         peer.report = Some(report);
         peer.heard_ms = Some(now);
         peer.settle(now);
-        charges
+        self.recount(&instance, now);
     }
 
     /// Notes a place that this instance gave to a peer.
     pub fn grant(&mut self, instance: &Arc<str>, grant: Grant) {
         let now = grant.granted_ms;
-        self.peers
+        if self.expiry_ms < now {
+            self.expire(now);
+        }
+        let peer = self
+            .peers
             .entry(instance.clone())
-            .or_insert_with(|| Peer::new(now))
-            .grants
-            .push(HeldGrant {
-                grant,
-                is_reported: false,
-            });
+            .or_insert_with(|| Peer::new(now));
+        peer.grants.push(HeldGrant {
+            grant,
+            is_reported: false,
+        });
+        peer.uses_deadline_ms = peer.uses_deadline_ms.max(now.after(GRANT_SETTLED_MS));
+        self.recount(instance, now);
     }
 
     /// Ends the use of a place by a peer, without waiting for its next report.
-    pub fn release(&mut self, instance: &str, ticket: u64, upstream: &str) {
+    pub fn release(&mut self, instance: &str, ticket: u64, upstream: &str, now: TimeMs) {
         let Some(peer) = self.peers.get_mut(instance) else {
             return;
         };
@@ -266,60 +307,116 @@
         {
             used.subtract(grant.used);
         }
+        self.recount(instance, now);
     }
 
-    /// Returns the use of an upstream by all peers that were heard lately.
+    /// Returns the use of an upstream by all peers whose reports still count.
     pub fn use_of(&self, upstream: &str, now: TimeMs) -> Use {
-        let mut total = Use::default();
-        for peer in self.peers.values() {
-            if !self.is_heard(peer, now) {
-                continue;
+        let mut total = self.sums.get(upstream).copied().unwrap_or_default();
+        if self.expiry_ms < now {
+            // Until the sums are brought up to date, those that have run out are left out here.
+            for peer in self.peers.values() {
+                if peer.uses_deadline_ms < now
+                    && let Some(used) = peer.counted.get(upstream)
+                {
+                    total.subtract(*used);
+                }
             }
-            total.add(peer.use_of(upstream));
         }
         total
     }
 
+    /// Brings the sums up to date: the uses of peers that have been silent no longer count.
+    pub fn expire(&mut self, now: TimeMs) {
+        let sums = &mut self.sums;
+        let mut expiry_ms = NEVER_MS;
+        for peer in self.peers.values_mut() {
+            if peer.counted.is_empty() {
+                continue;
+            }
+            if peer.uses_deadline_ms < now {
+                subtract_all(sums, &std::mem::take(&mut peer.counted));
+                peer.grants.clear();
+                if let Some(report) = &mut peer.report {
+                    report.uses.clear();
+                }
+            } else {
+                expiry_ms = expiry_ms.min(peer.uses_deadline_ms);
+            }
+        }
+        self.expiry_ms = expiry_ms;
+    }
+
+    // Replaces a peer's part of the sums.
+    fn recount(&mut self, instance: &str, now: TimeMs) {
+        let Some(peer) = self.peers.get_mut(instance) else {
+            return;
+        };
+        let uses = match peer.uses_deadline_ms < now {
+            true => BTreeMap::new(),
+            false => peer.uses(),
+        };
+        let before = std::mem::replace(&mut peer.counted, uses);
+        if !peer.counted.is_empty() {
+            self.expiry_ms = self.expiry_ms.min(peer.uses_deadline_ms);
+        }
+        subtract_all(&mut self.sums, &before);
+        for (upstream, used) in &peer.counted {
+            match self.sums.get_mut(upstream) {
+                Some(sum) => sum.add(*used),
+                None => {
+                    self.sums.insert(upstream.clone(), *used);
+                }
+            }
+        }
+    }
+
     /// Returns how many instances there are and how many of them are heard, this one included.
     pub fn hearing(&self, now: TimeMs) -> Hearing {
+        let silence_ms = self.silence_ms();
+        let death_ms = self
+            .options
+            .death_ms
+            .max(self.heartbeat_ms() * DEAD_HEARTBEATS);
         let mut hearing = Hearing::ALONE;
         for peer in self.peers.values() {
-            let leaving = peer.report.as_ref().is_some_and(|report| report.leaving);
-            let last_ms = peer.heard_ms.unwrap_or(peer.known_since_ms);
-            if leaving || now.since(last_ms) > self.options.death_ms {
+            if peer.is_leaving() || now.since(peer.last_ms()) > death_ms {
                 continue;
             }
             hearing.members += 1;
-            hearing.heard += u32::from(self.is_heard(peer, now));
+            let is_heard = |heard_ms| now.since(heard_ms) <= silence_ms;
+            hearing.heard += u32::from(peer.heard_ms.is_some_and(is_heard));
         }
         hearing
     }
 
-    /// Returns the peers that were heard lately and aren't leaving.
-    pub fn heard_instances(&self, now: TimeMs) -> Vec<Arc<str>> {
+    /// Returns the peers that may be relied on, with what they can carry: those that aren't leaving
+    /// and were heard lately or have become known lately.
+    pub fn reliable(&self, now: TimeMs) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let silence_ms = self.silence_ms();
         self.peers
             .iter()
-            .filter(|(_, peer)| {
-                let leaving = peer.report.as_ref().is_some_and(|report| report.leaving);
-                self.is_heard(peer, now) && !leaving
-            })
-            .map(|(name, _)| name.clone())
-            .collect()
+            .filter(move |(_, peer)| !peer.is_leaving() && now.since(peer.last_ms()) <= silence_ms)
+            .map(|(name, peer)| (name, peer.capacity))
     }
 
     /// Returns the peers that have been silent for longer than `silence_ms`.
     pub fn silent(&self, silence_ms: u64, now: TimeMs) -> Vec<Arc<str>> {
         self.peers
             .iter()
-            .filter(|(_, peer)| {
-                now.since(peer.heard_ms.unwrap_or(peer.known_since_ms)) > silence_ms
-            })
+            .filter(|(_, peer)| now.since(peer.last_ms()) > silence_ms)
             .map(|(name, _)| name.clone())
             .collect()
     }
+}
 
-    fn is_heard(&self, peer: &Peer, now: TimeMs) -> bool {
-        peer.heard_ms
-            .is_some_and(|heard_ms| now.since(heard_ms) <= self.options.silence_ms)
+fn subtract_all(sums: &mut BTreeMap<Arc<str>, Use>, uses: &BTreeMap<Arc<str>, Use>) {
+    for (upstream, used) in uses {
+        if let Some(sum) = sums.get_mut(upstream) {
+            sum.subtract(*used);
+            if *sum == Use::default() {
+                sums.remove(upstream);
+            }
+        }
     }
 }
--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Returns whether a peer told that it can't reach an upstream.
+    pub fn is_down_at_peers(&self, upstream: &str, now: TimeMs) -> bool {
+        self.records
+            .get(upstream)
+            .is_some_and(|record| record.peers_down_deadline_ms > now)
+    }
+
     /// Returns the upstreams that this instance itself can't reach, and for how long it avoids them.
     pub fn down(&self, now: TimeMs) -> BTreeMap<Arc<str>, u64> {
         self.records
--- a/crates/dogwoodpier-core/src/gateway/quota.rs
+++ b/crates/dogwoodpier-core/src/gateway/quota.rs
@@ -1,23 +1,29 @@
 //! Quotas of workspaces over all instances.
 //!
-//! Load pattern: one workspace sends several times its rate, spread unevenly over the instances.
-//! Each instance charges what it admits at once, and what its peers report that they admitted, to
-//! one bucket a workspace that has the fleet's rate. A peer that has gone silent may be admitting
-//! unseen, so the bucket leaves an equal share of the rate to each silent peer. An instance that
-//! hears nobody is left with its own equal share, and the sum stays within the rate.
+//! Load pattern: one workspace sends several times its rate, spread unevenly over hundreds of
+//! instances. One instance, the owner, holds the workspace's bucket and is asked for each request, so
+//! that the sum is exact however many instances there are, and a share of a rate is never too small
+//! for one request. An owner that hears only a part of the fleet may not be the only one, and uses
+//! that part of the rate. An instance that reaches no owner has its own equal share.
 //!
 //! Operators may tolerate some units beyond the rate over a window. While upstreams have room, a
 //! workspace is lent of these; it pays them back out of its rate before it is lent again.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use dogwoodpier_derive::plain;
+use dogwoodpier_derive::wire;
 
 use crate::TimeMs;
 
 use super::routes::Workspace;
 
+// Time for which an instance that isn't the owner of a workspace by its own knowledge, but was asked,
+// keeps the bucket: peers may know better.
+const ASKED_MS: u64 = 5_000;
+
 /// How many instances serve, and how many of them were heard lately, this one included.
 #[plain]
 #[derive(Copy, Eq)]
@@ -55,7 +61,7 @@
 }
 
 /// Result of a request to admit.
-#[plain]
+#[wire]
 #[derive(Copy, Eq)]
 pub enum Decision {
     /// Within the quota, and charged.
@@ -72,13 +78,14 @@
 struct Bucket {
     level: f64,
     updated_ms: TimeMs,
+    // Time of the last question about it.
+    asked_ms: TimeMs,
 }
 
 /// The quotas as one instance sees them.
 #[derive(Debug, Default)]
 pub struct Quotas {
     buckets: BTreeMap<Arc<str>, Bucket>,
-    admitted: BTreeMap<Arc<str>, u64>,
 }
 
 impl Quotas {
@@ -97,6 +104,7 @@
         let rate_per_ms = workspace.rate_per_s as f64 * hearing.share() / 1_000.0;
         let cap = workspace.burst as f64 * hearing.share();
         let bucket = self.refilled(workspace, hearing, now);
+        bucket.asked_ms = now;
         // A request larger than the burst is admitted by a full bucket.
         let needed = (units as f64).min(cap);
         let lent = tolerance.units as f64 * hearing.share();
@@ -107,21 +115,15 @@
             };
         }
         bucket.level -= units as f64;
-        *self.admitted.entry(workspace.name.clone()).or_default() += units;
         Decision::Admitted
     }
 
-    /// Charges what a peer admitted.
-    pub fn charge(&mut self, workspace: &Workspace, units: u64, hearing: Hearing, now: TimeMs) {
-        if workspace.rate_per_s == 0 {
-            return;
+    /// Gives back what was charged for a request that has not run.
+    pub fn give_back(&mut self, workspace: &str, units: u64) {
+        // The next question cuts what is beyond the burst.
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.level += units as f64;
         }
-        self.refilled(workspace, hearing, now).level -= units as f64;
-    }
-
-    /// Returns the units admitted here since the start, by workspace.
-    pub fn admitted(&self) -> &BTreeMap<Arc<str>, u64> {
-        &self.admitted
     }
 
     /// Returns the level of a workspace's bucket as of its last use.
@@ -139,6 +141,7 @@
             .or_insert(Bucket {
                 level: 0.0,
                 updated_ms: now,
+                asked_ms: now,
             });
         let gained = now.since(bucket.updated_ms) as f64 * rate_per_ms;
         bucket.level = (bucket.level + gained).min(cap);
@@ -146,15 +149,19 @@
         bucket
     }
 
-    /// Moves every bucket on to `now`, creating those of new workspaces.
-    pub fn advance<'a, W>(&mut self, workspaces: W, hearing: Hearing, now: TimeMs)
+    /// Moves the buckets of the workspaces that this instance owns on to `now`, and forgets those of
+    /// others: what their owners admit isn't known here, so that one which is owned again starts
+    /// empty.
+    pub fn advance<'a, W>(&mut self, owned: W, hearing: Hearing, now: TimeMs)
     where
         W: IntoIterator<Item = &'a Arc<Workspace>>,
     {
-        for workspace in workspaces {
-            if workspace.rate_per_s > 0 {
-                self.refilled(workspace, hearing, now);
-            }
+        let mut kept = BTreeSet::new();
+        for workspace in owned {
+            self.refilled(workspace, hearing, now);
+            kept.insert(workspace.name.clone());
         }
+        self.buckets
+            .retain(|name, bucket| kept.contains(name) || now.since(bucket.asked_ms) <= ASKED_MS);
     }
 }
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -63,8 +63,8 @@
         sequence,
         leaving: false,
         uses: if requests == 0 { BTreeMap::new() } else { uses },
+        uses_valid_ms: 1_000,
         tickets: [("e1".into(), tickets.to_vec())].into(),
-        admitted: BTreeMap::new(),
         down_for_ms: BTreeMap::new(),
         leaving_upstreams: Default::default(),
         seen_revisions: BTreeMap::new(),
@@ -157,7 +157,7 @@
     exchange.receive(report(3, 3, &[0, 1, 2]), TimeMs(100));
     assert_eq!(exchange.use_of("e1", TimeMs(100)).requests, 3);
     // A release counts at once, before the next report.
-    exchange.release("peer", 1, "e1");
+    exchange.release("peer", 1, "e1", TimeMs(110));
     assert_eq!(exchange.use_of("e1", TimeMs(110)).requests, 2);
 }
 
@@ -175,8 +175,8 @@
     exchange.receive(report(2, 3, &[90, 91, 0]), TimeMs(50));
     assert_eq!(exchange.use_of("e1", TimeMs(50)).requests, 4);
     // Both releases count once, whether they were reported or not.
-    exchange.release("peer", 0, "e1");
-    exchange.release("peer", 1, "e1");
+    exchange.release("peer", 0, "e1", TimeMs(60));
+    exchange.release("peer", 1, "e1", TimeMs(60));
     assert_eq!(exchange.use_of("e1", TimeMs(60)).requests, 2);
 }
 
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -8,6 +8,8 @@
 use dogwoodpier_core::gateway::exchange::Exchange;
 use dogwoodpier_core::gateway::exchange::ExchangeOptions;
 use dogwoodpier_core::gateway::exchange::Report;
+use dogwoodpier_core::gateway::owners;
+use dogwoodpier_core::gateway::owners::Suspects;
 use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::quota::Hearing;
 use dogwoodpier_core::gateway::quota::Quotas;
@@ -30,10 +32,13 @@
     }
 }
 
-/// Instances that share a quota. Reports take `lag_ms`; those between the two sides of a cut are lost.
+/// Instances that share a quota. Each asks the workspace's owner, as far as it knows of one; what it
+/// hears of the others takes `lag_ms`, and nothing crosses a cut.
 struct Fleet {
     quotas: Vec<Quotas>,
+    shares: Vec<Quotas>,
     exchanges: Vec<Exchange>,
+    suspects: Vec<Suspects>,
     in_flight: Vec<(u64, usize, Report)>,
     admitted: Vec<(u64, u64)>,
     lag_ms: u64,
@@ -44,9 +49,11 @@
     fn new(size: usize, lag_ms: u64) -> Self {
         let mut fleet = Self {
             quotas: (0..size).map(|_| Quotas::default()).collect(),
+            shares: (0..size).map(|_| Quotas::default()).collect(),
             exchanges: (0..size)
                 .map(|_| Exchange::new(ExchangeOptions::default()))
                 .collect(),
+            suspects: (0..size).map(|_| Suspects::default()).collect(),
             in_flight: Vec::new(),
             admitted: Vec::new(),
             lag_ms,
@@ -54,28 +61,65 @@
         };
         for instance in 0..size {
             for peer in (0..size).filter(|peer| *peer != instance) {
-                fleet.exchanges[instance].register(&name(peer), TimeMs(0));
+                fleet.exchanges[instance].register(&name(peer), 1.0, TimeMs(0));
             }
         }
         fleet
     }
 
-    fn ask(&mut self, instance: usize, now_ms: u64) -> bool {
+    // Returns the owner as an instance sees it.
+    fn owner(&self, instance: usize, now: TimeMs) -> usize {
+        let own = name(instance);
+        let peers = self.exchanges[instance].reliable(now);
+        let peers = peers.filter(|(peer, _)| !self.suspects[instance].contains(peer, now));
+        let members = peers.chain(std::iter::once((&own, 1.0)));
+        let owner = owners::ranked("firm", members, 1).remove(0);
+        owner[1..].parse().expect("a number")
+    }
+
+    fn ask(&mut self, instance: usize, now_ms: u64, cut_at: Option<usize>) -> bool {
         let now = TimeMs(now_ms);
-        let hearing = self.exchanges[instance].hearing(now);
-        let decision =
-            self.quotas[instance].admit(&workspace(), COST, hearing, Tolerance::NONE, now);
+        for _ in 0..2 {
+            let owner = self.owner(instance, now);
+            if is_cut(instance, owner, cut_at) {
+                self.suspects[instance].note(&name(owner), now);
+                continue;
+            }
+            let hearing = self.exchanges[owner].hearing(now);
+            return self.decide(owner, hearing, now, |fleet| &mut fleet.quotas);
+        }
+        let members = self.exchanges[instance].hearing(now).members;
+        let hearing = Hearing { members, heard: 1 };
+        self.decide(instance, hearing, now, |fleet| &mut fleet.shares)
+    }
+
+    fn decide<Q>(&mut self, at: usize, hearing: Hearing, now: TimeMs, quotas: Q) -> bool
+    where
+        Q: Fn(&mut Self) -> &mut Vec<Quotas>,
+    {
+        let quotas = &mut quotas(self)[at];
+        let decision = quotas.admit(&workspace(), COST, hearing, Tolerance::NONE, now);
         if decision == Decision::Admitted {
-            self.admitted.push((now_ms, COST));
+            self.admitted.push((now.0, COST));
         }
         decision == Decision::Admitted
     }
 
+    // What an instance does once a second for the buckets that it holds.
+    fn advance(&mut self, now_ms: u64) {
+        let now = TimeMs(now_ms);
+        for instance in 0..self.quotas.len() {
+            let owned = (self.owner(instance, now) == instance).then(|| Arc::new(workspace()));
+            let hearing = self.exchanges[instance].hearing(now);
+            self.quotas[instance].advance(&owned, hearing, now);
+        }
+    }
+
     fn report(&mut self, now_ms: u64, cut_at: Option<usize>) {
         self.sequence += 1;
         for from in 0..self.quotas.len() {
             for to in (0..self.quotas.len()).filter(|to| *to != from) {
-                if cut_at.is_some_and(|cut_at| (from < cut_at) != (to < cut_at)) {
+                if is_cut(from, to, cut_at) {
                     continue;
                 }
                 let report = Report {
@@ -84,8 +128,8 @@
                     sequence: self.sequence,
                     leaving: false,
                     uses: Default::default(),
+                    uses_valid_ms: 1_000,
                     tickets: Default::default(),
-                    admitted: self.quotas[from].admitted().clone(),
                     down_for_ms: Default::default(),
                     leaving_upstreams: Default::default(),
                     seen_revisions: Default::default(),
@@ -102,10 +146,17 @@
             .partition(|(at_ms, ..)| *at_ms <= now_ms);
         self.in_flight = later;
         for (_, to, report) in due {
-            for charge in self.exchanges[to].receive(report, now) {
-                let hearing = self.exchanges[to].hearing(now);
-                self.quotas[to].charge(&workspace(), charge.units, hearing, now);
-            }
+            self.exchanges[to].receive(report, now);
+        }
+    }
+
+    fn step(&mut self, now_ms: u64, cut_at: Option<usize>) {
+        self.deliver(now_ms);
+        if now_ms.is_multiple_of(300) {
+            self.report(now_ms, cut_at);
+        }
+        if now_ms.is_multiple_of(1_000) {
+            self.advance(now_ms);
         }
     }
 
@@ -124,6 +175,10 @@
     }
 }
 
+fn is_cut(from: usize, to: usize, cut_at: Option<usize>) -> bool {
+    cut_at.is_some_and(|cut_at| (from < cut_at) != (to < cut_at))
+}
+
 fn name(instance: usize) -> Arc<str> {
     format!("n{instance}").into()
 }
@@ -143,23 +198,20 @@
         let mut fleet = Fleet::new(size, lag_ms);
         for step in 0..4_000_u64 {
             let now_ms = step * 5;
-            fleet.deliver(now_ms);
             let cut_at = cut
                 .filter(|(from_ms, for_ms)| (*from_ms..from_ms + for_ms).contains(&now_ms))
                 .map(|_| size / 2);
-            if now_ms % 50 == 0 {
-                fleet.report(now_ms, cut_at);
-            }
+            fleet.step(now_ms, cut_at);
             // A square prefers low numbers.
             let pick = picks[step as usize % picks.len()];
-            fleet.ask(pick * pick / 64 % size, now_ms);
+            fleet.ask(pick * pick / 64 % size, now_ms, cut_at);
             if step % 2 == 0 {
-                fleet.ask(0, now_ms);
+                fleet.ask(0, now_ms, cut_at);
             }
         }
-        // What can be admitted unseen while a report is on its way, and what the two sides of a cut
-        // admit until they notice it.
-        let unseen = (50 + lag_ms) * 300 + cut.map_or(0, |_| 1_000 * 300);
+        // One owner admits exactly the rate and burst. What the two sides of a cut admit until they
+        // notice it, and after it has healed until they agree again.
+        let unseen = cut.map_or(0, |_| 1_000 * 300);
         let allowed = RATE_PER_S * WINDOW_MS / 1_000 + BURST + unseen;
         prop_assert!(fleet.most_in_window() <= allowed);
     }
@@ -170,17 +222,72 @@
     let mut fleet = Fleet::new(4, 5);
     for step in 0..4_000_u64 {
         let now_ms = step * 5;
-        fleet.deliver(now_ms);
-        if now_ms % 50 == 0 {
-            fleet.report(now_ms, None);
-        }
+        fleet.step(now_ms, None);
         // All of it arrives at one instance.
-        fleet.ask(0, now_ms);
+        fleet.ask(0, now_ms, None);
     }
     let total: u64 = fleet.admitted.iter().map(|(_, units)| units).sum();
     assert!(total >= RATE_PER_S * 19, "only {total} units in 20 s");
 }
 
+// An equal share of this rate is less than one request of a minute.
+#[test]
+fn hundreds_of_instances() {
+    let mut fleet = Fleet::new(300, 40);
+    for step in 0..400_u64 {
+        let now_ms = step * 25;
+        fleet.step(now_ms, None);
+        fleet.ask(step as usize * 7 % 300, now_ms, None);
+    }
+    let total: u64 = fleet.admitted.iter().map(|(_, units)| units).sum();
+    let whole = RATE_PER_S * 10;
+    assert!((whole * 9 / 10..=whole + BURST).contains(&total), "{total}");
+}
+
+#[test]
+fn unused_units_go_back() {
+    let mut quotas = Quotas::default();
+    let ask = |quotas: &mut Quotas, now_ms| {
+        let now = TimeMs(now_ms);
+        quotas.admit(&workspace(), COST, Hearing::ALONE, Tolerance::NONE, now)
+    };
+    ask(&mut quotas, 0);
+    let mut admitted = 0;
+    while ask(&mut quotas, 5_000) == Decision::Admitted {
+        admitted += 1;
+    }
+    quotas.give_back("firm", COST);
+    assert_eq!(ask(&mut quotas, 5_000), Decision::Admitted);
+    assert!(matches!(ask(&mut quotas, 5_000), Decision::Rejected { .. }));
+    // What goes back late doesn't fill a bucket beyond its burst.
+    quotas.give_back("firm", BURST * 10);
+    let mut after = 0;
+    while ask(&mut quotas, 9_000) == Decision::Admitted {
+        after += 1;
+    }
+    assert_eq!((admitted, after), (BURST / COST, BURST / COST));
+}
+
+// Another owner has admitted in the meantime; a full bucket would admit the burst once more.
+#[test]
+fn regained_bucket_is_empty() {
+    let mut quotas = Quotas::default();
+    let owned = Some(Arc::new(workspace()));
+    let ask = |quotas: &mut Quotas, now_ms| {
+        let now = TimeMs(now_ms);
+        quotas.admit(&workspace(), COST, Hearing::ALONE, Tolerance::NONE, now)
+    };
+    quotas.advance(&owned, Hearing::ALONE, TimeMs(0));
+    quotas.advance(&owned, Hearing::ALONE, TimeMs(5_000));
+    assert_eq!(ask(&mut quotas, 5_000), Decision::Admitted);
+    quotas.advance(&None, Hearing::ALONE, TimeMs(11_000));
+    quotas.advance(&owned, Hearing::ALONE, TimeMs(12_000));
+    assert!(matches!(
+        ask(&mut quotas, 12_000),
+        Decision::Rejected { .. }
+    ));
+}
+
 #[test]
 fn silent_peers_keep_their_share() {
     let mut quotas = Quotas::default();
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -17,16 +17,18 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement;
-use dogwoodpier_core::gateway::quota::Decision;
-use dogwoodpier_core::gateway::quota::Tolerance;
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::QuotaUnit;
 use dogwoodpier_core::gateway::routes::Route;
+use dogwoodpier_core::gateway::routes::Service;
 use dogwoodpier_core::gateway::routes::Workspace;
 use dogwoodpier_core::gateway::upstreams::Stage;
 use dogwoodpier_process::clock;
 
+use crate::dialect::PromptSize;
 use crate::headers;
+use crate::quota;
+use crate::quota::Charge;
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
@@ -83,8 +85,18 @@
         .as_ref()
         .and_then(|workspace| workspace.priority)
         .unwrap_or(route.priority);
+    let charge = match &workspace {
+        None => None,
+        Some(workspace) => charge_quota(gateway, workspace, &service, prompt)
+            .await
+            .map_err(|over| {
+                let retry_after_ms = over.reject(gateway, &id, workspace);
+                Rejection::come_back(Reason::OverQuota, retry_after_ms, client_wait_ms)
+            })?,
+    };
     let request = ClientRequest {
         id,
+        charge,
         method: head.method,
         target: head.uri,
         headers: forwarded,
@@ -99,7 +111,6 @@
         client_wait_ms,
         deadline_ms,
     };
-    charge_quota(gateway, &request)?;
     gateway.events.write(
         "admitted",
         serde_json::json!({
@@ -190,61 +201,63 @@
         .unwrap_or(Err(Rejection::new(Reason::BodyTimeout)))
 }
 
-fn charge_quota(gateway: &Gateway, request: &ClientRequest) -> Result<(), Rejection> {
-    let Some(workspace) = &request.workspace else {
-        return Ok(());
-    };
+// Charges a request to its workspace's quota.
+async fn charge_quota(
+    gateway: &SharedGateway,
+    workspace: &Arc<Workspace>,
+    service: &Service,
+    prompt: Option<PromptSize>,
+) -> Result<Option<Charge>, OverQuota> {
+    if workspace.rate_per_s == 0 {
+        return Ok(None);
+    }
     let units = match workspace.unit {
         QuotaUnit::Requests => 1,
-        QuotaUnit::Tokens { default_tokens } => request.prompt.map_or(default_tokens, |prompt| {
+        QuotaUnit::Tokens { default_tokens } => prompt.map_or(default_tokens, |prompt| {
             prompt.prompt_tokens + prompt.max_output_tokens
         }),
     };
-    let now = clock::now();
-    let admit = |tolerance: Tolerance| {
-        let mut beliefs = gateway.beliefs();
-        let hearing = beliefs.exchange.hearing(now);
-        let quotas = &mut beliefs.quotas;
-        (
-            quotas.admit(workspace, units, hearing, tolerance, now),
-            hearing,
-        )
-    };
-    let (mut decision, mut hearing) = admit(Tolerance::NONE);
-    let mut tolerance = Tolerance::NONE;
-    // The use of all upstreams is summed up only for those who need to be lent something.
-    if decision != Decision::Admitted && has_room(gateway, request) {
-        tolerance = gateway.settings.load().quota_tolerance;
-        (decision, hearing) = admit(tolerance);
-    }
-    let Decision::Rejected { retry_after_ms } = decision else {
-        return Ok(());
-    };
-    gateway.events.write(
-        "over_quota",
-        serde_json::json!({
-            "request_id": request.id_text(),
-            "workspace": &*workspace.name,
-            "units": units,
-            "level": gateway.beliefs().quotas.level(&workspace.name),
-            "lent": tolerance.units,
-            "rate_per_s": workspace.rate_per_s,
-            "members": hearing.members,
-            "heard": hearing.heard,
-        }),
-    );
-    Err(Rejection::come_back(
-        Reason::OverQuota,
+    let has_room = has_room(gateway, service);
+    let charge = quota::charge(gateway, workspace, units, has_room).await;
+    charge.map(Some).map_err(|retry_after_ms| OverQuota {
+        units,
+        has_room,
         retry_after_ms,
-        request.client_wait_ms,
-    ))
+    })
+}
+
+// Why a request was over its workspace's quota.
+struct OverQuota {
+    units: u64,
+    has_room: bool,
+    retry_after_ms: u64,
+}
+
+impl OverQuota {
+    fn reject(self, gateway: &Gateway, id: &HeaderValue, workspace: &Workspace) -> u64 {
+        let hearing = gateway.beliefs().exchange.hearing(clock::now());
+        gateway.events.write(
+            "over_quota",
+            serde_json::json!({
+                "request_id": id.to_str().unwrap_or_default(),
+                "workspace": &*workspace.name,
+                "units": self.units,
+                "has_room": self.has_room,
+                "retry_after_ms": self.retry_after_ms,
+                "rate_per_s": workspace.rate_per_s,
+                "members": hearing.members,
+                "heard": hearing.heard,
+            }),
+        );
+        self.retry_after_ms
+    }
 }
 
-// Returns whether the upstreams of a request's service are lightly used.
-fn has_room(gateway: &Gateway, request: &ClientRequest) -> bool {
-    let mut candidates = gateway.beliefs().candidates(&request.service.name);
+// Returns whether the upstreams of a service are lightly used.
+fn has_room(gateway: &Gateway, service: &Service) -> bool {
+    let mut candidates = gateway.beliefs().candidates(&service.name);
     candidates.retain(|candidate| candidate.upstream.stage != Some(Stage::Prefill));
-    let engine = request.service.engine.as_ref();
+    let engine = service.engine.as_ref();
     placement::is_lightly_used(&candidates, engine.map(|spec| spec.kv_tokens))
 }
 
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: a slot becomes free while requests wait at many instances. If each of them took it
 //! by what it knows of the others, all would take the same one. So the instances agree on a broker
-//! by rendezvous hashing over the members that they hear, and ask it. The broker's state is soft: the
+//! by rendezvous hashing over the members that they rely on, and ask it. The broker's state is soft: the
 //! reports of its peers rebuild it at another instance. An instance whose broker doesn't answer asks
 //! the next one, and at last places by what it knows itself.
 
@@ -21,7 +21,6 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
-use dogwoodpier_core::rendezvous;
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
 
@@ -30,20 +29,16 @@
 use crate::lines::Claim;
 use crate::lines::Place;
 use crate::lines::Refused;
+use crate::owners;
+use crate::owners::ANSWER_TIMEOUT;
+use crate::owners::MAX_SILENT_ASKS;
+use crate::owners::Owner;
 use crate::state::Gateway;
 use crate::state::Holder;
 use crate::state::SharedGateway;
 
-// Time for a broker's answer: several round trips between data centres of a region.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
 // Time between two questions while a request waits in a broker's line.
 const WAITING_INTERVAL: Duration = Duration::from_millis(250);
-// Questions without an answer after which a broker is given up.
-const MAX_SILENT_ASKS: u32 = 2;
-// Brokers that are tried before an instance places by itself.
-const MAX_BROKERS: usize = 2;
-// Time for which a broker that didn't answer isn't asked.
-const SUSPECT_MS: u64 = 1_500;
 // Time for which the answer to a question is kept for questions that are repeated.
 const ANSWER_LIFE_MS: u64 = 5_000;
 
@@ -146,8 +141,6 @@
     own: Mutex<BTreeMap<u64, mpsc::UnboundedSender<Verdict>>>,
     // Questions of peers.
     peers: Mutex<BTreeMap<(Arc<str>, u64), Asked>>,
-    // Brokers that didn't answer, and until when they aren't asked.
-    suspects: Mutex<BTreeMap<Arc<str>, TimeMs>>,
 }
 
 impl Default for Broker {
@@ -157,7 +150,6 @@
             next_ticket: AtomicU64::new(rand::random()),
             own: Mutex::default(),
             peers: Mutex::default(),
-            suspects: Mutex::default(),
         }
     }
 }
@@ -168,47 +160,19 @@
 
 /// Gets a place for a request from the service's broker.
 pub async fn place(gateway: &SharedGateway, claim: Claim) -> std::result::Result<Place, Refused> {
-    for _ in 0..MAX_BROKERS {
-        let Some((broker, address)) = choose_broker(gateway, &claim.service) else {
+    for _ in 0..owners::MAX_OWNERS {
+        let Owner::Peer { instance, address } = owners::choose(gateway, &claim.service) else {
             break;
         };
         match ask(gateway, address, &claim).await {
             Some(result) => return result,
-            None => {
-                let deadline_ms = clock::now().after(SUSPECT_MS);
-                locked(&gateway.broker.suspects).insert(broker.clone(), deadline_ms);
-                gateway.events.write(
-                    "broker_silent",
-                    serde_json::json!({ "broker": &*broker, "service": &*claim.service }),
-                );
-            }
+            None => gateway.owners.suspect(gateway, &instance, &claim.service),
         }
     }
     lines::wait(gateway, claim, Holder::Own).await
 }
 
-// Returns the broker of a service, or `None` if it is this instance.
-fn choose_broker(gateway: &Gateway, service: &str) -> Option<(Arc<str>, SocketAddr)> {
-    let now = clock::now();
-    let own = gateway.settings.load().instance.clone();
-    let mut members = gateway.beliefs().exchange.heard_instances(now);
-    {
-        let mut suspects = locked(&gateway.broker.suspects);
-        suspects.retain(|_, deadline_ms| *deadline_ms > now);
-        members.retain(|member| !suspects.contains_key(member));
-    }
-    members.push(own.clone());
-    let broker = members
-        .into_iter()
-        .max_by_key(|member| rendezvous::weight(service, member))?;
-    if broker == own {
-        return None;
-    }
-    let address = gateway.peer_addresses.of(&broker)?;
-    Some((broker, address))
-}
-
-/// Returns the addresses of the brokers of all services with engines.
+/// Returns the addresses of the brokers of all services with engines, those who follow them included.
 pub fn addresses(gateway: &Gateway) -> Vec<SocketAddr> {
     let configuration = gateway.configuration.load();
     let services = configuration
@@ -216,9 +180,9 @@
         .flat_map(|configuration| configuration.services.values());
     let mut addresses: Vec<SocketAddr> = services
         .filter(|service| service.engine.is_some())
-        .filter_map(|service| choose_broker(gateway, &service.name))
-        .map(|(_, address)| address)
+        .flat_map(|service| owners::addresses(gateway, &service.name))
         .collect();
+    addresses.sort_unstable();
     addresses.dedup();
     addresses
 }
@@ -449,7 +413,7 @@
         let mut beliefs = gateway.beliefs();
         beliefs
             .exchange
-            .release(&release.instance, release.ticket, &release.upstream);
+            .release(&release.instance, release.ticket, &release.upstream, now);
         let outcome = match release.result {
             Result::Used => {
                 beliefs.records.note_freed(&release.upstream);
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -216,6 +216,9 @@
     }
     let mut progress = Progress::default();
     for places in 1..=MAX_PLACES {
+        if request.deadline_ms <= clock::now() {
+            break;
+        }
         let claim = claim(gateway, request, &progress);
         let started_ms = clock::now();
         let place = broker::place(gateway, claim).await;
@@ -373,7 +376,7 @@
         .deadline_ms
         .min(started_ms.after(request.route.objective_ms));
     let engine = guard.upstream().clone();
-    let sent = forwarding::send(gateway, request, &engine, extra, limit_ms).await;
+    let sent = forwarding::send_unpaid(gateway, request, &engine, extra, limit_ms).await;
     let reply = match sent {
         Sent::Answered(reply) => reply,
         Sent::NotExecuted(_) => {
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -1,6 +1,5 @@
 //! Messages to and from peers, over UDP.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,13 +17,19 @@
 use crate::broker::Answer;
 use crate::broker::Ask;
 use crate::broker::Release;
+use crate::codec;
+use crate::quota;
+use crate::quota::QuotaAnswer;
+use crate::quota::QuotaAsk;
+use crate::quota::QuotaReturn;
+use crate::state::Gateway;
 use crate::state::SharedGateway;
 
 // Largest message: several times the report of an instance that uses each of a hundred upstreams.
 const MAX_MESSAGE_BYTES: usize = 60_000;
 
-// Part of a workspace's burst that may be admitted before all peers are told.
-const BURST_PARTS: u64 = 32;
+// Heartbeats to a broker after which it no longer counts the uses of an instance that is silent.
+const BROKER_HEARTBEATS: u64 = 4;
 
 /// A message between instances.
 #[wire]
@@ -37,6 +42,12 @@
     Answer(Answer),
     /// The end of the use of a place.
     Release(Release),
+    /// A question for units of a workspace.
+    QuotaAsk(QuotaAsk),
+    /// The answer to a question for units.
+    QuotaAnswer(QuotaAnswer),
+    /// Units of a request that has not run.
+    QuotaReturn(QuotaReturn),
     /// A question that no longer matters.
     Withdraw {
         /// Instance that asked.
@@ -65,7 +76,7 @@
                 continue;
             }
         };
-        match serde_json::from_slice(&buffer[..length]) {
+        match codec::decode(&buffer[..length]) {
             Ok(message) => take(&gateway, from, message),
             Err(error) => gateway.events.write(
                 "unreadable_message",
@@ -81,6 +92,9 @@
         Message::Ask(question) => broker::take_ask(gateway, from, question),
         Message::Answer(answer) => broker::take_answer(gateway, from, answer),
         Message::Release(release) => broker::take_release(gateway, &release),
+        Message::QuotaAsk(question) => quota::take_ask(gateway, from, &question),
+        Message::QuotaAnswer(answer) => quota::take_answer(gateway, from, answer),
+        Message::QuotaReturn(returned) => quota::take_return(gateway, &returned),
         Message::Withdraw { instance, ticket } => {
             broker::take_withdrawal(gateway, &instance, ticket);
         }
@@ -89,7 +103,6 @@
 
 fn take_report(gateway: &SharedGateway, report: Report) {
     let now = clock::now();
-    let configuration = gateway.configuration.load_full();
     for (kind, revision) in &report.seen_revisions {
         gateway.revisions.note_peer(kind, *revision);
     }
@@ -104,107 +117,106 @@
                 );
             }
         }
-        let charges = beliefs.exchange.receive(report, now);
-        let hearing = beliefs.exchange.hearing(now);
+        beliefs.exchange.receive(report, now);
         for (upstream, for_ms) in &down_for_ms {
             beliefs.records.note_peer_down(upstream, *for_ms, now);
         }
-        for charge in charges {
-            let workspace = configuration
-                .as_ref()
-                .and_then(|configuration| configuration.workspaces.get(&charge.workspace));
-            if let Some(workspace) = workspace {
-                beliefs.quotas.charge(workspace, charge.units, hearing, now);
-            }
-        }
     }
     gateway.lines.slot_freed();
 }
 
-/// Reports to the brokers whenever something changed, and to all peers when it concerns them and at
-/// least at every heartbeat.
+/// Reports to all peers at every heartbeat and when they need to know, and to the brokers while
+/// engines are used, for as long as the process lives.
 pub async fn report(gateway: SharedGateway) {
     let mut sequence = 0;
-    let mut last_to_all = LastToAll::default();
+    let mut told = Told::default();
     loop {
         let timing = gateway.settings.load().timing;
-        let heartbeat = Duration::from_millis(timing.report_heartbeat_ms);
+        let pause = Duration::from_millis(timing.broker_heartbeat_ms);
         // Woken early if the use of an upstream changed.
-        let woken = tokio::time::timeout(heartbeat, gateway.use_changed.notified()).await;
+        let woken = tokio::time::timeout(pause, gateway.use_changed.notified()).await;
         sequence += 1;
-        let report = compose(&gateway, sequence);
         let now = clock::now();
-        let due = last_to_all.sent_ms.after(timing.report_heartbeat_ms) <= now;
-        let addresses = if woken.is_err() || due || last_to_all.concerns_all(&gateway, &report) {
-            last_to_all = LastToAll {
-                sent_ms: now,
-                admitted: report.admitted.clone(),
-                unusable: unusable(&report).cloned().collect(),
+        let heartbeat_ms = gateway.beliefs().exchange.heartbeat_ms();
+        let report = compose(&gateway, sequence);
+        let due = told.all_ms.after(heartbeat_ms) <= now;
+        let brokers = broker::addresses(&gateway);
+        if due || told.concerns_all(&gateway, &report, now) {
+            told.note_all(&report, now);
+            let mut others = gateway.peer_addresses.all();
+            others.retain(|address| !brokers.contains(address));
+            tell(&gateway, &others, report.clone());
+        }
+        // One more after the last use has ended: it takes back what the one before said.
+        if due || woken.is_ok() || !report.uses.is_empty() || told.brokers_know_of_uses {
+            told.brokers_know_of_uses = !report.uses.is_empty();
+            let uses_valid_ms = timing.broker_heartbeat_ms * BROKER_HEARTBEATS;
+            let report = Report {
+                uses_valid_ms,
+                ..report
             };
-            gateway.peer_addresses.all()
-        } else {
-            broker::addresses(&gateway)
-        };
-        let message = Message::Report(report);
-        for address in addresses {
-            gateway.tell(address, &message);
+            tell(&gateway, &brokers, report);
         }
         tokio::time::sleep(Duration::from_millis(timing.report_interval_ms)).await;
     }
 }
 
-// What the last report to all peers said.
-#[derive(Default)]
-struct LastToAll {
-    sent_ms: TimeMs,
-    admitted: BTreeMap<Arc<str>, u64>,
-    unusable: BTreeSet<Arc<str>>,
+fn tell(gateway: &SharedGateway, addresses: &[SocketAddr], report: Report) {
+    let message = Message::Report(report);
+    for address in addresses {
+        gateway.tell(*address, &message);
+    }
 }
 
-fn unusable(report: &Report) -> impl Iterator<Item = &Arc<str>> {
-    let leaving = report.leaving_upstreams.keys();
-    report.down_for_ms.keys().chain(leaving)
+// What peers were told.
+#[derive(Default)]
+struct Told {
+    // Time of the last report to all of them.
+    all_ms: TimeMs,
+    leaving: bool,
+    down: BTreeSet<Arc<str>>,
+    brokers_know_of_uses: bool,
 }
 
-impl LastToAll {
-    // All peers charge what is admitted, and avoid upstreams that are down.
-    fn concerns_all(&self, gateway: &SharedGateway, report: &Report) -> bool {
-        let unreported = |id| !self.unusable.contains(id);
-        if unusable(report).any(unreported) {
+impl Told {
+    // All peers avoid upstreams that are down, and owners that leave. Each peer sees by itself in the
+    // store that an upstream leaves; heartbeats tell it to those who are cut off.
+    fn concerns_all(&self, gateway: &Gateway, report: &Report, now: TimeMs) -> bool {
+        if report.leaving != self.leaving {
             return true;
         }
-        let configuration = gateway.configuration.load();
-        let Some(configuration) = configuration.as_ref() else {
-            return false;
-        };
-        report.admitted.iter().any(|(name, total)| {
-            let reported = self.admitted.get(name).copied().unwrap_or(0);
-            configuration
-                .workspaces
-                .get(name)
-                .is_some_and(|workspace| total - reported > workspace.burst / BURST_PARTS)
-        })
+        let untold: Vec<&Arc<str>> = report
+            .down_for_ms
+            .keys()
+            .filter(|id| !self.down.contains(*id))
+            .collect();
+        // Most instances find out at the same time; the first one tells the others.
+        !untold.is_empty() && {
+            let beliefs = gateway.beliefs();
+            let mut untold = untold.into_iter();
+            untold.any(|id| !beliefs.records.is_down_at_peers(id, now))
+        }
+    }
+
+    fn note_all(&mut self, report: &Report, now: TimeMs) {
+        self.all_ms = now;
+        self.leaving = report.leaving;
+        self.down = report.down_for_ms.keys().cloned().collect();
     }
 }
 
 fn compose(gateway: &SharedGateway, sequence: u64) -> Report {
     let now = clock::now();
-    let configuration = gateway.configuration.load_full();
     let mut beliefs = gateway.beliefs();
-    if let Some(configuration) = configuration {
-        let hearing = beliefs.exchange.hearing(now);
-        beliefs
-            .quotas
-            .advance(configuration.workspaces.values(), hearing, now);
-    }
+    beliefs.exchange.expire(now);
     Report {
         instance: gateway.settings.load().instance.clone(),
         incarnation: gateway.incarnation,
         sequence,
         leaving: gateway.drain.is_draining() && gateway.drain.in_flight() == 0,
         uses: beliefs.uses.clone(),
+        uses_valid_ms: beliefs.exchange.silence_ms(),
         tickets: beliefs.tickets.clone(),
-        admitted: beliefs.quotas.admitted().clone(),
         down_for_ms: beliefs.records.down(now),
         leaving_upstreams: beliefs.upstreams.leaving(),
         seen_revisions: gateway.revisions.here(),
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -60,13 +60,34 @@
 /// Headers that are set for one send.
 pub type Extra = Vec<(HeaderName, HeaderValue)>;
 
-/// Sends a request to an upstream and waits for the head of the answer until `limit_ms`.
+/// Sends a request to an upstream that is to run it, and waits for the head of the answer until
+/// `limit_ms`.
 pub async fn send(
     gateway: &Gateway,
     request: &ClientRequest,
     upstream: &Upstream,
     extra: Extra,
     limit_ms: TimeMs,
+) -> Sent {
+    if let Some(charge) = &request.charge {
+        charge.begin_run();
+    }
+    let sent = send_unpaid(gateway, request, upstream, extra, limit_ms).await;
+    if let Some(charge) = &request.charge
+        && sent.has_not_run()
+    {
+        charge.take_back_run();
+    }
+    sent
+}
+
+/// Like [`send`], for a call that doesn't run the request: it costs nothing of a quota.
+pub async fn send_unpaid(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    upstream: &Upstream,
+    extra: Extra,
+    limit_ms: TimeMs,
 ) -> Sent {
     let started_ms = clock::now();
     let sent = try_send(gateway, request, upstream, extra, limit_ms).await;
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod body;
 pub mod broker;
+pub mod codec;
 pub mod counters;
 pub mod dialect;
 pub mod dispatch;
@@ -19,7 +20,9 @@
 pub mod headers;
 pub mod lines;
 pub mod operators;
+pub mod owners;
 pub mod plain;
+pub mod quota;
 pub mod readiness;
 pub mod registry;
 pub mod reject;
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -36,6 +36,13 @@
     pub peer_address: SocketAddr,
     /// Drawn at the start of the process.
     pub incarnation: u64,
+    /// What it can carry against others.
+    #[serde(default = "default_capacity")]
+    pub capacity: f64,
+}
+
+fn default_capacity() -> f64 {
+    1.0
 }
 
 /// Addresses of the registered peers.
@@ -89,6 +96,7 @@
     let registration = serde_json::to_value(Registration {
         peer_address: settings.peer_address,
         incarnation: gateway.incarnation,
+        capacity: settings.capacity,
     })?;
     let mut expect = Expect::Absent;
     loop {
@@ -161,13 +169,13 @@
         .peer_addresses
         .lock()
         .insert(object.name.clone(), address);
-    if before == Some(address) {
-        return;
-    }
     gateway
         .beliefs()
         .exchange
-        .register(&object.name, clock::now());
+        .register(&object.name, registration.capacity, clock::now());
+    if before == Some(address) {
+        return;
+    }
     gateway.events.write(
         "peer_registered",
         serde_json::json!({ "peer": &*object.name, "store_version": object.version }),
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -15,6 +15,7 @@
 use dogwoodpier_core::gateway::routes::Workspace;
 
 use crate::dialect::PromptSize;
+use crate::quota::Charge;
 use crate::state::SharedGateway;
 
 /// A count of body bytes held. Dropping it ends the count.
@@ -46,6 +47,8 @@
 pub struct ClientRequest {
     /// Identity, as the client sent it.
     pub id: HeaderValue,
+    /// Units charged to its workspace.
+    pub charge: Option<Charge>,
     /// Method.
     pub method: Method,
     /// Path and query, as the client sent them.
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -41,6 +41,8 @@
     pub store_address: SocketAddr,
     /// Bounds of retries.
     pub retries: RetryOptions,
+    /// What this instance can carry against others: its share of a processor core.
+    pub capacity: f64,
     /// Units that a workspace may be lent beyond its rate while upstreams have room.
     pub quota_tolerance: Tolerance,
     /// Time from SIGTERM to the end of the process.
@@ -63,10 +65,10 @@
     pub store_timeout_ms: u64,
     /// Time to make a connection to an upstream.
     pub connect_timeout_ms: u64,
-    /// Shortest time between two reports to peers.
+    /// Shortest time between two reports to a broker.
     pub report_interval_ms: u64,
-    /// Longest time between two reports to peers.
-    pub report_heartbeat_ms: u64,
+    /// Longest time between two reports to a broker while an engine is used.
+    pub broker_heartbeat_ms: u64,
 }
 
 impl Default for Timing {
@@ -76,10 +78,10 @@
             store_timeout_ms: 700,
             // Some round trips between data centres.
             connect_timeout_ms: 150,
-            // A slot is free for some hundred milliseconds before others could mistake it as taken.
-            report_interval_ms: 50,
-            // Several fit into the silence after which a peer's report no longer counts.
-            report_heartbeat_ms: 300,
+            // Brokers know what they grant and what is released; reports only make up for losses.
+            report_interval_ms: 150,
+            // Several fit into the silence after which a broker no longer counts a peer's uses.
+            broker_heartbeat_ms: 300,
         }
     }
 }
@@ -105,6 +107,11 @@
     let grace_s = number(&mut root, "grace_s", 0.5, 3_600.0, report);
     let entry_grace_s = number(&mut root, "entry_grace_s", 0.0, 3_600.0, report);
     let memory_mb = number(&mut root, "memory_mb", 32.0, 1_048_576.0, report);
+    // Alone in its size unless it says otherwise.
+    let capacity = match root.has("processor_share") {
+        true => number(&mut root, "processor_share", 0.001, 1_024.0, report),
+        false => Some(1.0),
+    };
     let tolerance = number(&mut root, "quota_tolerance_units", 0.0, 1e15, report);
     let mut retries = root.table("retries", report);
     let ratio = number(&mut retries, "ratio", 0.0, 10.0, report);
@@ -125,6 +132,7 @@
             allowance: allowance?,
             window_ms: (window_s? * MS_PER_S) as u64,
         },
+        capacity: capacity?,
         quota_tolerance: Tolerance {
             units: (tolerance? * QUOTA_TOLERANCE_SHARE) as u64,
         },
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -36,6 +36,9 @@
 use crate::exchange;
 use crate::lines;
 use crate::lines::Lines;
+use crate::owners::Owners;
+use crate::quota;
+use crate::quota::QuotaAsks;
 use crate::readiness;
 use crate::registry;
 use crate::reload;
@@ -137,12 +140,15 @@
             records: Records::default(),
             exchange: Exchange::new(settings.exchange),
             quotas: Quotas::default(),
+            quota_shares: Quotas::default(),
             retries: RetryBudget::default(),
             uses: Default::default(),
             tickets: Default::default(),
         }),
         socket,
         broker: Broker::default(),
+        owners: Owners::default(),
+        quota_asks: QuotaAsks::default(),
         learned: Learned::default(),
         lines: Lines::default(),
         connections: Connections::default(),
@@ -173,6 +179,7 @@
     tokio::spawn(lines::run(gateway.clone()));
     tokio::spawn(exchange::receive(gateway.clone()));
     tokio::spawn(exchange::report(gateway.clone()));
+    tokio::spawn(quota::advance(gateway.clone()));
 }
 
 async fn wait_for_stop() -> anyhow::Result<TimeMs> {
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -38,10 +38,13 @@
 use crate::broker;
 use crate::broker::Broker;
 use crate::broker::Release;
+use crate::codec;
 use crate::dialect::Dialect;
 use crate::engines::Learned;
 use crate::exchange::Message;
 use crate::lines::Lines;
+use crate::owners::Owners;
+use crate::quota::QuotaAsks;
 use crate::registry::Addresses;
 use crate::request::ClientRequest;
 use crate::settings::Settings;
@@ -63,6 +66,10 @@
     pub socket: UdpSocket,
     /// Questions for places, asked and answered.
     pub broker: Broker,
+    /// Owners that didn't answer.
+    pub owners: Owners,
+    /// Questions for units of quotas.
+    pub quota_asks: QuotaAsks,
     /// What was learned about engines.
     pub learned: Learned,
     /// Requests that wait for a slot of an engine.
@@ -101,8 +108,10 @@
     pub records: Records,
     /// Peers and their reports.
     pub exchange: Exchange,
-    /// Quotas of workspaces.
+    /// Quotas of the workspaces that this instance decides for.
     pub quotas: Quotas,
+    /// This instance's own shares of quotas, for when no owner answers.
+    pub quota_shares: Quotas,
     /// Budget of retries.
     pub retries: RetryBudget,
     /// Use of upstreams by requests of this instance.
@@ -216,7 +225,7 @@
 
     /// Sends a message to a peer. One that is lost is made up for by later ones.
     pub fn tell(&self, address: SocketAddr, message: &Message) {
-        match serde_json::to_vec(message) {
+        match codec::encode(message) {
             Ok(bytes) => {
                 if let Err(error) = self.socket.try_send_to(&bytes, address) {
                     log::debug!("message to {address}: {error}");
@@ -353,7 +362,7 @@
                 let mut beliefs = self.gateway.beliefs();
                 beliefs
                     .exchange
-                    .release(instance, *ticket, &self.upstream.id);
+                    .release(instance, *ticket, &self.upstream.id, clock::now());
             }
         }
         self.gateway.use_changed.notify_one();
--- /dev/null
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -0,0 +1,134 @@
+//! Messages between instances: what one writes the other reads, and nothing else.
+
+use proptest::prelude::*;
+
+use dogwoodpier_core::gateway::exchange::Report;
+use dogwoodpier_core::gateway::exchange::Use;
+use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_gateway::broker::Answer;
+use dogwoodpier_gateway::broker::Verdict;
+use dogwoodpier_gateway::codec;
+use dogwoodpier_gateway::codec::CodecError;
+use dogwoodpier_gateway::exchange::Message;
+use dogwoodpier_gateway::quota::QuotaAnswer;
+use dogwoodpier_gateway::quota::QuotaAsk;
+
+// Largest part of a report of an instance that serves some requests: one datagram, many times a
+// second from each of hundreds of peers.
+const REPORT_BYTES: usize = 250;
+
+fn report(engines: usize) -> Message {
+    let used = Use {
+        requests: 3,
+        prefill_tokens: 4_000,
+        kv_tokens: 16_000,
+    };
+    let engine = |number: usize| format!("i-{number:08x}").into();
+    Message::Report(Report {
+        instance: "front-zg-a-17".into(),
+        incarnation: u64::MAX,
+        sequence: 100_000,
+        leaving: false,
+        uses: (0..engines).map(|number| (engine(number), used)).collect(),
+        uses_valid_ms: 1_000,
+        tickets: (0..engines)
+            .map(|number| (engine(number), vec![u64::MAX; 3]))
+            .collect(),
+        down_for_ms: [(engine(90), 300)].into(),
+        leaving_upstreams: [(engine(91), Some(1_700_000_000_000))].into(),
+        seen_revisions: [("servers".into(), 12_345), ("config".into(), 12_300)].into(),
+    })
+}
+
+fn messages() -> Vec<Message> {
+    vec![
+        report(2),
+        Message::Answer(Answer {
+            ticket: 7,
+            verdict: Verdict::Granted {
+                decode: "i-1".into(),
+                prefill: None,
+            },
+        }),
+        Message::QuotaAsk(QuotaAsk {
+            ticket: 8,
+            workspace: "firm".into(),
+            units: 5_300,
+            has_room: true,
+        }),
+        Message::QuotaAnswer(QuotaAnswer {
+            ticket: 8,
+            workspace: "firm".into(),
+            units: 5_300,
+            decision: Decision::Rejected {
+                retry_after_ms: 400,
+            },
+        }),
+        Message::Withdraw {
+            instance: "front-1".into(),
+            ticket: 9,
+        },
+    ]
+}
+
+#[test]
+fn round_trips() {
+    for message in messages() {
+        let bytes = codec::encode(&message).unwrap();
+        assert_eq!(codec::decode(&bytes), Ok(message));
+    }
+}
+
+#[test]
+fn reports_are_small() {
+    let bytes = codec::encode(&report(2)).unwrap();
+    assert!(bytes.len() <= REPORT_BYTES, "{} bytes", bytes.len());
+}
+
+#[test]
+fn other_versions() {
+    let mut bytes = codec::encode(&messages()[0]).unwrap();
+    bytes[0] += 1;
+    assert_eq!(
+        codec::decode(&bytes),
+        Err(CodecError::Version { found: bytes[0] })
+    );
+    assert_eq!(codec::decode(&[]), Err(CodecError::Empty));
+    // A message of an instance before the binary form.
+    assert!(codec::decode(br#"{"Report":{"instance":"front-1"}}"#).is_err());
+}
+
+#[test]
+fn cut_or_longer() {
+    for message in messages() {
+        let mut bytes = codec::encode(&message).unwrap();
+        for length in 0..bytes.len() {
+            assert!(
+                codec::decode(&bytes[..length]).is_err(),
+                "{message:?} cut to {length}"
+            );
+        }
+        bytes.push(0);
+        assert_eq!(codec::decode(&bytes), Err(CodecError::Rest { count: 1 }));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::with_cases(2_000) })]
+
+    // Whatever comes is read or told apart, without a panic and without more memory than it has bytes.
+    #[test]
+    fn any_bytes(
+        which in 0_usize..5,
+        changes in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
+        noise in proptest::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let mut bytes = codec::encode(&messages()[which]).unwrap();
+        for (place, byte) in changes {
+            let place = place.index(bytes.len());
+            bytes[place] = byte;
+        }
+        let _ = codec::decode(&bytes);
+        let _ = codec::decode(&noise);
+    }
+}
