Send heartbeats by the clock, not after a change of use

A heartbeat that was due left as soon as the use of an upstream changed, that is, just after a request had begun. A peer that adds up 87 such reports sees the service full.

Ruled out: stale sums (a report replaces the one before) and engines (under a sixth of their memory was used).

Test: peer_reports, heartbeats_ignore_changes: on the commit before, 21 of 21 reports show a use that takes 6% of the time; now it passes.

--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -132,23 +132,28 @@
     let mut told = Told::default();
     loop {
         let timing = gateway.settings.load().timing;
-        let pause = Duration::from_millis(timing.broker_heartbeat_ms);
-        // Woken early if the use of an upstream changed.
-        let woken = tokio::time::timeout(pause, gateway.use_changed.notified()).await;
+        let heartbeat_ms = gateway.beliefs().exchange.heartbeat_ms();
+        let next_ms = told.all_ms.after(heartbeat_ms).remaining(clock::now());
+        // Peers sum up what many instances use at moments that have nothing to do with it: a
+        // heartbeat that followed a change would mostly show the request that just began.
+        let is_due = tokio::select! {
+            biased;
+            () = tokio::time::sleep(Duration::from_millis(next_ms)) => true,
+            () = gateway.use_changed.notified() => false,
+            () = tokio::time::sleep(Duration::from_millis(timing.broker_heartbeat_ms)) => false,
+        };
         sequence += 1;
         let now = clock::now();
-        let heartbeat_ms = gateway.beliefs().exchange.heartbeat_ms();
         let report = compose(&gateway, sequence);
-        let due = told.all_ms.after(heartbeat_ms) <= now;
         let brokers = broker::addresses(&gateway);
-        if due || told.concerns_all(&gateway, &report, now) {
+        if is_due || told.concerns_all(&gateway, &report, now) {
             told.note_all(&report, now);
             let mut others = gateway.peer_addresses.all();
             others.retain(|address| !brokers.contains(address));
             tell(&gateway, &others, report.clone());
         }
         // One more after the last use has ended: it takes back what the one before said.
-        if due || woken.is_ok() || !report.uses.is_empty() || told.brokers_know_of_uses {
+        if is_due || !report.uses.is_empty() || told.brokers_know_of_uses {
             told.brokers_know_of_uses = !report.uses.is_empty();
             let uses_valid_ms = timing.broker_heartbeat_ms * BROKER_HEARTBEATS;
             let report = Report {
@@ -157,7 +162,9 @@
             };
             tell(&gateway, &brokers, report);
         }
-        tokio::time::sleep(Duration::from_millis(timing.report_interval_ms)).await;
+        let next_ms = told.all_ms.after(heartbeat_ms).remaining(clock::now());
+        let pause_ms = timing.report_interval_ms.min(next_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
