--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -25,6 +25,9 @@
 const REMOVE_SILENT_MS: u64 = 60_000;
 const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
 
+// Names of new peers in one line of the log: a fleet that starts would fill it otherwise.
+const MAX_NAMES_LOGGED: usize = 8;
+
 // Instances of a fleet start together, so a new one looks often at first.
 const FIRST_FIND_PAUSE: Duration = Duration::from_millis(300);
 const FIND_PAUSE: Duration = Duration::from_secs(5);
@@ -136,8 +139,18 @@
 
 fn take_listing(gateway: &SharedGateway, objects: &[Object]) {
     let known = gateway.peer_addresses.instances();
-    for object in objects {
-        add_peer(gateway, object);
+    let mut added: Vec<&str> = objects
+        .iter()
+        .filter(|object| add_peer(gateway, object))
+        .map(|object| &*object.name)
+        .collect();
+    if !added.is_empty() {
+        let count = added.len();
+        added.truncate(MAX_NAMES_LOGGED);
+        gateway.events.write(
+            "peers_registered",
+            serde_json::json!({ "count": count, "first": added, "listed": objects.len() }),
+        );
     }
     for instance in known {
         if !objects.iter().any(|object| object.name == instance) {
@@ -150,9 +163,10 @@
     }
 }
 
-fn add_peer(gateway: &SharedGateway, object: &Object) {
+// Returns whether the peer or its address is new.
+fn add_peer(gateway: &SharedGateway, object: &Object) -> bool {
     if *object.name == *gateway.settings.load().instance {
-        return;
+        return false;
     }
     let registration: Registration = match read(&object.value) {
         Ok(registration) => registration,
@@ -161,7 +175,7 @@
                 "unreadable_registration",
                 serde_json::json!({ "instance": &*object.name, "problem": error.to_string() }),
             );
-            return;
+            return false;
         }
     };
     let address = registration.peer_address;
@@ -173,13 +187,7 @@
         .beliefs()
         .exchange
         .register(&object.name, registration.capacity, clock::now());
-    if before == Some(address) {
-        return;
-    }
-    gateway.events.write(
-        "peer_registered",
-        serde_json::json!({ "peer": &*object.name, "store_version": object.version }),
-    );
+    before != Some(address)
 }
 
 fn read(value: &Value) -> serde_json::Result<Registration> {
