Forget the grants of a silent peer for good

Two grants, 501 ms, one release and a grant show two requests where one is held.

Ruled out: reports (none is in the minimal case). Mended where uses expire.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -331,16 +331,13 @@
         let sums = &mut self.sums;
         let mut expiry_ms = NEVER_MS;
         for peer in self.peers.values_mut() {
-            if peer.counted.is_empty() {
-                continue;
-            }
             if peer.uses_deadline_ms < now {
                 subtract_all(sums, &std::mem::take(&mut peer.counted));
                 peer.grants.clear();
                 if let Some(report) = &mut peer.report {
                     report.uses.clear();
                 }
-            } else {
+            } else if !peer.counted.is_empty() {
                 expiry_ms = expiry_ms.min(peer.uses_deadline_ms);
             }
         }
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -1,5 +1,7 @@
 //! Quotas over all instances: no window brings more than the rate and burst, whoever is heard.
 
+mod common;
+
 use std::sync::Arc;
 
 use proptest::prelude::*;
@@ -184,7 +186,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(40) })]
+    #![proptest_config(common::config(7, 40))]
 
     // A workspace sends five times its rate over instances that it picks unevenly, while reports
     // lag and the fleet may be cut in two.
