Fewer calls to the store: back off, gather changes, wait longer

Change: a failed call is made again after 150 ms to 1 s, spread; changes of upstreams gather for 5 ms a member more, 1.2 s at most; watches wait up to 28 s instead of 15 (with hundreds of instances one still ends every 100 ms).

Ruled out: registrations (a tenth of the price each).

--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -32,19 +32,25 @@
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
-// Pause before a failed call is made again: long enough for a busy store, short against the time in
-// which a change has to be in force.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+// Pause before a failed call is made again, doubled with each further failure: long enough for a busy
+// store, short against the time in which a change has to be in force. Refused calls count as well, so
+// that instances that the store turns away must not press.
+const RETRY_PAUSE_MS: u64 = 150;
+const MAX_RETRY_PAUSE_MS: u64 = 1_000;
 
-// Changes often come several at once; all are in force well before they have to be.
-const GATHER: Duration = Duration::from_millis(300);
+// Changes often come several at once; all are in force well before they have to be. Each change of an
+// upstream costs a call of every instance, so that larger fleets gather for longer: changes then have
+// to be in force within several seconds.
+const GATHER_MS: u64 = 300;
+const GATHER_MS_PER_MEMBER: u64 = 5;
+const MAX_GATHER_MS: u64 = 1_200;
 // A change that one instance has seen reaches the others in this time, unless their watch is silent.
 const PEERS_AHEAD: Duration = Duration::from_millis(400);
 // Time between the ends of any two watches of the fleet.
 const FLEET_WATCH_INTERVAL_MS: u64 = 350;
-// Bounds of a watch's wait. The store drops its history after some ten seconds.
+// Bounds of a watch's wait. The store lets a watch wait for 30 s at most.
 const MIN_WATCH_MS: u64 = 1_400;
-const MAX_WATCH_MS: u64 = 15_000;
+const MAX_WATCH_MS: u64 = 28_000;
 
 /// What a follower does with the objects of its kind.
 pub struct Follower {
@@ -54,8 +60,9 @@
     pub replace: fn(&SharedGateway, Vec<Object>, &Outage),
     /// Takes one change.
     pub change: fn(&SharedGateway, Change, &Outage),
-    /// Pause after changes, in which further ones gather for one call.
-    pub gather: Duration,
+    /// Returns the pause after changes in which further ones gather for one call, in milliseconds, by
+    /// the number of instances.
+    pub gather_ms: fn(u64) -> u64,
 }
 
 /// Revisions of the store up to which changes of one kind were seen.
@@ -143,6 +150,7 @@
     let outage = Outage::default();
     let mut revision = None;
     let mut lost = false;
+    let mut pause_ms = RETRY_PAUSE_MS;
     loop {
         let result = match revision {
             None => list(&gateway, &follower, &outage).await,
@@ -150,6 +158,7 @@
         };
         match result {
             Ok(next) => {
+                pause_ms = RETRY_PAUSE_MS;
                 if lost {
                     lost = false;
                     log_store(&gateway, &follower, "regained", "");
@@ -167,7 +176,10 @@
                     lost = true;
                     log_store(&gateway, &follower, "lost", &error.to_string());
                 }
-                tokio::time::sleep(RETRY_PAUSE).await;
+                // Spread, as many instances lose the store at the same time.
+                let spread_ms = rand::random_range(pause_ms / 2..=pause_ms);
+                tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+                pause_ms = (pause_ms * 2).min(MAX_RETRY_PAUSE_MS);
             }
         }
     }
@@ -220,7 +232,8 @@
                 for change in changes.changes {
                     (follower.change)(gateway, change, outage);
                 }
-                tokio::time::sleep(follower.gather).await;
+                let members = u64::from(gateway.beliefs().exchange.hearing(clock::now()).members);
+                tokio::time::sleep(Duration::from_millis((follower.gather_ms)(members))).await;
             }
             Ok(Some(changes.revision))
         }
@@ -249,7 +262,7 @@
                 take_configuration(gateway, &change.object);
             }
         },
-        gather: GATHER,
+        gather_ms: |_| GATHER_MS,
     }
 }
 
@@ -309,7 +322,7 @@
                 remove_upstream(gateway, &change.object.name, &Outage::default());
             }
         },
-        gather: GATHER,
+        gather_ms: |members| (GATHER_MS + members * GATHER_MS_PER_MEMBER).min(MAX_GATHER_MS),
     }
 }
 
