Restart tasks that panic; bound the heads of upstreams and answers of the store

An upstream's head could take 400 KB before it was refused, now 32 KB; an answer of the store 64 MB on instances with 88 MB, now 8 MB. Sums of reported uses saturate.

Test: endless_bytes, fifty orders at once to an upstream that sends a status line, header, headers, interim responses, body, chunk size, chunk extension or trailers without end: each is answered 502 or 504 in time, memory grows by less than 30 MB, connections close, other requests are served. It passes with these bounds; it was not seen failing.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -37,9 +37,10 @@
 impl Use {
     /// Adds another use.
     pub fn add(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.prefill_tokens += other.prefill_tokens;
-        self.kv_tokens += other.kv_tokens;
+        // Peers may report anything.
+        self.requests = self.requests.saturating_add(other.requests);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.kv_tokens = self.kv_tokens.saturating_add(other.kv_tokens);
     }
 
     /// Takes another use away, as far as it is there.
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -128,7 +128,9 @@
 /// Reports to all peers at every heartbeat and when they need to know, and to the brokers while
 /// engines are used, for as long as the process lives.
 pub async fn report(gateway: SharedGateway) {
-    let mut sequence = 0;
+    // Reports are rarer than milliseconds, so that a task which is started again goes on above those
+    // of the one before.
+    let mut sequence = clock::now().0;
     let mut told = Told::default();
     loop {
         let timing = gateway.settings.load().timing;
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -29,6 +29,7 @@
 use dogwoodpier_process::events::EventLog;
 use dogwoodpier_process::events::EventOptions;
 use dogwoodpier_process::recorder;
+use dogwoodpier_process::supervise::supervise;
 
 use crate::broker::Broker;
 use crate::dialect::Dialect;
@@ -167,19 +168,32 @@
 }
 
 fn spawn_tasks(gateway: &SharedGateway) {
-    tokio::spawn(store::follow(
-        gateway.clone(),
-        store::configuration(gateway),
-    ));
-    tokio::spawn(store::follow(gateway.clone(), store::upstreams(gateway)));
-    tokio::spawn(registry::find_peers(gateway.clone()));
-    tokio::spawn(store::expire_upstreams(gateway.clone()));
-    tokio::spawn(registry::run(gateway.clone()));
-    tokio::spawn(registry::clean(gateway.clone()));
-    tokio::spawn(lines::run(gateway.clone()));
-    tokio::spawn(exchange::receive(gateway.clone()));
-    tokio::spawn(exchange::report(gateway.clone()));
-    tokio::spawn(quota::advance(gateway.clone()));
+    keep(gateway, "configuration", |gateway| {
+        let follower = store::configuration(&gateway);
+        store::follow(gateway, follower)
+    });
+    keep(gateway, "upstreams", |gateway| {
+        let follower = store::upstreams(&gateway);
+        store::follow(gateway, follower)
+    });
+    keep(gateway, "find_peers", registry::find_peers);
+    keep(gateway, "expire_upstreams", store::expire_upstreams);
+    keep(gateway, "register", registry::run);
+    keep(gateway, "clean_registrations", registry::clean);
+    keep(gateway, "lines", lines::run);
+    keep(gateway, "receive", exchange::receive);
+    keep(gateway, "report", exchange::report);
+    keep(gateway, "quotas", quota::advance);
+}
+
+// Runs a task, and again if it panics.
+fn keep<T, F>(gateway: &SharedGateway, name: &'static str, task: T)
+where
+    T: Fn(SharedGateway) -> F + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let shared = gateway.clone();
+    supervise(gateway.events.clone(), name, move || task(shared.clone()));
 }
 
 async fn wait_for_stop() -> anyhow::Result<TimeMs> {
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -32,6 +32,9 @@
 // Assumed where an upstream doesn't say how long it keeps a connection open.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
 const KEEP_ALIVE: &str = "keep-alive";
+// Bytes of an answer that are held before they are taken, its whole head among them. Usual servers
+// bound heads to a quarter of this; an upstream in trouble may send one without end.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -204,7 +207,9 @@
         .map_err(|_| SendError::NotSent("connect timed out".to_owned()))?
         .and_then(|stream| stream.set_nodelay(true).map(|()| stream))
         .map_err(|error| SendError::NotSent(error.to_string()))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| SendError::NotSent(error.to_string()))?;
     // Errors of the connection reach the request that is under way.
--- a/crates/dogwoodpier-platform/src/client.rs
+++ b/crates/dogwoodpier-platform/src/client.rs
@@ -28,8 +28,9 @@
 use crate::wire::Listing;
 use crate::wire::Object;
 
-/// Listings can hold many objects of up to a megabyte each.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Several times a page of a listing and an object of up to a megabyte: the smallest instances have
+/// less than 100 MB, and a store in trouble may send bytes without end.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Where the platform is and how long its calls may take.
 #[plain]
