A grant of an engine that isn't known yet is no silence of the broker

The broker also avoided the new engine for ten seconds, as one that was replaced.

Change: an engine that the asker can't use is given back as unknown (avoided for half a second) or replaced (as before), and the same broker is asked again without it; only a missing answer is a silence.

--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -38,6 +38,8 @@
 const ROOM_RECOVERY_MS: f64 = 6_000.0;
 // Time for which the entry of an upstream that was replaced may stay in the store.
 const REPLACED_MS: u64 = 10_000;
+// Time after which peers are likely to know an upstream that has just been registered.
+const UNKNOWN_MS: u64 = 500;
 // Time after a success of its own in which an instance doesn't believe that an upstream is down.
 const DOUBT_MS: u64 = 1_000;
 // Cost of an upstream in another data centre over one in the same, in parts of a free upstream.
@@ -60,6 +62,8 @@
     Full,
     /// Another incarnation has its address.
     Replaced,
+    /// A peer that was to send to it doesn't know it yet.
+    Unknown,
 }
 
 #[derive(Debug)]
@@ -146,6 +150,10 @@
                 record.full_deadline_ms = now.after(FULL_MS);
             }
             Outcome::Replaced => record.down_deadline_ms = now.after(REPLACED_MS),
+            Outcome::Unknown => {
+                let deadline_ms = now.after(UNKNOWN_MS);
+                record.peers_down_deadline_ms = record.peers_down_deadline_ms.max(deadline_ms);
+            }
         }
     }
 
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -40,6 +40,8 @@
 const MAX_SILENT_BROKER_ASKS: u32 = 3;
 // Time between two questions while a request waits in a broker's line.
 const WAITING_INTERVAL: Duration = Duration::from_millis(250);
+// Questions to brokers, silent or not, before an instance places by itself.
+const MAX_ASKS: usize = 4;
 // Time for which the answer to a question is kept for questions that are repeated.
 const ANSWER_LIFE_MS: u64 = 5_000;
 
@@ -112,6 +114,8 @@
     Unreachable,
     /// Another incarnation has its address.
     Replaced,
+    /// The instance doesn't know it, or not yet.
+    Unknown,
 }
 
 /// The end of the use of an engine that was granted.
@@ -160,14 +164,19 @@
 }
 
 /// Gets a place for a request from the service's broker.
-pub async fn place(gateway: &SharedGateway, claim: Claim) -> std::result::Result<Place, Refused> {
-    for _ in 0..owners::MAX_OWNERS {
+pub async fn place(
+    gateway: &SharedGateway,
+    mut claim: Claim,
+) -> std::result::Result<Place, Refused> {
+    for _ in 0..MAX_ASKS {
         let Owner::Peer { instance, address } = owners::choose(gateway, &claim.service) else {
             break;
         };
         match ask(gateway, address, &claim).await {
-            Some(result) => return result,
-            None => gateway.owners.suspect(gateway, &instance, &claim.service),
+            Asking::Decided(result) => return result,
+            Asking::Silent => gateway.owners.suspect(gateway, &instance, &claim.service),
+            // The broker is told of it, and has others.
+            Asking::Unusable(decode) => claim.except = Some(decode),
         }
     }
     lines::wait(gateway, claim, Holder::Own).await
@@ -210,12 +219,17 @@
     }
 }
 
-// Asks a broker. Returns `None` if it doesn't answer.
-async fn ask(
-    gateway: &SharedGateway,
-    broker: SocketAddr,
-    claim: &Claim,
-) -> Option<std::result::Result<Place, Refused>> {
+// How a question to a broker ended.
+enum Asking {
+    Decided(std::result::Result<Place, Refused>),
+    // It didn't answer.
+    Silent,
+    // This instance can't use the engine that it was given to decode on, or the one to prefill on.
+    Unusable(Arc<str>),
+}
+
+// Asks a broker.
+async fn ask(gateway: &SharedGateway, broker: SocketAddr, claim: &Claim) -> Asking {
     let ticket = gateway.broker.next_ticket.fetch_add(1, Ordering::Relaxed);
     let (sender, mut verdicts) = mpsc::unbounded_channel();
     locked(&gateway.broker.own).insert(ticket, sender);
@@ -252,13 +266,13 @@
             }
             Ok(Some(Verdict::Refused { retry_after_ms })) => {
                 own.decided = true;
-                return Some(Err(Refused { retry_after_ms }));
+                return Asking::Decided(Err(Refused { retry_after_ms }));
             }
             Ok(Some(Verdict::Granted { decode, prefill })) => {
                 own.decided = true;
                 return accept(gateway, broker, ticket, claim, &decode, prefill.as_ref());
             }
-            Ok(None) => return None,
+            Ok(None) => return Asking::Silent,
             Err(_) => {
                 silent += 1;
                 // Another broker doesn't know of the latest places: a busy one is worth waiting for.
@@ -266,11 +280,11 @@
             }
         }
     }
-    None
+    Asking::Silent
 }
 
-// Takes a granted place, or returns `None` if this instance knows that the engines take no work or
-// doesn't know them: then one of the two doesn't hear the store.
+// Takes a granted place, unless this instance knows that an engine takes no work, or doesn't know it:
+// then one of the two doesn't hear the store, or heard it earlier than the other.
 fn accept(
     gateway: &SharedGateway,
     broker: SocketAddr,
@@ -278,25 +292,23 @@
     claim: &Claim,
     decode: &Arc<str>,
     prefill: Option<&Arc<str>>,
-) -> Option<std::result::Result<Place, Refused>> {
-    let usable = |id: &Arc<str>| {
-        let beliefs = gateway.beliefs();
-        let upstream = beliefs.upstreams.get(id).cloned();
-        upstream.filter(|upstream| upstream.accepts_work)
-    };
+) -> Asking {
+    let known = |id: &Arc<str>| gateway.beliefs().upstreams.get(id).cloned();
+    let usable = |id: &Arc<str>| known(id).filter(|upstream| upstream.accepts_work);
     let (Some(decode), None | Some(Some(_))) = (usable(decode), prefill.map(usable)) else {
         for upstream in [Some(decode), prefill].into_iter().flatten() {
-            let result = match usable(upstream) {
-                Some(_) => Result::Used,
-                None => Result::Replaced,
+            let result = match known(upstream) {
+                Some(upstream) if upstream.accepts_work => Result::Used,
+                Some(_) => Result::Replaced,
+                None => Result::Unknown,
             };
             release(gateway, broker, ticket, upstream.clone(), result);
         }
-        return None;
+        return Asking::Unusable(decode.clone());
     };
     let holder = Holder::Granted { broker, ticket };
     let prefill = prefill.and_then(usable);
-    Some(Ok(lines::begin(
+    Asking::Decided(Ok(lines::begin(
         gateway,
         claim,
         &decode,
@@ -429,6 +441,7 @@
             Result::Full => Some(Outcome::Full),
             Result::Unreachable => Some(Outcome::Unreachable),
             Result::Replaced => Some(Outcome::Replaced),
+            Result::Unknown => Some(Outcome::Unknown),
         };
         if let Some(outcome) = outcome {
             beliefs.records.note(&release.upstream, outcome, now);
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -296,7 +296,7 @@
                 let fill = self.fills.entry(service).or_default();
                 fill.note_rejected(held, kv_tokens);
             }
-            broker::Result::Unreachable | broker::Result::Replaced => {}
+            broker::Result::Unreachable | broker::Result::Replaced | broker::Result::Unknown => {}
         }
     }
 
