Pay for prefills while they are under way

Change: a first prefill takes a retry when it is sent and gives it back once an engine has accepted it.

--- a/crates/dogwoodpier-core/src/gateway/retries.rs
+++ b/crates/dogwoodpier-core/src/gateway/retries.rs
@@ -3,8 +3,9 @@
 //! Load pattern: upstreams fail or reject much of what they get, and each failure asks for another
 //! send. The budget allows a share of the requests of the last window, plus this instance's part of
 //! a fixed allowance, so that the fleet's sum stays bounded without any message. The first prefill of
-//! a request is no retry unless it is rejected, which is known only afterwards: a part of the budget
-//! stays for these, and once it is used up, engines read prompts themselves.
+//! a request is no retry unless no engine accepts it, which is known only afterwards: it is charged
+//! while it is under way, a part of the budget stays for these, and once it is used up, engines read
+//! prompts themselves.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -104,14 +105,21 @@
         true
     }
 
-    /// Counts a send that turned out to be a retry, whether one was left or not.
-    pub fn charge(&mut self, service: &Arc<str>, options: &RetryOptions, now: TimeMs) {
+    fn charge(&mut self, service: &Arc<str>, options: &RetryOptions, now: TimeMs) {
         self.part(service, options, now).retries += 1;
     }
 
-    /// Returns whether any part of a retry is left, without taking it. An instance of a large fleet
-    /// often has less than a whole one.
-    pub fn has_retry(
+    /// Gives back a retry that was taken for a prefill which was accepted.
+    pub fn give_back(&mut self, service: &Arc<str>) {
+        let parts = self.services.get_mut(service).into_iter().flatten();
+        if let Some(part) = parts.rev().find(|part| part.retries > 0) {
+            part.retries -= 1;
+        }
+    }
+
+    /// Takes a retry for a prefill, or returns false if nothing is left. Any part of one will do: an
+    /// instance of a large fleet often has less than a whole one.
+    pub fn take_prefill(
         &mut self,
         service: &Arc<str>,
         options: &RetryOptions,
@@ -119,7 +127,11 @@
         now: TimeMs,
     ) -> bool {
         let (taken, allowed) = self.level(service, options, members, now);
-        taken < allowed
+        if taken >= allowed {
+            return false;
+        }
+        self.charge(service, options, now);
+        true
     }
 
     // Returns the retries taken in the window and those allowed.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -360,9 +360,10 @@
     progress: &mut Progress,
 ) -> Option<HeaderValue> {
     let mut guard = prefill?;
-    let may_prefill = match progress.attempts.prefill_costs_retry() {
-        true => gateway.take_retry(request),
-        false => gateway.may_prefill(request),
+    let is_first = !progress.attempts.prefill_costs_retry();
+    let may_prefill = match is_first {
+        true => gateway.take_prefill(request),
+        false => gateway.take_retry(request),
     };
     if !may_prefill {
         return None;
@@ -380,7 +381,6 @@
     let reply = match sent {
         Sent::Answered(reply) => reply,
         Sent::NotExecuted(_) => {
-            gateway.charge_retry(request);
             guard.set_result(broker::Result::Full);
             return None;
         }
@@ -393,6 +393,9 @@
         gateway.note(&engine, Outcome::Failed);
         return None;
     };
+    if is_first {
+        gateway.give_back_prefill(request);
+    }
     let now = clock::now();
     let elapsed_ms = now.since(started_ms);
     gateway.note(&engine, Outcome::Answered { elapsed_ms });
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -154,14 +154,20 @@
         })
     }
 
-    /// Returns whether a prefill may be sent: a rejection would count as a retry.
-    pub fn may_prefill(&self, request: &ClientRequest) -> bool {
+    /// Takes the first prefill of a request out of the budget: it counts as a retry unless an engine
+    /// accepts it. Returns false if nothing is left.
+    pub fn take_prefill(&self, request: &ClientRequest) -> bool {
         let now = clock::now();
         self.with_retries(request, now, |retries, service, options, members| {
-            retries.has_retry(service, options, members, now)
+            retries.take_prefill(service, options, members, now)
         })
     }
 
+    /// Gives back what was taken for a first prefill that was accepted.
+    pub fn give_back_prefill(&self, request: &ClientRequest) {
+        self.beliefs().retries.give_back(&request.service.name);
+    }
+
     // Asks the budget for a request's service, as shared with the members of the fleet.
     fn with_retries<A>(&self, request: &ClientRequest, now: TimeMs, ask: A) -> bool
     where
@@ -174,15 +180,6 @@
         ask(&mut beliefs.retries, service, &options, members)
     }
 
-    /// Counts a prefill that was rejected.
-    pub fn charge_retry(&self, request: &ClientRequest) {
-        let settings = self.settings.load();
-        let service = &request.service.name;
-        self.beliefs()
-            .retries
-            .charge(service, &settings.retries, clock::now());
-    }
-
     /// Counts a request at an upstream until the guard is dropped.
     pub fn begin_use(
         self: &Arc<Self>,
