Tell repeats and cut connections apart in the log

An admitted request is logged with a hash of workspace, method, path and body, by which a repeat is recognized (moved from the node's pipeline to dogwoodpier-core::quarantine, one copy). A send whose connection the upstream ended is `cut`; `lost` stays for what was no answer to the request, also one that can't be parsed, which the HTTP client now reports as SendError::Unreadable. No decision changes.

--- a/crates/dogwoodpier-core/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-core/src/quarantine/mod.rs
@@ -5,9 +5,11 @@
 //! of an engine delays nobody. A suspect of two crashes runs alone: no other such suspect runs at
 //! the same time anywhere, so a third crash is its own, and it is quarantined.
 
+mod fingerprint;
 mod suspects;
 mod turns;
 
+pub use fingerprint::fingerprint;
 pub use suspects::Crash;
 pub use suspects::Standing;
 pub use suspects::SuspectSettings;
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -23,6 +23,7 @@
 use dogwoodpier_core::gateway::routes::Service;
 use dogwoodpier_core::gateway::routes::Workspace;
 use dogwoodpier_core::gateway::upstreams::Stage;
+use dogwoodpier_core::quarantine;
 use dogwoodpier_process::clock;
 
 use crate::dialect::PromptSize;
@@ -94,8 +95,16 @@
                 Rejection::come_back(Reason::OverQuota, over.retry_after_ms, client_wait_ms)
             })?,
     };
+    let path_and_query = head.uri.path_and_query();
+    let fingerprint = quarantine::fingerprint(
+        workspace.as_ref().map(|workspace| &*workspace.name),
+        head.method.as_str(),
+        path_and_query.map_or_else(|| head.uri.path(), |path| path.as_str()),
+        &body,
+    );
     let request = ClientRequest {
         id,
+        fingerprint,
         charge,
         method: head.method,
         target: head.uri,
@@ -115,6 +124,7 @@
         "admitted",
         serde_json::json!({
             "request_id": request.id_text(),
+            "fingerprint": format!("{:016x}", request.fingerprint),
             "route": &*request.route.name,
             "service": &*request.service.name,
             "workspace": request.workspace.as_ref().map(|workspace| &*workspace.name),
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -341,7 +341,7 @@
             decode.set_result(broker::Result::Replaced);
         }
         Sent::NotExecuted(_) => decode.set_result(broker::Result::Full),
-        Sent::Lost(_) => progress.attempts.runs += 1,
+        Sent::Cut(_) | Sent::Lost(_) => progress.attempts.runs += 1,
         Sent::TimedOut => {
             progress.attempts.runs += 1;
             progress.timed_out = true;
@@ -384,7 +384,7 @@
             guard.set_result(broker::Result::Full);
             return None;
         }
-        Sent::NotSent(_) | Sent::Lost(_) | Sent::TimedOut => {
+        Sent::NotSent(_) | Sent::Cut(_) | Sent::Lost(_) | Sent::TimedOut => {
             guard.set_result(broker::Result::Unreachable);
             return None;
         }
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -33,7 +33,9 @@
     NotSent(String),
     /// The upstream rejected the request and has not run it.
     NotExecuted(StatusCode),
-    /// The answer is lost or isn't one to this request; it may have run.
+    /// The upstream's connection ended before the answer; the request may have run.
+    Cut(String),
+    /// What came is no answer to this request; it may have run.
     Lost(String),
     /// No answer came in time; the request may have run.
     TimedOut,
@@ -46,6 +48,7 @@
             Self::Answered(_) => "answered",
             Self::NotSent(_) => "not_sent",
             Self::NotExecuted(_) => "not_executed",
+            Self::Cut(_) => "cut",
             Self::Lost(_) => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -101,7 +104,7 @@
         }
         Sent::NotExecuted(_) => gateway.note(upstream, Outcome::Full),
         Sent::NotSent(_) | Sent::TimedOut => gateway.note(upstream, Outcome::Unreachable),
-        Sent::Lost(_) => gateway.note(upstream, Outcome::Failed),
+        Sent::Cut(_) | Sent::Lost(_) => gateway.note(upstream, Outcome::Failed),
     }
     if !matches!(sent, Sent::Answered(_)) {
         log_failure(gateway, request, upstream, &sent, elapsed_ms);
@@ -117,7 +120,7 @@
     elapsed_ms: u64,
 ) {
     let detail = match sent {
-        Sent::NotSent(detail) | Sent::Lost(detail) => detail.clone(),
+        Sent::NotSent(detail) | Sent::Cut(detail) | Sent::Lost(detail) => detail.clone(),
         Sent::NotExecuted(status) => format!("status {}", status.as_u16()),
         Sent::Answered(_) | Sent::TimedOut => String::new(),
     };
@@ -155,6 +158,7 @@
     match tokio::time::timeout(limit, gateway.connections.send(&to, outgoing)).await {
         Err(_) => Sent::TimedOut,
         Ok(Err(SendError::NotSent(detail))) => Sent::NotSent(detail),
+        Ok(Err(SendError::Cut(detail))) => Sent::Cut(detail),
         Ok(Err(error)) => Sent::Lost(error.to_string()),
         Ok(Ok(reply)) => classify(gateway, request, reply),
     }
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -57,6 +57,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Hash by which a repeat of it is recognized.
+    pub fingerprint: u64,
     /// Count of the body's bytes.
     pub held: HeldBytes,
     /// Route that takes it.
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -100,7 +100,11 @@
                 Err(error) => error,
             };
             let Some(unsent) = error.take_message() else {
-                return Err(SendError::Cut(describe(error.error())));
+                let detail = describe(error.error());
+                return Err(match error.error().is_parse() {
+                    true => SendError::Unreadable(detail),
+                    false => SendError::Cut(detail),
+                });
             };
             if connected {
                 return Err(SendError::NotSent(describe(error.error())));
--- a/crates/dogwoodpier-http/src/error.rs
+++ b/crates/dogwoodpier-http/src/error.rs
@@ -17,6 +17,9 @@
     /// The connection ended before the answer; the request may have run.
     #[error("connection cut before the answer: {0}")]
     Cut(String),
+    /// What came is no answer; the request may have run.
+    #[error("unreadable answer: {0}")]
+    Unreadable(String),
 }
 
 /// Why an answer's body can't be read to its end.
--- a/crates/dogwoodpier-node/src/pipeline/request.rs
+++ b/crates/dogwoodpier-node/src/pipeline/request.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
-use xxhash_rust::xxh3::Xxh3;
 
 use dogwoodpier_core::TimeMs;
 
@@ -38,25 +37,3 @@
         self.path_and_query.split('?').next().unwrap_or_default()
     }
 }
-
-/// Returns the hash of a request that quarantine and claims tell requests apart by.
-pub fn fingerprint(
-    workspace: Option<&str>,
-    method: &Method,
-    path_and_query: &str,
-    body: &[u8],
-) -> u64 {
-    let mut hasher = Xxh3::new();
-    let parts = [
-        workspace.unwrap_or_default().as_bytes(),
-        method.as_str().as_bytes(),
-        path_and_query.as_bytes(),
-        body,
-    ];
-    for part in parts {
-        // The length keeps two different splits of the same bytes apart.
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.digest()
-}
--- a/crates/dogwoodpier-node/src/pipeline/serve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/serve.rs
@@ -15,6 +15,7 @@
 use dogwoodpier_core::Refusal;
 use dogwoodpier_core::RefusalReason;
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::quarantine;
 
 use crate::clock;
 use crate::counters;
@@ -36,7 +37,6 @@
 use super::model::Output;
 use super::model_call;
 use super::model_call::Api;
-use super::request::fingerprint;
 use super::respond;
 use super::respond::WholeAnswer;
 use super::secrets;
@@ -240,9 +240,9 @@
         headers: head.headers.clone(),
         workspace: workspace.cloned(),
         deadline_ms: head.accepted_ms.after(given_ms),
-        fingerprint: fingerprint(
+        fingerprint: quarantine::fingerprint(
             workspace.map(|name| &**name),
-            &head.method,
+            head.method.as_str(),
             &head.path_and_query,
             &read.body,
         ),
--- a/crates/dogwoodpier-platform/src/error.rs
+++ b/crates/dogwoodpier-platform/src/error.rs
@@ -26,7 +26,9 @@
     fn from(error: SendError) -> Self {
         match error {
             SendError::NotSent(_) => Self::NotDone(error.to_string()),
-            SendError::Timeout { .. } | SendError::Cut(_) => Self::Unknown(error.to_string()),
+            SendError::Timeout { .. } | SendError::Cut(_) | SendError::Unreadable(_) => {
+                Self::Unknown(error.to_string())
+            }
         }
     }
 }
--- a/crates/dogwoodpier-upstream/src/engine/error.rs
+++ b/crates/dogwoodpier-upstream/src/engine/error.rs
@@ -61,6 +61,7 @@
             SendError::NotSent(cause) => Self::NotSent(cause),
             SendError::Timeout { timeout_ms } => Self::Timeout { timeout_ms },
             SendError::Cut(cause) => Self::Cut(cause),
+            SendError::Unreadable(cause) => Self::Protocol(cause),
         }
     }
 }
--- a/crates/dogwoodpier-upstream/src/service.rs
+++ b/crates/dogwoodpier-upstream/src/service.rs
@@ -85,7 +85,9 @@
     fn from(error: SendError) -> Self {
         match error {
             SendError::NotSent(cause) => Self::NotSent(cause),
-            SendError::Timeout { .. } | SendError::Cut(_) => Self::NoAnswer(error),
+            SendError::Timeout { .. } | SendError::Cut(_) | SendError::Unreadable(_) => {
+                Self::NoAnswer(error)
+            }
         }
     }
 }
