Stop requests that crash the upstreams which run them

Cause: what a request did to upstreams was known only to the request of the client that was under way (retries::Attempts). A repeat has a new identity and began from nothing, at this instance or any other. Ruled out by the reproducing test: sends of one identity beyond max_attempts (each stayed within it, but a prefill and a decode engine could both end), and the budget of retries (a repeat is a new request and adds to it).

Crashes are now counted over the fleet by a hash of the request, in the table that the product's own path uses (dogwoodpier-core::quarantine, with a bound of its own and news instead of turns): three crashes of different incarnations without an answer in between, then 503 at once with Retry-After, before quota and placing. A cut counts only if the upstream then takes no connection. News go to all peers before the client is answered and in heartbeats; the peers' messages have version 2.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use dogwoodpier_derive::wire;
 
 use crate::TimeMs;
+use crate::quarantine::SuspectNews;
 
 use super::quota::Hearing;
 
@@ -93,6 +94,8 @@
     pub leaving_upstreams: BTreeMap<Arc<str>, Option<u64>>,
     /// Revision of the store up to which the sender has seen a change, by kind of object.
     pub seen_revisions: BTreeMap<Arc<str>, u64>,
+    /// Requests that crash upstreams.
+    pub suspects: Vec<SuspectNews>,
 }
 
 /// Pace of the reports to all peers, and bounds on the trust in them.
--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -203,6 +203,14 @@
         }
     }
 
+    /// Returns whether an upstream has answered after a time.
+    pub fn has_answered_since(&self, upstream: &str, since_ms: TimeMs) -> bool {
+        self.records
+            .get(upstream)
+            .and_then(|record| record.succeeded_ms)
+            .is_some_and(|succeeded_ms| succeeded_ms > since_ms)
+    }
+
     /// Returns whether a peer told that it can't reach an upstream.
     pub fn is_down_at_peers(&self, upstream: &str, now: TimeMs) -> bool {
         self.records
--- a/crates/dogwoodpier-core/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-core/src/quarantine/mod.rs
@@ -4,12 +4,20 @@
 //! again at once, but only one copy of it at a time in the whole fleet, so that an ordinary failure
 //! of an engine delays nobody. A suspect of two crashes runs alone: no other such suspect runs at
 //! the same time anywhere, so a third crash is its own, and it is quarantined.
+//!
+//! Load pattern of the gateway: the caller of such a request sends it again, with a new identity and
+//! to another instance, and each repeat ends one more upstream. Its crashes are counted over the
+//! fleet, and it is quarantined after a number of them with no answer in between. It takes no turns:
+//! its suspects are requests whose callers wait for fractions of a second. A request that is sent
+//! often, such as a lookup, meets ordinary crashes too, but is answered in between.
 
 mod fingerprint;
+mod news;
 mod suspects;
 mod turns;
 
 pub use fingerprint::fingerprint;
+pub use news::SuspectNews;
 pub use suspects::Crash;
 pub use suspects::Standing;
 pub use suspects::SuspectSettings;
--- a/crates/dogwoodpier-core/src/quarantine/suspects.rs
+++ b/crates/dogwoodpier-core/src/quarantine/suspects.rs
@@ -6,6 +6,8 @@
 
 use crate::TimeMs;
 
+use super::SuspectNews;
+
 /// Lifetimes and bounds of crash reports.
 #[plain]
 pub struct SuspectSettings {
@@ -19,6 +21,8 @@
     pub spread_ms: u64,
     /// Most requests that reports are kept of.
     pub max_requests: usize,
+    /// Crashes, however they came about, after which a request is no longer tried.
+    pub max_crashes: usize,
 }
 
 /// A crash that a request was in flight in.
@@ -57,6 +61,8 @@
 pub struct SuspectTable {
     settings: SuspectSettings,
     crashes: BTreeMap<u64, Vec<Known>>,
+    // Last answers of requests that were suspects, by fingerprint.
+    answers: BTreeMap<u64, Answered>,
     // Where the next heartbeat goes on with older reports.
     next_old: usize,
 }
@@ -66,12 +72,19 @@
 struct Known {
     crash: Crash,
     learned_ms: TimeMs,
+    // Seen by this node and not heard of.
+    is_own: bool,
+}
+
+#[plain]
+#[derive(Copy)]
+struct Answered {
+    answered_ms: TimeMs,
+    is_own: bool,
 }
 
 // Crashes after which a request runs alone.
 const ALONE_CRASHES: usize = 2;
-// Crashes, however they came about, after which a request is no longer tried.
-const MAX_CRASHES: usize = 4;
 // Reports in one heartbeat.
 const MAX_NEW_REPORTS: usize = 64;
 const MAX_OLD_REPORTS: usize = 4;
@@ -112,6 +125,7 @@
         Self {
             settings,
             crashes: BTreeMap::new(),
+            answers: BTreeMap::new(),
             next_old: 0,
         }
     }
@@ -128,11 +142,22 @@
 
     /// Takes in a report. Returns whether it is of a crash that was not known.
     pub fn take(&mut self, crash: Crash, now: TimeMs) -> bool {
+        self.insert(crash, false, now)
+    }
+
+    pub(super) fn insert(&mut self, crash: Crash, is_own: bool, now: TimeMs) -> bool {
         self.expire(now);
         let same_crash_ms = self.settings.same_crash_ms;
         let settings = self.settings.clone();
         let seen_ms = settings.seen_ms(&crash);
         let is_full = self.crashes.len() >= self.settings.max_requests;
+        let is_answered = self
+            .answers
+            .get(&crash.fingerprint)
+            .is_some_and(|answered| seen_ms <= answered.answered_ms);
+        if is_answered {
+            return false;
+        }
         if crash.expires_ms <= now || (is_full && !self.crashes.contains_key(&crash.fingerprint)) {
             return false;
         }
@@ -151,14 +176,63 @@
         known.push(Known {
             crash,
             learned_ms: now,
+            is_own,
         });
         true
     }
 
+    // Drops the crashes of a request that were seen before it was answered. Returns whether there were
+    // any.
+    pub(super) fn acquit(
+        &mut self,
+        fingerprint: u64,
+        answered_ms: TimeMs,
+        is_own: bool,
+        now: TimeMs,
+    ) -> bool {
+        self.expire(now);
+        let settings = self.settings.clone();
+        let Some(known) = self.crashes.get_mut(&fingerprint) else {
+            return false;
+        };
+        let count = known.len();
+        known.retain(|known| settings.seen_ms(&known.crash) > answered_ms);
+        let dropped = known.len() < count;
+        if known.is_empty() {
+            self.crashes.remove(&fingerprint);
+        }
+        if dropped {
+            let answered = Answered {
+                answered_ms,
+                is_own,
+            };
+            self.forget_oldest_answer();
+            self.answers.insert(fingerprint, answered);
+        }
+        dropped
+    }
+
+    // Keeps the answers within the bound of requests.
+    fn forget_oldest_answer(&mut self) {
+        if self.answers.len() < self.settings.max_requests {
+            return;
+        }
+        let oldest = self.answers.iter();
+        let oldest = oldest.min_by_key(|(_, answered)| answered.answered_ms);
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.answers.remove(&fingerprint);
+        }
+    }
+
+    pub(super) fn settings(&self) -> &SuspectSettings {
+        &self.settings
+    }
+
     /// Returns what a request may do.
     pub fn standing(&self, fingerprint: u64, now: TimeMs) -> Standing {
         let crashes: Vec<&Crash> = self.live(fingerprint, now).collect();
-        let is_guilty = crashes.len() >= MAX_CRASHES || crashes.iter().any(|crash| crash.alone);
+        let is_guilty =
+            crashes.len() >= self.settings.max_crashes || crashes.iter().any(|crash| crash.alone);
         let last_ms = crashes.iter().map(|crash| crash.expires_ms).max();
         match crashes.len() {
             0 => Standing::Clear,
@@ -192,6 +266,44 @@
         reports
     }
 
+    /// Returns the news for the next heartbeat of a gateway: what it has seen itself lately, and a few
+    /// of the older crashes of requests that may soon be quarantined, for instances that have just
+    /// joined. What others have seen they tell themselves.
+    pub fn news(&mut self, now: TimeMs) -> Vec<SuspectNews> {
+        self.expire(now);
+        let spread_ms = self.settings.spread_ms;
+        let own = self.crashes.values().flatten();
+        let own = own.filter(|known| known.is_own && now.since(known.learned_ms) < spread_ms);
+        let mut news: Vec<SuspectNews> = own.map(|known| known.crash.news(now)).collect();
+        let answers = self
+            .answers
+            .iter()
+            .filter(|(_, answered)| answered.is_own && now.since(answered.answered_ms) < spread_ms);
+        news.extend(
+            answers.map(|(fingerprint, answered)| SuspectNews::Answered {
+                fingerprint: *fingerprint,
+                ago_ms: now.since(answered.answered_ms),
+            }),
+        );
+        news.truncate(MAX_NEW_REPORTS);
+        let repeated = self.crashes.values();
+        let repeated: Vec<Crash> = repeated
+            .filter(|known| known.len() >= ALONE_CRASHES)
+            .flatten()
+            .map(|known| known.crash)
+            .collect();
+        for offset in 0..MAX_OLD_REPORTS.min(repeated.len()) {
+            news.push(repeated[(self.next_old + offset) % repeated.len()].news(now));
+        }
+        self.next_old = self.next_old.wrapping_add(MAX_OLD_REPORTS);
+        news
+    }
+
+    /// Returns the number of crashes that count against a request.
+    pub fn crashes_of(&self, fingerprint: u64, now: TimeMs) -> usize {
+        self.live(fingerprint, now).count()
+    }
+
     /// Returns the number of requests with reports.
     pub fn len(&self) -> usize {
         self.crashes.len()
@@ -216,5 +328,8 @@
             known.retain(|known| known.crash.expires_ms > now);
             !known.is_empty()
         });
+        let crash_ms = self.settings.crash_ms;
+        self.answers
+            .retain(|_, answered| now.since(answered.answered_ms) < crash_ms);
     }
 }
--- a/crates/dogwoodpier-core/tests/gateway_exchange.rs
+++ b/crates/dogwoodpier-core/tests/gateway_exchange.rs
@@ -48,6 +48,7 @@
         down_for_ms: BTreeMap::new(),
         leaving_upstreams: BTreeMap::new(),
         seen_revisions: BTreeMap::new(),
+        suspects: Vec::new(),
     }
 }
 
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -68,6 +68,7 @@
         down_for_ms: BTreeMap::new(),
         leaving_upstreams: Default::default(),
         seen_revisions: BTreeMap::new(),
+        suspects: Vec::new(),
     }
 }
 
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -135,6 +135,7 @@
                     down_for_ms: Default::default(),
                     leaving_upstreams: Default::default(),
                     seen_revisions: Default::default(),
+                    suspects: Vec::new(),
                 };
                 self.in_flight.push((now_ms + self.lag_ms, to, report));
             }
--- a/crates/dogwoodpier-core/tests/poison_requests.rs
+++ b/crates/dogwoodpier-core/tests/poison_requests.rs
@@ -80,6 +80,7 @@
             same_crash_ms: 1_000,
             spread_ms: 10_000,
             max_requests: 1_000,
+            max_crashes: 4,
         };
         Self {
             now: TimeMs(1_000_000),
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -87,6 +87,17 @@
         .as_ref()
         .and_then(|workspace| workspace.priority)
         .unwrap_or(route.priority);
+    let path_and_query = head.uri.path_and_query();
+    let fingerprint = quarantine::fingerprint(
+        workspace.as_ref().map(|workspace| &*workspace.name),
+        head.method.as_str(),
+        path_and_query.map_or_else(|| head.uri.path(), |path| path.as_str()),
+        &body,
+    );
+    if let Some(rejection) = gateway.quarantine.rejection(fingerprint) {
+        log_quarantined(gateway, &id, fingerprint);
+        return Err(rejection);
+    }
     let charge = match &workspace {
         None => None,
         Some(workspace) => charge_quota(gateway, &id, workspace, &service, prompt)
@@ -95,13 +106,6 @@
                 Rejection::come_back(Reason::OverQuota, over.retry_after_ms, client_wait_ms)
             })?,
     };
-    let path_and_query = head.uri.path_and_query();
-    let fingerprint = quarantine::fingerprint(
-        workspace.as_ref().map(|workspace| &*workspace.name),
-        head.method.as_str(),
-        path_and_query.map_or_else(|| head.uri.path(), |path| path.as_str()),
-        &body,
-    );
     let request = ClientRequest {
         id,
         fingerprint,
@@ -135,6 +139,16 @@
     Ok(request)
 }
 
+fn log_quarantined(gateway: &Gateway, id: &HeaderValue, fingerprint: u64) {
+    gateway.events.write(
+        "quarantined",
+        serde_json::json!({
+            "request_id": id.to_str().unwrap_or_default(),
+            "fingerprint": format!("{fingerprint:016x}"),
+        }),
+    );
+}
+
 fn find_route(configuration: &Configuration, head: &Parts) -> Result<Arc<Route>, Rejection> {
     let mut hosts = head.headers.get_all(header::HOST).iter();
     let host = hosts.next().and_then(|host| host.to_str().ok());
--- a/crates/dogwoodpier-gateway/src/codec.rs
+++ b/crates/dogwoodpier-gateway/src/codec.rs
@@ -5,7 +5,7 @@
 use crate::exchange::Message;
 
 // Instances of other versions of the messages are told apart by the first byte.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// A message that can't be read.
 #[derive(Debug, Error, PartialEq)]
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -37,6 +37,7 @@
 use crate::lines;
 use crate::lines::Claim;
 use crate::lines::Place;
+use crate::quarantine;
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
@@ -159,7 +160,9 @@
     failed: Arc<str>,
     last_event: Option<HeaderValue>,
 ) -> Option<Resumed> {
-    if runs >= request.route.max_attempts || !gateway.take_retry(request) {
+    let may_run =
+        runs < request.route.max_attempts && !gateway.quarantine.holds(request.fingerprint);
+    if !may_run || !gateway.take_retry(request) {
         return None;
     }
     let now = clock::now();
@@ -180,6 +183,9 @@
     let extra = extra.into_iter().collect();
     let upstream = place.decode.upstream().clone();
     let sent = forwarding::send(gateway, request, &upstream, extra, request.deadline_ms).await;
+    if let Sent::Cut(_) = sent {
+        quarantine::note_cut(gateway, &request.in_flight(), &upstream).await;
+    }
     let Sent::Answered(reply) = sent else {
         return None;
     };
@@ -238,11 +244,17 @@
         let costs_retry = progress.attempts.send_costs_retry();
         if !progress.attempts.may_repeat(&request.route)
             || places == MAX_PLACES
+            || gateway.quarantine.holds(request.fingerprint)
             || (costs_retry && !gateway.take_retry(request))
         {
             break;
         }
     }
+    if progress.attempts.runs == 0
+        && let Some(rejection) = gateway.quarantine.rejection(request.fingerprint)
+    {
+        return Err(rejection);
+    }
     Err(reject(request, &progress, lines::NO_ENGINE_RETRY_MS))
 }
 
@@ -323,6 +335,10 @@
         Some(cache) => Some(cache),
         None => read_prompt(gateway, request, prefill, &decode, progress).await,
     };
+    // News may have come while it waited for its place or its prompt was read.
+    if gateway.quarantine.holds(request.fingerprint) {
+        return None;
+    }
     let names = &gateway.dialect.headers;
     let extra = source.map(|source| (names.cache_source.clone(), source));
     let extra = extra.into_iter().collect();
@@ -341,7 +357,11 @@
             decode.set_result(broker::Result::Replaced);
         }
         Sent::NotExecuted(_) => decode.set_result(broker::Result::Full),
-        Sent::Cut(_) | Sent::Lost(_) => progress.attempts.runs += 1,
+        Sent::Cut(_) => {
+            progress.attempts.runs += 1;
+            quarantine::note_cut(gateway, &request.in_flight(), &upstream).await;
+        }
+        Sent::Lost(_) => progress.attempts.runs += 1,
         Sent::TimedOut => {
             progress.attempts.runs += 1;
             progress.timed_out = true;
@@ -378,6 +398,9 @@
         .min(started_ms.after(request.route.objective_ms));
     let engine = guard.upstream().clone();
     let sent = forwarding::send_unpaid(gateway, request, &engine, extra, limit_ms).await;
+    if let Sent::Cut(_) = sent {
+        quarantine::note_cut(gateway, &request.in_flight(), &engine).await;
+    }
     let reply = match sent {
         Sent::Answered(reply) => reply,
         Sent::NotExecuted(_) => {
@@ -466,7 +489,7 @@
     let (body, returning) = reply.into_body();
     let relay = Relay {
         gateway: gateway.clone(),
-        request_id: request.id_text().to_owned(),
+        run: request.in_flight(),
         body,
         returning: Some(returning),
         guard: decode,
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::exchange::Report;
+use dogwoodpier_core::quarantine::SuspectNews;
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
 
@@ -18,6 +19,7 @@
 use crate::broker::Ask;
 use crate::broker::Release;
 use crate::codec;
+use crate::quarantine;
 use crate::quota;
 use crate::quota::QuotaAnswer;
 use crate::quota::QuotaAsk;
@@ -48,6 +50,8 @@
     QuotaAnswer(QuotaAnswer),
     /// Units of a request that has not run.
     QuotaReturn(QuotaReturn),
+    /// A request was in flight where an upstream crashed, or was answered since.
+    Suspect(SuspectNews),
     /// A question that no longer matters.
     Withdraw {
         /// Instance that asked.
@@ -95,6 +99,7 @@
         Message::QuotaAsk(question) => quota::take_ask(gateway, from, &question),
         Message::QuotaAnswer(answer) => quota::take_answer(gateway, from, answer),
         Message::QuotaReturn(returned) => quota::take_return(gateway, &returned),
+        Message::Suspect(news) => quarantine::take_news(gateway, &[news]),
         Message::Withdraw { instance, ticket } => {
             broker::take_withdrawal(gateway, &instance, ticket);
         }
@@ -103,6 +108,7 @@
 
 fn take_report(gateway: &SharedGateway, report: Report) {
     let now = clock::now();
+    quarantine::take_news(gateway, &report.suspects);
     for (kind, revision) in &report.seen_revisions {
         gateway.revisions.note_peer(kind, *revision);
     }
@@ -229,5 +235,6 @@
         down_for_ms: beliefs.records.down(now),
         leaving_upstreams: beliefs.upstreams.leaving(),
         seen_revisions: gateway.revisions.here(),
+        suspects: gateway.quarantine.news(),
     }
 }
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -164,7 +164,8 @@
     }
 }
 
-fn destination(gateway: &Gateway, upstream: &Upstream) -> Destination {
+/// Returns where to send what is for an upstream.
+pub fn destination(gateway: &Gateway, upstream: &Upstream) -> Destination {
     Destination {
         id: upstream.id.clone(),
         address: upstream.address,
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod operators;
 pub mod owners;
 pub mod plain;
+mod quarantine;
 pub mod quota;
 pub mod readiness;
 pub mod registry;
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -22,6 +22,7 @@
 use crate::forwarding;
 use crate::forwarding::Sent;
 use crate::headers;
+use crate::quarantine;
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
@@ -109,6 +110,7 @@
 fn may_retry(gateway: &SharedGateway, request: &ClientRequest, progress: &Progress) -> bool {
     progress.attempts.may_repeat(&request.route)
         && progress.attempts.sends < MAX_SENDS
+        && !gateway.quarantine.holds(request.fingerprint)
         && gateway.take_retry(request)
 }
 
@@ -160,17 +162,27 @@
     }
     progress.attempts.runs += 1;
     progress.timed_out = matches!(sent, Sent::TimedOut);
+    if let Sent::Cut(_) = sent {
+        quarantine::note_cut(gateway, &request.in_flight(), upstream).await;
+    }
     let Sent::Answered(reply) = sent else {
         return None;
     };
-    let Some(answer) = read_whole(reply, limit_ms).await else {
-        note_failure(gateway, request, upstream, "the answer was cut");
-        return None;
+    let answer = match read_whole(reply, limit_ms).await {
+        Ok(answer) => answer,
+        Err(problem) => {
+            note_failure(gateway, request, upstream, problem.as_str());
+            if let Unread::Cut = problem {
+                quarantine::note_cut(gateway, &request.in_flight(), upstream).await;
+            }
+            return None;
+        }
     };
     if !forwarding::is_genuine(gateway, answer.status, &answer.headers) {
         note_failure(gateway, request, upstream, "the answer isn't genuine");
         return None;
     }
+    quarantine::note_answered(gateway, &request.in_flight());
     if answer.status.is_server_error() {
         gateway.note(upstream, Outcome::Failed);
         progress.failure = Some(answer);
@@ -217,8 +229,25 @@
     );
 }
 
-// Reads an answer to its end, or returns `None` if it was cut or is too large.
-async fn read_whole(reply: Reply, limit_ms: TimeMs) -> Option<Answer> {
+// Why an answer wasn't read to its end.
+enum Unread {
+    Cut,
+    TooLarge,
+    TimedOut,
+}
+
+impl Unread {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Cut => "the answer was cut",
+            Self::TooLarge => "the answer is too large",
+            Self::TimedOut => "the answer didn't end in time",
+        }
+    }
+}
+
+// Reads an answer to its end.
+async fn read_whole(reply: Reply, limit_ms: TimeMs) -> Result<Answer, Unread> {
     let status = reply.status;
     let headers = reply.headers.clone();
     let (mut body, returning) = reply.into_body();
@@ -226,18 +255,20 @@
     let read = async {
         let mut whole = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            if let Ok(data) = frame.ok()?.into_data() {
+            if let Ok(data) = frame.map_err(|_| Unread::Cut)?.into_data() {
                 whole.extend_from_slice(&data);
             }
             if whole.len() > MAX_ANSWER_BYTES {
-                return None;
+                return Err(Unread::TooLarge);
             }
         }
-        Some(whole.freeze())
+        Ok(whole.freeze())
     };
-    let body = tokio::time::timeout(limit, read).await.ok()??;
+    let body = tokio::time::timeout(limit, read)
+        .await
+        .unwrap_or(Err(Unread::TimedOut))?;
     returning.give_back();
-    Some(Answer {
+    Ok(Answer {
         status,
         headers,
         body,
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -0,0 +1,219 @@
+//! Stops requests that crash the upstreams which run them.
+//!
+//! The decisions are in [`dogwoodpier_core::quarantine`]. Here crashes are told from connections that
+//! were merely cut, and news of them goes to all peers before the client is answered.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use dogwoodpier_core::gateway::upstreams::Upstream;
+use dogwoodpier_core::quarantine::Crash;
+use dogwoodpier_core::quarantine::Standing;
+use dogwoodpier_core::quarantine::SuspectNews;
+use dogwoodpier_core::quarantine::SuspectSettings;
+use dogwoodpier_core::quarantine::SuspectTable;
+use dogwoodpier_core::rendezvous;
+use dogwoodpier_process::clock;
+
+use crate::counters;
+use crate::exchange::Message;
+use crate::forwarding;
+use crate::reject::Reason;
+use crate::reject::Rejection;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+
+// An hour, as for the product's own callers: operators have time to find the cause.
+const CRASH_MS: u64 = 3_600_000;
+// An upstream takes longer to start again than two reports of one crash are apart.
+const SAME_CRASH_MS: u64 = 1_000;
+// Three heartbeats of a fleet of three hundred.
+const SPREAD_MS: u64 = 10_000;
+// Half a megabyte; a crash makes suspects of the few requests that an upstream runs at once.
+const MAX_REQUESTS: usize = 5_000;
+// Two crashes may be those of other requests.
+const MAX_CRASHES: usize = 3;
+// Time in which a process that is ending closes its sockets.
+const ENDING: Duration = Duration::from_millis(50);
+
+/// The crashes that requests of the fleet were in flight in.
+pub struct Quarantine {
+    suspects: Mutex<SuspectTable>,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        let settings = SuspectSettings {
+            crash_ms: CRASH_MS,
+            quarantine_ms: CRASH_MS,
+            same_crash_ms: SAME_CRASH_MS,
+            spread_ms: SPREAD_MS,
+            max_requests: MAX_REQUESTS,
+            max_crashes: MAX_CRASHES,
+        };
+        Self {
+            suspects: Mutex::new(SuspectTable::new(settings)),
+        }
+    }
+}
+
+/// A request that was in flight at an upstream.
+#[derive(Clone, Debug)]
+pub struct InFlight {
+    /// Identity of the request, for logs.
+    pub request_id: Arc<str>,
+    /// Hash by which a repeat of it is recognized.
+    pub fingerprint: u64,
+}
+
+impl Quarantine {
+    /// Returns whether a request is sent to no further upstream.
+    pub fn holds(&self, fingerprint: u64) -> bool {
+        self.retry_after_ms(fingerprint).is_some()
+    }
+
+    /// Returns the rejection of a request that is sent to no further upstream.
+    pub fn rejection(&self, fingerprint: u64) -> Option<Rejection> {
+        self.retry_after_ms(fingerprint)
+            .map(|retry_after_ms| Rejection {
+                reason: Reason::Quarantined,
+                retry_after_ms: Some(retry_after_ms),
+            })
+    }
+
+    /// Returns the number of requests with crashes that count.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Returns the news for a heartbeat.
+    pub fn news(&self) -> Vec<SuspectNews> {
+        self.lock().news(clock::now())
+    }
+
+    fn retry_after_ms(&self, fingerprint: u64) -> Option<u64> {
+        match self.lock().standing(fingerprint, clock::now()) {
+            Standing::Quarantined { retry_after_ms } => Some(retry_after_ms),
+            Standing::Clear | Standing::OneCopy | Standing::Alone => None,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Looks whether an upstream that cut a connection has ended, and tells the fleet if so.
+pub async fn note_cut(gateway: &SharedGateway, run: &InFlight, upstream: &Arc<Upstream>) {
+    let cut_ms = clock::now();
+    if !takes_connections(gateway, upstream).await {
+        note_crash(gateway, run, upstream);
+        return;
+    }
+    let (gateway, run, upstream) = (gateway.clone(), run.clone(), upstream.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep(ENDING).await;
+        let answered = gateway
+            .beliefs()
+            .records
+            .has_answered_since(&upstream.id, cut_ms);
+        if !answered && !takes_connections(&gateway, &upstream).await {
+            note_crash(&gateway, &run, &upstream);
+        }
+    });
+}
+
+async fn takes_connections(gateway: &Gateway, upstream: &Upstream) -> bool {
+    metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
+    dogwoodpier_http::takes_connections(&forwarding::destination(gateway, upstream)).await
+}
+
+fn note_crash(gateway: &Gateway, run: &InFlight, upstream: &Upstream) {
+    let now = clock::now();
+    let started_unix_ms = upstream.started_unix_ms.unwrap_or_default();
+    let crash_id = Crash::id(
+        rendezvous::weight("upstream", &upstream.id),
+        rendezvous::weight("start", &started_unix_ms.to_string()),
+    );
+    let (news, crashes) = {
+        let mut suspects = gateway.quarantine.lock();
+        let news = suspects.note_crash(run.fingerprint, crash_id, now);
+        (news, suspects.crashes_of(run.fingerprint, now))
+    };
+    let Some(news) = news else {
+        return;
+    };
+    metrics::counter!(counters::CRASHES_TOTAL).increment(1);
+    tell_all(gateway, news);
+    gateway.events.write(
+        "request_suspected",
+        serde_json::json!({
+            "request_id": &*run.request_id,
+            "fingerprint": format!("{:016x}", run.fingerprint),
+            "upstream": &*upstream.id,
+            "crashes": crashes,
+            "quarantined": gateway.quarantine.holds(run.fingerprint),
+        }),
+    );
+}
+
+/// Notes that an upstream answered a request: crashes before weren't its own.
+pub fn note_answered(gateway: &Gateway, run: &InFlight) {
+    let news = gateway
+        .quarantine
+        .lock()
+        .note_answer(run.fingerprint, clock::now());
+    let Some(news) = news else {
+        return;
+    };
+    tell_all(gateway, news);
+    gateway.events.write(
+        "request_acquitted",
+        serde_json::json!({
+            "request_id": &*run.request_id,
+            "fingerprint": format!("{:016x}", run.fingerprint),
+        }),
+    );
+}
+
+/// Takes in what a peer tells of suspects.
+pub fn take_news(gateway: &Gateway, news: &[SuspectNews]) {
+    let now = clock::now();
+    for news in news {
+        let changed = gateway.quarantine.lock().take_news(*news, now);
+        if changed {
+            log_news(gateway, *news);
+        }
+    }
+}
+
+fn log_news(gateway: &Gateway, news: SuspectNews) {
+    match news {
+        SuspectNews::Crashed { fingerprint, .. } => gateway.events.write(
+            "suspect_heard",
+            serde_json::json!({
+                "fingerprint": format!("{fingerprint:016x}"),
+                "crashes": gateway.quarantine.lock().crashes_of(fingerprint, clock::now()),
+            }),
+        ),
+        SuspectNews::Answered {
+            fingerprint,
+            ago_ms,
+        } => gateway.events.write(
+            "acquittal_heard",
+            serde_json::json!({
+                "fingerprint": format!("{fingerprint:016x}"),
+                "ago_ms": ago_ms,
+            }),
+        ),
+    }
+}
+
+fn tell_all(gateway: &Gateway, news: SuspectNews) {
+    for address in gateway.peer_addresses.all() {
+        gateway.tell(address, &Message::Suspect(news));
+    }
+}
--- a/crates/dogwoodpier-gateway/src/reject.rs
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -36,6 +36,8 @@
     UnknownKey,
     /// The workspace is over its quota.
     OverQuota,
+    /// Earlier runs of the request crashed the upstreams that ran it.
+    Quarantined,
     /// No upstream of the service takes work.
     NoUpstream,
     /// Upstreams are full, and the wait would be too long.
@@ -55,6 +57,7 @@
             Self::NoConfiguration
             | Self::ShuttingDown
             | Self::NoMemory
+            | Self::Quarantined
             | Self::NoUpstream
             | Self::Overloaded
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -81,6 +84,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::OverQuota => "over_quota",
+            Self::Quarantined => "quarantined",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::NotRun => "not_run",
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -15,6 +15,7 @@
 use dogwoodpier_core::gateway::routes::Workspace;
 
 use crate::dialect::PromptSize;
+use crate::quarantine::InFlight;
 use crate::quota::Charge;
 use crate::state::SharedGateway;
 
@@ -80,6 +81,14 @@
 }
 
 impl ClientRequest {
+    /// Returns what is known of it where an upstream crashes.
+    pub fn in_flight(&self) -> InFlight {
+        InFlight {
+            request_id: self.id_text().into(),
+            fingerprint: self.fingerprint,
+        }
+    }
+
     /// Returns the identity for logs.
     pub fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("not text")
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -38,6 +38,7 @@
 use crate::lines;
 use crate::lines::Lines;
 use crate::owners::Owners;
+use crate::quarantine::Quarantine;
 use crate::quota;
 use crate::quota::QuotaAsks;
 use crate::readiness;
@@ -151,6 +152,7 @@
         broker: Broker::default(),
         owners: Owners::default(),
         quota_asks: QuotaAsks::default(),
+        quarantine: Quarantine::default(),
         learned: Learned::default(),
         lines: Lines::default(),
         connections: Connections::default(),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -45,6 +45,7 @@
 use crate::exchange::Message;
 use crate::lines::Lines;
 use crate::owners::Owners;
+use crate::quarantine::Quarantine;
 use crate::quota::QuotaAsks;
 use crate::registry::Addresses;
 use crate::request::ClientRequest;
@@ -71,6 +72,8 @@
     pub owners: Owners,
     /// Questions for units of quotas.
     pub quota_asks: QuotaAsks,
+    /// Requests that crash upstreams.
+    pub quarantine: Quarantine,
     /// What was learned about engines.
     pub learned: Learned,
     /// Requests that wait for a slot of an engine.
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -20,6 +20,8 @@
 
 use crate::engines;
 use crate::events::Events;
+use crate::quarantine;
+use crate::quarantine::InFlight;
 use crate::request::ClientRequest;
 use crate::state::SharedGateway;
 use crate::state::UseGuard;
@@ -74,8 +76,8 @@
 pub struct Relay {
     /// Gateway.
     pub gateway: SharedGateway,
-    /// Identity of the request.
-    pub request_id: String,
+    /// The request.
+    pub run: InFlight,
     /// Body of the engine's answer.
     pub body: Incoming,
     /// Connection to give back at the end.
@@ -134,11 +136,14 @@
                     if let Some(returning) = self.returning.take() {
                         returning.give_back();
                     }
+                    quarantine::note_answered(&self.gateway, &self.run);
                     self.log_end("complete");
                     return None;
                 }
                 Some(Err(_)) => {
                     self.log_end("cut by the upstream");
+                    let upstream = self.guard.upstream();
+                    quarantine::note_cut(&self.gateway, &self.run, upstream).await;
                     if !self.resume().await {
                         return Some(Err(Cut("the upstream's connection ended")));
                     }
@@ -203,7 +208,7 @@
         self.gateway.events.write(
             "stream_ended",
             serde_json::json!({
-                "request_id": self.request_id,
+                "request_id": &*self.run.request_id,
                 "upstream": &*self.guard.upstream().id,
                 "outcome": outcome,
                 "bytes": self.bytes,
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -37,6 +37,7 @@
         down_for_ms: [(engine(90), 300)].into(),
         leaving_upstreams: [(engine(91), Some(1_700_000_000_000))].into(),
         seen_revisions: [("servers".into(), 12_345), ("config".into(), 12_300)].into(),
+        suspects: Vec::new(),
     })
 }
 
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -204,13 +204,23 @@
     }
 }
 
-async fn connect(to: &Destination) -> Result<Sender, SendError> {
+/// Returns whether an upstream takes connections. Idle ones don't tell: they may be those of a process
+/// that has ended. The one that is made is closed at once, as it may hold one of the upstream's slots.
+pub async fn takes_connections(to: &Destination) -> bool {
+    open(to).await.is_ok()
+}
+
+async fn open(to: &Destination) -> Result<TcpStream, SendError> {
     let limit = Duration::from_millis(to.connect_timeout_ms);
-    let stream = tokio::time::timeout(limit, TcpStream::connect(to.address))
+    tokio::time::timeout(limit, TcpStream::connect(to.address))
         .await
         .map_err(|_| SendError::NotSent("connect timed out".to_owned()))?
         .and_then(|stream| stream.set_nodelay(true).map(|()| stream))
-        .map_err(|error| SendError::NotSent(error.to_string()))?;
+        .map_err(|error| SendError::NotSent(error.to_string()))
+}
+
+async fn connect(to: &Destination) -> Result<Sender, SendError> {
+    let stream = open(to).await?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/dogwoodpier-http/src/lib.rs
+++ b/crates/dogwoodpier-http/src/lib.rs
@@ -16,6 +16,7 @@
 pub use connections::Destination;
 pub use connections::Reply;
 pub use connections::Returning;
+pub use connections::takes_connections;
 pub use error::BodyError;
 pub use error::SendError;
 pub use pool::Pool;
--- a/crates/dogwoodpier-node/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-node/src/quarantine/mod.rs
@@ -41,6 +41,7 @@
 const SAME_CRASH_MS: u64 = 1_000;
 const SPREAD_MS: u64 = 10_000;
 const MAX_REQUESTS: usize = 10_000;
+const MAX_CRASHES: usize = 4;
 const PAUSE: Duration = Duration::from_millis(50);
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -58,6 +59,7 @@
             same_crash_ms: SAME_CRASH_MS,
             spread_ms: SPREAD_MS,
             max_requests: MAX_REQUESTS,
+            max_crashes: MAX_CRASHES,
         };
         Self {
             suspects: Mutex::new(SuspectTable::new(settings)),
