Ask a new owner as soon as it reports

Ruled out: an owner that misses two questions (no line owner_silent), loans at an empty bucket (has_room=false throughout).

The address of a peer is now that of its reports, so that all instances know it when they begin to rank it, and its capacity comes with them. A peer without an address is never an owner; one that reports isn't dropped because a listing lacks it.

--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -78,6 +78,8 @@
     pub incarnation: u64,
     /// Grows with each report of an incarnation.
     pub sequence: u64,
+    /// What the sender can carry against others.
+    pub capacity: f64,
     /// Whether the sender is shutting down and admits nothing more.
     pub leaving: bool,
     /// Use of upstreams by id; those not named are unused.
@@ -268,6 +270,10 @@
             return;
         }
         peer.uses_deadline_ms = now.after(report.uses_valid_ms);
+        // Peers may report anything.
+        if report.capacity.is_finite() && report.capacity > 0.0 {
+            peer.capacity = report.capacity;
+        }
         peer.report = Some(report);
         peer.heard_ms = Some(now);
         peer.settle(now);
@@ -394,6 +400,12 @@
         hearing
     }
 
+    /// Returns whether a peer's reports are fresh.
+    pub fn is_heard(&self, instance: &str, now: TimeMs) -> bool {
+        let heard_ms = self.peers.get(instance).and_then(|peer| peer.heard_ms);
+        heard_ms.is_some_and(|heard_ms| now.since(heard_ms) <= self.silence_ms())
+    }
+
     /// Returns the peers that may be relied on, with what they can carry: those that aren't leaving
     /// and were heard lately or have become known lately.
     pub fn reliable(&self, now: TimeMs) -> impl Iterator<Item = (&Arc<str>, f64)> {
--- a/crates/dogwoodpier-core/tests/gateway_exchange.rs
+++ b/crates/dogwoodpier-core/tests/gateway_exchange.rs
@@ -41,6 +41,7 @@
         instance: name(instance),
         incarnation: 1,
         sequence,
+        capacity: 1.0,
         leaving: false,
         uses,
         uses_valid_ms: 1_000,
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -61,6 +61,7 @@
         instance: "peer".into(),
         incarnation: 1,
         sequence,
+        capacity: 1.0,
         leaving: false,
         uses: if requests == 0 { BTreeMap::new() } else { uses },
         uses_valid_ms: 1_000,
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -128,6 +128,7 @@
                     instance: name(from),
                     incarnation: 1,
                     sequence: self.sequence,
+                    capacity: 1.0,
                     leaving: false,
                     uses: Default::default(),
                     uses_valid_ms: 1_000,
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -24,6 +24,7 @@
 use crate::quota::QuotaAnswer;
 use crate::quota::QuotaAsk;
 use crate::quota::QuotaReturn;
+use crate::registry;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
@@ -92,7 +93,7 @@
 
 fn take(gateway: &SharedGateway, from: SocketAddr, message: Message) {
     match message {
-        Message::Report(report) => take_report(gateway, report),
+        Message::Report(report) => take_report(gateway, from, report),
         Message::Ask(question) => broker::take_ask(gateway, from, question),
         Message::Answer(answer) => broker::take_answer(gateway, from, answer),
         Message::Release(release) => broker::take_release(gateway, &release),
@@ -106,8 +107,9 @@
     }
 }
 
-fn take_report(gateway: &SharedGateway, report: Report) {
+fn take_report(gateway: &SharedGateway, from: SocketAddr, report: Report) {
     let now = clock::now();
+    registry::note_reporting(gateway, &report.instance, from);
     quarantine::take_news(gateway, &report.suspects);
     for (kind, revision) in &report.seen_revisions {
         gateway.revisions.note_peer(kind, *revision);
@@ -228,6 +230,7 @@
         instance: gateway.settings.load().instance.clone(),
         incarnation: gateway.incarnation,
         sequence,
+        capacity: gateway.settings.load().capacity,
         leaving: gateway.drain.is_draining() && gateway.drain.in_flight() == 0,
         uses: beliefs.uses.clone(),
         uses_valid_ms: beliefs.exchange.silence_ms(),
--- a/crates/dogwoodpier-gateway/src/owners.rs
+++ b/crates/dogwoodpier-gateway/src/owners.rs
@@ -82,7 +82,10 @@
         let beliefs = gateway.beliefs();
         let suspects = gateway.owners.lock();
         let peers = beliefs.exchange.reliable(now);
-        let peers = peers.filter(|(peer, _)| !suspects.contains(peer, now));
+        let peers = peers.filter(|(peer, _)| {
+            // One that can't be asked would leave each instance to decide by itself.
+            !suspects.contains(peer, now) && gateway.peer_addresses.of(peer).is_some()
+        });
         let members = peers.chain(std::iter::once((&own, settings.capacity)));
         owners::ranked(name, members, count)
     };
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -48,28 +48,41 @@
     1.0
 }
 
-/// Addresses of the registered peers.
+/// Addresses of the peers that are registered or report.
 #[derive(Default)]
 pub struct Addresses {
     by_instance: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
+    // Peers that were first known by their reports, for the next line of the log.
+    reporting: Mutex<Vec<Arc<str>>>,
 }
 
 impl Addresses {
-    /// Returns the addresses of all registered peers.
+    /// Returns the addresses of all peers.
     pub fn all(&self) -> Vec<SocketAddr> {
         self.lock().values().copied().collect()
     }
 
-    /// Returns the address of a registered peer.
+    /// Returns the address of a peer.
     pub fn of(&self, instance: &str) -> Option<SocketAddr> {
         self.lock().get(instance).copied()
     }
 
-    /// Returns the registered instances.
+    /// Returns the peers.
     pub fn instances(&self) -> Vec<Arc<str>> {
         self.lock().keys().cloned().collect()
     }
 
+    fn reporting(&self) -> MutexGuard<'_, Vec<Arc<str>>> {
+        self.reporting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    // Returns whether the peer or its address is new.
+    fn put(&self, instance: &Arc<str>, address: SocketAddr) -> bool {
+        self.lock().insert(instance.clone(), address) != Some(address)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, SocketAddr>> {
         self.by_instance
             .lock()
@@ -127,6 +140,8 @@
     loop {
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(FIND_PAUSE);
+        let reporting = std::mem::take(&mut *gateway.peer_addresses.reporting());
+        log_peers(&gateway, "peers_reported", reporting);
         match gateway.store.list_stale(kind, "").await {
             Ok(listing) => take_listing(&gateway, &listing.items),
             Err(error) => gateway.events.write(
@@ -139,21 +154,16 @@
 
 fn take_listing(gateway: &SharedGateway, objects: &[Object]) {
     let known = gateway.peer_addresses.instances();
-    let mut added: Vec<&str> = objects
+    let added = objects
         .iter()
         .filter(|object| add_peer(gateway, object))
-        .map(|object| &*object.name)
-        .collect();
-    if !added.is_empty() {
-        let count = added.len();
-        added.truncate(MAX_NAMES_LOGGED);
-        gateway.events.write(
-            "peers_registered",
-            serde_json::json!({ "count": count, "first": added, "listed": objects.len() }),
-        );
-    }
+        .map(|object| object.name.clone());
+    log_peers(gateway, "peers_registered", added.collect());
+    let now = clock::now();
     for instance in known {
-        if !objects.iter().any(|object| object.name == instance) {
+        let is_listed = objects.iter().any(|object| object.name == instance);
+        // The listing may be older than the registration of one that reports.
+        if !is_listed && !gateway.beliefs().exchange.is_heard(&instance, now) {
             remove_peer(gateway, &instance);
         }
     }
@@ -163,6 +173,20 @@
     }
 }
 
+// Writes one line for all peers that have become known in one way since the last one.
+fn log_peers(gateway: &Gateway, event: &'static str, mut peers: Vec<Arc<str>>) {
+    if peers.is_empty() {
+        return;
+    }
+    let count = peers.len();
+    peers.truncate(MAX_NAMES_LOGGED);
+    let known = gateway.peer_addresses.lock().len();
+    gateway.events.write(
+        event,
+        serde_json::json!({ "count": count, "first": peers, "known": known }),
+    );
+}
+
 // Returns whether the peer or its address is new.
 fn add_peer(gateway: &SharedGateway, object: &Object) -> bool {
     if *object.name == *gateway.settings.load().instance {
@@ -178,16 +202,29 @@
             return false;
         }
     };
-    let address = registration.peer_address;
-    let before = gateway
-        .peer_addresses
-        .lock()
-        .insert(object.name.clone(), address);
+    let now = clock::now();
+    let is_heard = {
+        let exchange = &mut gateway.beliefs().exchange;
+        exchange.register(&object.name, registration.capacity, now);
+        exchange.is_heard(&object.name, now)
+    };
+    let known = gateway.peer_addresses.of(&object.name);
+    if is_heard && known.is_some() {
+        return false;
+    }
     gateway
-        .beliefs()
-        .exchange
-        .register(&object.name, registration.capacity, clock::now());
-    before != Some(address)
+        .peer_addresses
+        .put(&object.name, registration.peer_address)
+}
+
+/// Notes the address from which a peer reports. An instance decides for services and workspaces once
+/// its peers hear it, so all of them have to know at the same time where to ask it; they read its
+/// registration seconds apart.
+pub fn note_reporting(gateway: &Gateway, instance: &Arc<str>, from: SocketAddr) {
+    let is_other = *instance != gateway.settings.load().instance;
+    if is_other && gateway.peer_addresses.put(instance, from) {
+        gateway.peer_addresses.reporting().push(instance.clone());
+    }
 }
 
 fn read(value: &Value) -> serde_json::Result<Registration> {
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -28,6 +28,7 @@
         instance: "front-zg-a-17".into(),
         incarnation: u64::MAX,
         sequence: 100_000,
+        capacity: 1.0,
         leaving: false,
         uses: (0..engines).map(|number| (engine(number), used)).collect(),
         uses_valid_ms: 1_000,
