Count cut connections that may be crashes until it is known

crashing_prefills failed once in a whole run of the adapter's tests: 4 upstreams ended, 3 are allowed. Cause: a process that ends may cut its connections before it stops listening.

A look that isn't over counts towards the three, at this instance.

--- a/crates/dogwoodpier-core/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-core/src/quarantine/mod.rs
@@ -19,6 +19,7 @@
 pub use fingerprint::fingerprint;
 pub use news::SuspectNews;
 pub use suspects::Crash;
+pub use suspects::PROBE_MS;
 pub use suspects::Standing;
 pub use suspects::SuspectSettings;
 pub use suspects::SuspectTable;
--- a/crates/dogwoodpier-core/src/quarantine/suspects.rs
+++ b/crates/dogwoodpier-core/src/quarantine/suspects.rs
@@ -63,6 +63,8 @@
     crashes: BTreeMap<u64, Vec<Known>>,
     // Last answers of requests that were suspects, by fingerprint.
     answers: BTreeMap<u64, Answered>,
+    // Cut connections of requests whose upstreams may have crashed, by fingerprint.
+    probes: BTreeMap<u64, usize>,
     // Where the next heartbeat goes on with older reports.
     next_old: usize,
 }
@@ -83,6 +85,9 @@
     is_own: bool,
 }
 
+/// Time in which a process that is ending has closed its sockets.
+pub const PROBE_MS: u64 = 50;
+
 // Crashes after which a request runs alone.
 const ALONE_CRASHES: usize = 2;
 // Reports in one heartbeat.
@@ -126,6 +131,7 @@
             settings,
             crashes: BTreeMap::new(),
             answers: BTreeMap::new(),
+            probes: BTreeMap::new(),
             next_old: 0,
         }
     }
@@ -231,10 +237,16 @@
     /// Returns what a request may do.
     pub fn standing(&self, fingerprint: u64, now: TimeMs) -> Standing {
         let crashes: Vec<&Crash> = self.live(fingerprint, now).collect();
+        let probes = self.probes.get(&fingerprint).copied().unwrap_or(0);
         let is_guilty =
             crashes.len() >= self.settings.max_crashes || crashes.iter().any(|crash| crash.alone);
         let last_ms = crashes.iter().map(|crash| crash.expires_ms).max();
         match crashes.len() {
+            count if !is_guilty && count + probes >= self.settings.max_crashes => {
+                Standing::Quarantined {
+                    retry_after_ms: PROBE_MS,
+                }
+            }
             0 => Standing::Clear,
             _ if is_guilty => Standing::Quarantined {
                 retry_after_ms: last_ms.map_or(0, |last_ms| last_ms.remaining(now)),
@@ -299,6 +311,21 @@
         news
     }
 
+    /// Notes that it isn't known yet whether an upstream that cut a request's connection has crashed.
+    pub fn begin_probe(&mut self, fingerprint: u64) {
+        *self.probes.entry(fingerprint).or_default() += 1;
+    }
+
+    /// Notes that it is known.
+    pub fn end_probe(&mut self, fingerprint: u64) {
+        if let Some(probes) = self.probes.get_mut(&fingerprint) {
+            *probes -= 1;
+            if *probes == 0 {
+                self.probes.remove(&fingerprint);
+            }
+        }
+    }
+
     /// Returns the number of crashes that count against a request.
     pub fn crashes_of(&self, fingerprint: u64, now: TimeMs) -> usize {
         self.live(fingerprint, now).count()
--- a/crates/dogwoodpier-core/tests/crashing_repeats.rs
+++ b/crates/dogwoodpier-core/tests/crashing_repeats.rs
@@ -9,6 +9,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::quarantine::Crash;
+use dogwoodpier_core::quarantine::PROBE_MS;
 use dogwoodpier_core::quarantine::Standing;
 use dogwoodpier_core::quarantine::SuspectNews;
 use dogwoodpier_core::quarantine::SuspectSettings;
@@ -240,6 +241,26 @@
     assert_eq!(table.crashes_of(CRASHING, now), 1);
 }
 
+// A request that goes on elsewhere before it is known whether the upstreams before have ended.
+#[test]
+fn probes_count() {
+    let mut table = table();
+    let now = TimeMs(1_000_000);
+    table.note_crash(CRASHING, Crash::id(1, 1), now);
+    table.begin_probe(CRASHING);
+    assert_eq!(table.standing(CRASHING, now), Standing::OneCopy);
+    table.begin_probe(CRASHING);
+    let held = Standing::Quarantined {
+        retry_after_ms: PROBE_MS,
+    };
+    assert_eq!(table.standing(CRASHING, now), held);
+    table.end_probe(CRASHING);
+    assert_eq!(table.standing(CRASHING, now), Standing::OneCopy);
+    table.end_probe(CRASHING);
+    table.end_probe(CRASHING);
+    assert_eq!(table.standing(CRASHING, now), Standing::OneCopy);
+}
+
 #[test]
 fn unreasonable_times() {
     let mut table = table();
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -11,6 +11,7 @@
 
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_core::quarantine::Crash;
+use dogwoodpier_core::quarantine::PROBE_MS;
 use dogwoodpier_core::quarantine::Standing;
 use dogwoodpier_core::quarantine::SuspectNews;
 use dogwoodpier_core::quarantine::SuspectSettings;
@@ -36,8 +37,6 @@
 const MAX_REQUESTS: usize = 5_000;
 // Two crashes may be those of other requests.
 const MAX_CRASHES: usize = 3;
-// Time in which a process that is ending closes its sockets.
-const ENDING: Duration = Duration::from_millis(50);
 
 /// The crashes that requests of the fleet were in flight in.
 pub struct Quarantine {
@@ -113,19 +112,44 @@
         note_crash(gateway, run, upstream);
         return;
     }
-    let (gateway, run, upstream) = (gateway.clone(), run.clone(), upstream.clone());
+    // The process may still be closing its sockets.
+    let probe = Probe::begin(gateway, run.fingerprint);
+    let (run, upstream) = (run.clone(), upstream.clone());
     tokio::spawn(async move {
-        tokio::time::sleep(ENDING).await;
+        tokio::time::sleep(Duration::from_millis(PROBE_MS)).await;
+        let gateway = &probe.gateway;
         let answered = gateway
             .beliefs()
             .records
             .has_answered_since(&upstream.id, cut_ms);
-        if !answered && !takes_connections(&gateway, &upstream).await {
-            note_crash(&gateway, &run, &upstream);
+        if !answered && !takes_connections(gateway, &upstream).await {
+            note_crash(gateway, &run, &upstream);
         }
     });
 }
 
+// A look at an upstream that isn't over yet. Dropping it ends it.
+struct Probe {
+    gateway: SharedGateway,
+    fingerprint: u64,
+}
+
+impl Probe {
+    fn begin(gateway: &SharedGateway, fingerprint: u64) -> Self {
+        gateway.quarantine.lock().begin_probe(fingerprint);
+        Self {
+            gateway: gateway.clone(),
+            fingerprint,
+        }
+    }
+}
+
+impl Drop for Probe {
+    fn drop(&mut self) {
+        self.gateway.quarantine.lock().end_probe(self.fingerprint);
+    }
+}
+
 async fn takes_connections(gateway: &Gateway, upstream: &Upstream) -> bool {
     metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
     dogwoodpier_http::takes_connections(&forwarding::destination(gateway, upstream)).await
