Heed upstreams that leave by their own word, or want nothing for a while

An answer with Server-Leaving marks the incarnation of its upstream as leaving, for good: an entry that is older or comes back takes nothing back, and peers are told. A rejection with 503 and Retry-After withholds all sends of this instance until its end, 30 s at most, also those that were placed before; its questions to brokers name such engines. If all engines of a service ask for longer than a request may wait, it is refused at once.

--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -40,6 +40,9 @@
 const REPLACED_MS: u64 = 10_000;
 // Time after which peers are likely to know an upstream that has just been registered.
 const UNKNOWN_MS: u64 = 500;
+// Longest time for which an upstream is left alone because it asked for it: operators bound waits to
+// about this, and its load has changed by then.
+const MAX_PAUSE_MS: u64 = 30_000;
 // Time after a success of its own in which an instance doesn't believe that an upstream is down.
 const DOUBT_MS: u64 = 1_000;
 // Cost of an upstream in another data centre over one in the same, in parts of a free upstream.
@@ -78,6 +81,8 @@
     full_deadline_ms: TimeMs,
     // Peers can't reach it.
     peers_down_deadline_ms: TimeMs,
+    // It asked this instance for nothing more.
+    paused_deadline_ms: TimeMs,
     succeeded_ms: Option<TimeMs>,
     failures_in_a_row: u32,
     room: Option<Room>,
@@ -99,6 +104,7 @@
             down_deadline_ms: TimeMs::default(),
             full_deadline_ms: TimeMs::default(),
             peers_down_deadline_ms: TimeMs::default(),
+            paused_deadline_ms: TimeMs::default(),
             succeeded_ms: None,
             failures_in_a_row: 0,
             room: None,
@@ -203,6 +209,28 @@
         }
     }
 
+    /// Notes that an upstream rejected a request and wants nothing from this instance for `for_ms`.
+    pub fn note_paused(&mut self, upstream: &Arc<str>, for_ms: u64, now: TimeMs) {
+        let deadline_ms = now.after(for_ms.min(MAX_PAUSE_MS));
+        let record = self.record(upstream, now);
+        record.paused_deadline_ms = record.paused_deadline_ms.max(deadline_ms);
+    }
+
+    /// Returns for how long an upstream wants nothing from this instance, 0 if it takes requests.
+    pub fn paused_ms(&self, upstream: &str, now: TimeMs) -> u64 {
+        let record = self.records.get(upstream);
+        record.map_or(0, |record| record.paused_deadline_ms.remaining(now))
+    }
+
+    /// Returns the upstreams that want nothing from this instance, and until when.
+    pub fn paused(&self, now: TimeMs) -> BTreeMap<Arc<str>, TimeMs> {
+        let records = self.records.iter();
+        let paused = records.filter(|(_, record)| record.paused_deadline_ms > now);
+        paused
+            .map(|(id, record)| (id.clone(), record.paused_deadline_ms))
+            .collect()
+    }
+
     /// Returns whether an upstream has answered after a time.
     pub fn has_answered_since(&self, upstream: &str, since_ms: TimeMs) -> bool {
         self.records
--- a/crates/dogwoodpier-core/src/gateway/upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -57,8 +57,14 @@
 #[derive(Debug, Default)]
 pub struct Upstreams {
     entries: BTreeMap<Arc<str>, Entry>,
+    // Upstreams that said themselves or by a peer that they leave, with the start of their incarnation:
+    // their entries may tell so later, or never.
+    leaving: BTreeMap<Arc<str>, Option<u64>>,
 }
 
+// Leaving upstreams that are remembered after their entries are gone.
+const MAX_LEAVING: usize = 1_000;
+
 impl Upstreams {
     /// Returns the ids of upstreams at the address of `upstream` that started before it: it runs in
     /// their place.
@@ -75,8 +81,18 @@
     }
 
     /// Adds or replaces an upstream. Returns whether anything changed.
-    pub fn put(&mut self, upstream: Upstream) -> bool {
+    pub fn put(&mut self, mut upstream: Upstream) -> bool {
         let id = upstream.id.clone();
+        match self.leaving.get(&id) {
+            // An incarnation that leaves doesn't come back.
+            Some(started_unix_ms) if *started_unix_ms == upstream.started_unix_ms => {
+                upstream.accepts_work = false;
+            }
+            Some(_) => {
+                self.leaving.remove(&id);
+            }
+            None => {}
+        }
         if let Some(entry) = self.entries.get_mut(&id)
             && *entry.upstream == upstream
         {
@@ -91,17 +107,26 @@
     }
 
     /// Notes that an upstream takes no more work, unless another incarnation of it is known. Returns
-    /// whether that is news.
+    /// whether that is news of a known upstream.
     pub fn mark_leaving(&mut self, id: &str, started_unix_ms: Option<u64>) -> bool {
-        let Some(entry) = self.entries.get_mut(id) else {
-            return false;
-        };
-        let same = entry.upstream.started_unix_ms == started_unix_ms;
-        if !same || !entry.upstream.accepts_work {
+        let entry = self.entries.get_mut(id);
+        if entry
+            .as_ref()
+            .is_some_and(|entry| entry.upstream.started_unix_ms != started_unix_ms)
+        {
             return false;
         }
-        Arc::make_mut(&mut entry.upstream).accepts_work = false;
-        true
+        let is_news = entry.is_some_and(|entry| {
+            let accepts_work = entry.upstream.accepts_work;
+            Arc::make_mut(&mut entry.upstream).accepts_work = false;
+            accepts_work
+        });
+        if self.leaving.len() >= MAX_LEAVING {
+            let entries = &self.entries;
+            self.leaving.retain(|id, _| entries.contains_key(id));
+        }
+        self.leaving.insert(id.into(), started_unix_ms);
+        is_news
     }
 
     /// Returns the upstreams that take no more work, with the start of their incarnation.
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -227,6 +227,46 @@
     assert_eq!(known.leaving().len(), 1);
 }
 
+// Entries that are older than what an upstream said, or that come back after they were gone.
+#[test]
+fn leaving_is_final() {
+    let mut known = Upstreams::default();
+    known.put(upstream("e1", 100));
+    known.mark_leaving("e1", Some(100));
+    known.put(Upstream {
+        slots: 7,
+        ..upstream("e1", 100)
+    });
+    assert_eq!(known.serving("engines").count(), 0);
+    known.remove("e1", None);
+    known.put(upstream("e1", 100));
+    assert_eq!(known.serving("engines").count(), 0);
+    // Its next start takes work.
+    known.put(upstream("e1", 200));
+    assert_eq!(known.serving("engines").count(), 1);
+    // Said before its entry was read.
+    known.mark_leaving("e2", Some(100));
+    known.put(upstream("e2", 100));
+    assert_eq!(known.serving("engines").count(), 1);
+}
+
+#[test]
+fn pauses_are_bounded() {
+    let mut records = Records::default();
+    let id: Arc<str> = "e1".into();
+    records.note_paused(&id, 2_000, TimeMs(1_000));
+    // A shorter one takes nothing back.
+    records.note_paused(&id, 100, TimeMs(1_000));
+    assert_eq!(records.paused_ms("e1", TimeMs(1_500)), 1_500);
+    assert_eq!(records.paused(TimeMs(1_500))[&id], TimeMs(3_000));
+    records.note(&id, Outcome::Answered { elapsed_ms: 5 }, TimeMs(2_000));
+    records.note_freed("e1");
+    assert_eq!(records.paused_ms("e1", TimeMs(2_000)), 1_000);
+    assert_eq!(records.paused_ms("e1", TimeMs(3_000)), 0);
+    records.note_paused(&id, u64::MAX, TimeMs(3_000));
+    assert_eq!(records.paused_ms("e1", TimeMs(3_000)), 30_000);
+}
+
 #[test]
 fn full_until_freed() {
     let mut records = Records::default();
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -70,6 +70,8 @@
     pub returned: bool,
     /// Engine that just failed the request.
     pub except: Option<Arc<str>>,
+    /// Engines that want nothing from the instance, and for how many milliseconds.
+    pub paused: BTreeMap<Arc<str>, u64>,
     /// Data centre of the instance.
     pub data_centre: Arc<str>,
 }
@@ -256,6 +258,11 @@
             leave_in_ms: claim.leave_deadline_ms.remaining(now),
             returned: claim.returned,
             except: claim.except.clone(),
+            paused: claim
+                .paused
+                .iter()
+                .map(|(upstream, deadline_ms)| (upstream.clone(), deadline_ms.remaining(now)))
+                .collect(),
             data_centre: claim.data_centre.clone(),
         };
         gateway.tell(broker, &Message::Ask(question));
@@ -389,6 +396,11 @@
         leave_deadline_ms: now.after(question.leave_in_ms),
         returned: question.returned,
         except: question.except,
+        paused: question
+            .paused
+            .into_iter()
+            .map(|(upstream, pause_ms)| (upstream, now.after(pause_ms)))
+            .collect(),
         data_centre: question.data_centre,
     };
     let waiting = lines::wait(&gateway, claim, holder);
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -50,6 +50,8 @@
     pub expected_upstream: HeaderName,
     /// Proof of an upstream that an answer is its own.
     pub signature: HeaderName,
+    /// Present in the answers of an upstream that leaves.
+    pub leaving: HeaderName,
     /// Present in an answer of an upstream that has not run the request.
     pub not_executed: HeaderName,
     /// Asks an engine for one part of the work only.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -227,6 +227,10 @@
         }
         let claim = claim(gateway, request, &progress);
         let started_ms = clock::now();
+        let pause_ms = lines::pause_ms(gateway, &request.service.name);
+        if pause_ms > claim.leave_deadline_ms.remaining(started_ms) {
+            return Err(reject(request, &progress, pause_ms));
+        }
         let place = broker::place(gateway, claim).await;
         let waited_ms = clock::now().since(started_ms);
         metrics::histogram!(counters::WAIT_MS).record(waited_ms as f64);
@@ -302,6 +306,7 @@
         leave_deadline_ms: request.received_ms.after(wait_ms).min(request.deadline_ms),
         returned,
         except: progress.failed.clone(),
+        paused: gateway.beliefs().records.paused(clock::now()),
         data_centre: gateway.settings.load().data_centre.clone(),
     }
 }
@@ -356,7 +361,7 @@
         Sent::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
             decode.set_result(broker::Result::Replaced);
         }
-        Sent::NotExecuted(_) => decode.set_result(broker::Result::Full),
+        Sent::NotExecuted(_) | Sent::Withheld => decode.set_result(broker::Result::Full),
         Sent::Cut(_) => {
             progress.attempts.runs += 1;
             quarantine::note_cut(gateway, &request.in_flight(), &upstream).await;
@@ -403,7 +408,7 @@
     }
     let reply = match sent {
         Sent::Answered(reply) => reply,
-        Sent::NotExecuted(_) => {
+        Sent::NotExecuted(_) | Sent::Withheld => {
             guard.set_result(broker::Result::Full);
             return None;
         }
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -8,6 +8,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
+use http::header;
 use http_body_util::Full;
 
 use dogwoodpier_core::TimeMs;
@@ -24,6 +25,7 @@
 
 // Time left below which a send is pointless: the upstream would stop before it began.
 const MIN_SEND_MS: u64 = 5;
+const MS_PER_S: f64 = 1_000.0;
 
 /// How a send ended.
 pub enum Sent {
@@ -31,6 +33,8 @@
     Answered(Reply),
     /// Nothing of the request reached the upstream.
     NotSent(String),
+    /// The upstream wants nothing from this instance for now, so nothing was sent.
+    Withheld,
     /// The upstream rejected the request and has not run it.
     NotExecuted(StatusCode),
     /// The upstream's connection ended before the answer; the request may have run.
@@ -47,6 +51,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::NotSent(_) => "not_sent",
+            Self::Withheld => "withheld",
             Self::NotExecuted(_) => "not_executed",
             Self::Cut(_) => "cut",
             Self::Lost(_) => "lost",
@@ -56,7 +61,10 @@
 
     /// Returns whether the request certainly hasn't run there.
     pub fn has_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::NotExecuted(_))
+        matches!(
+            self,
+            Self::NotSent(_) | Self::Withheld | Self::NotExecuted(_)
+        )
     }
 }
 
@@ -98,7 +106,7 @@
     metrics::counter!(counters::SENDS_TOTAL, "result" => sent.as_str()).increment(1);
     metrics::histogram!(counters::SEND_MS).record(elapsed_ms as f64);
     match &sent {
-        Sent::Answered(_) => {}
+        Sent::Answered(_) | Sent::Withheld => {}
         Sent::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
             gateway.note(upstream, Outcome::Replaced);
         }
@@ -122,7 +130,7 @@
     let detail = match sent {
         Sent::NotSent(detail) | Sent::Cut(detail) | Sent::Lost(detail) => detail.clone(),
         Sent::NotExecuted(status) => format!("status {}", status.as_u16()),
-        Sent::Answered(_) | Sent::TimedOut => String::new(),
+        Sent::Answered(_) | Sent::Withheld | Sent::TimedOut => String::new(),
     };
     gateway.events.write(
         "send_failed",
@@ -150,6 +158,10 @@
     if remaining_ms < MIN_SEND_MS {
         return Sent::NotSent("no time left".to_owned());
     }
+    // It may have been chosen before it asked for a pause.
+    if gateway.beliefs().records.paused_ms(&upstream.id, now) > 0 {
+        return Sent::Withheld;
+    }
     let outgoing = match build(gateway, request, upstream, extra, remaining_ms) {
         Ok(outgoing) => outgoing,
         Err(error) => return Sent::NotSent(error.to_string()),
@@ -160,10 +172,52 @@
         Ok(Err(SendError::NotSent(detail))) => Sent::NotSent(detail),
         Ok(Err(SendError::Cut(detail))) => Sent::Cut(detail),
         Ok(Err(error)) => Sent::Lost(error.to_string()),
-        Ok(Ok(reply)) => classify(gateway, request, reply),
+        Ok(Ok(reply)) => {
+            note_advice(gateway, upstream, &reply);
+            classify(gateway, request, reply)
+        }
     }
 }
 
+// Notes what an upstream says of itself beside its answer.
+fn note_advice(gateway: &Gateway, upstream: &Upstream, reply: &Reply) {
+    let names = &gateway.dialect.headers;
+    let now = clock::now();
+    if reply.headers.contains_key(&names.leaving) {
+        let started_unix_ms = upstream.started_unix_ms;
+        let mut beliefs = gateway.beliefs();
+        if beliefs
+            .upstreams
+            .mark_leaving(&upstream.id, started_unix_ms)
+        {
+            drop(beliefs);
+            gateway.events.write(
+                "upstream_leaving",
+                serde_json::json!({ "upstream": &*upstream.id, "source": "its answer" }),
+            );
+        }
+    }
+    let turned_away = reply.status == StatusCode::SERVICE_UNAVAILABLE
+        && reply.headers.contains_key(&names.not_executed);
+    let pause_ms = reply.headers.get(header::RETRY_AFTER).and_then(seconds_ms);
+    if let (true, Some(pause_ms)) = (turned_away, pause_ms) {
+        let mut beliefs = gateway.beliefs();
+        beliefs.records.note_paused(&upstream.id, pause_ms, now);
+        drop(beliefs);
+        gateway.events.write(
+            "upstream_paused",
+            serde_json::json!({ "upstream": &*upstream.id, "asked_ms": pause_ms }),
+        );
+    }
+}
+
+// Reads a number of seconds, with or without a fraction. Dates are not used between these servers.
+fn seconds_ms(value: &HeaderValue) -> Option<u64> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let is_time = seconds.is_finite() && seconds > 0.0;
+    is_time.then_some((seconds * MS_PER_S) as u64)
+}
+
 /// Returns where to send what is for an upstream.
 pub fn destination(gateway: &Gateway, upstream: &Upstream) -> Destination {
     Destination {
--- a/crates/dogwoodpier-gateway/src/lines.rs
+++ b/crates/dogwoodpier-gateway/src/lines.rs
@@ -56,6 +56,8 @@
     pub returned: bool,
     /// Engine that just failed the request.
     pub except: Option<Arc<str>>,
+    /// Engines that want nothing from the instance that serves the request, and until when.
+    pub paused: BTreeMap<Arc<str>, TimeMs>,
     /// Data centre of the instance that serves the request.
     pub data_centre: Arc<str>,
 }
@@ -299,6 +301,16 @@
         .any(|upstream| upstream.stage != Some(Stage::Prefill))
 }
 
+/// Returns for how long all engines of a service that decode want nothing from this instance.
+pub fn pause_ms(gateway: &Gateway, service: &str) -> u64 {
+    let now = clock::now();
+    let beliefs = gateway.beliefs();
+    let serving = beliefs.upstreams.serving(service);
+    let decoding = serving.filter(|upstream| upstream.stage != Some(Stage::Prefill));
+    let pauses = decoding.map(|upstream| beliefs.records.paused_ms(&upstream.id, now));
+    pauses.min().unwrap_or(0)
+}
+
 fn take_place(gateway: &SharedGateway, claim: &Claim, holder: &Holder) -> Option<Place> {
     let configuration = gateway.configuration.load();
     let spec = configuration
@@ -346,6 +358,10 @@
         .into_iter()
         .filter(|candidate| !beliefs.records.is_avoided(&candidate.upstream.id, now))
         .filter(|candidate| claim.except.as_ref() != Some(&candidate.upstream.id))
+        .filter(|candidate| {
+            let paused = claim.paused.get(&candidate.upstream.id);
+            paused.is_none_or(|deadline_ms| *deadline_ms <= now)
+        })
         .partition(|candidate| candidate.upstream.stage == Some(Stage::Prefill));
     let chooser = Chooser {
         data_centre: &claim.data_centre,
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -123,6 +123,8 @@
         let settings = gateway.settings.load();
         let beliefs = gateway.beliefs();
         let mut candidates = beliefs.candidates(&request.service.name);
+        let now = clock::now();
+        candidates.retain(|candidate| beliefs.records.paused_ms(&candidate.upstream.id, now) == 0);
         if candidates
             .iter()
             .any(|candidate| !tried.contains(&candidate.upstream.id))
@@ -132,7 +134,7 @@
         let chooser = Chooser {
             data_centre: &settings.data_centre,
             records: &beliefs.records,
-            now: clock::now(),
+            now,
         };
         let place = chooser
             .plain(&candidates, rand::random())
