--- a/crates/dogwoodpier-core/src/gateway/exchange.rs
+++ b/crates/dogwoodpier-core/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use crate::TimeMs;
 use crate::quarantine::SuspectNews;
 
+use super::evacuations::Evacuations;
 use super::quota::Hearing;
 
 /// Use of one upstream by one instance.
@@ -98,6 +99,8 @@
     pub seen_revisions: BTreeMap<Arc<str>, u64>,
     /// Requests that crash upstreams.
     pub suspects: Vec<SuspectNews>,
+    /// Data centres whose upstreams get nothing new.
+    pub evacuations: Evacuations,
 }
 
 /// Pace of the reports to all peers, and bounds on the trust in them.
--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! The gateway forwards HTTP requests to upstreams that an operator and a platform declare. All
 //! of its decisions stand here, without I/O; the `dogwoodpier-gateway` crate carries them out.
 
+pub mod evacuations;
 pub mod exchange;
 pub mod fill;
 pub mod owners;
--- a/crates/dogwoodpier-core/src/gateway/upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -12,6 +12,8 @@
 
 use crate::TimeMs;
 
+use super::evacuations::Evacuations;
+
 /// What a model engine does.
 #[plain]
 #[derive(Copy, Eq)]
@@ -60,6 +62,8 @@
     // Upstreams that said themselves or by a peer that they leave, with the start of their incarnation:
     // their entries may tell so later, or never.
     leaving: BTreeMap<Arc<str>, Option<u64>>,
+    /// Data centres whose upstreams get nothing new.
+    pub evacuations: Evacuations,
 }
 
 // Leaving upstreams that are remembered after their entries are gone.
@@ -190,12 +194,26 @@
         self.entries.get(id).map(|entry| &entry.upstream)
     }
 
-    /// Returns the upstreams of a service that take new work.
+    /// Returns the upstreams of a service that may get new work.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Upstream>> {
         self.entries
             .values()
             .map(|entry| &entry.upstream)
-            .filter(move |upstream| upstream.accepts_work && *upstream.service == *service)
+            .filter(move |upstream| *upstream.service == *service && self.may_get_work(upstream))
+    }
+
+    /// Returns whether an upstream may get new work.
+    pub fn may_get_work(&self, upstream: &Upstream) -> bool {
+        upstream.accepts_work && !self.evacuations.contains(&upstream.data_centre)
+    }
+
+    /// Returns whether a service has upstreams that take work, all of them in evacuated data centres.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let mut accepting = self
+            .all()
+            .filter(|upstream| upstream.accepts_work && *upstream.service == *service)
+            .peekable();
+        accepting.peek().is_some() && !accepting.any(|upstream| self.may_get_work(upstream))
     }
 
     /// Returns all upstreams.
--- a/crates/dogwoodpier-core/tests/gateway_exchange.rs
+++ b/crates/dogwoodpier-core/tests/gateway_exchange.rs
@@ -50,6 +50,7 @@
         leaving_upstreams: BTreeMap::new(),
         seen_revisions: BTreeMap::new(),
         suspects: Vec::new(),
+        evacuations: Default::default(),
     }
 }
 
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -137,6 +137,7 @@
                     leaving_upstreams: Default::default(),
                     seen_revisions: Default::default(),
                     suspects: Vec::new(),
+                    evacuations: Default::default(),
                 };
                 self.in_flight.push((now_ms + self.lag_ms, to, report));
             }
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -31,6 +31,7 @@
 use crate::quota;
 use crate::quota::Charge;
 use crate::quota::OverQuota;
+use crate::readiness;
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
@@ -49,7 +50,9 @@
     request: Request<Incoming>,
     received_ms: TimeMs,
 ) -> Result<ClientRequest, Rejection> {
-    let Some(configuration) = gateway.configuration.load_full() else {
+    let configuration = gateway.configuration.load_full();
+    let configuration = configuration.filter(|_| readiness::knows_evacuations(gateway));
+    let Some(configuration) = configuration else {
         return Err(Rejection::come_back(
             Reason::NoConfiguration,
             NO_CONFIGURATION_RETRY_MS,
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -301,11 +301,13 @@
     prefill: Option<&Arc<str>>,
 ) -> Asking {
     let known = |id: &Arc<str>| gateway.beliefs().upstreams.get(id).cloned();
-    let usable = |id: &Arc<str>| known(id).filter(|upstream| upstream.accepts_work);
+    let usable = |id: &Arc<str>| {
+        known(id).filter(|upstream| gateway.beliefs().upstreams.may_get_work(upstream))
+    };
     let (Some(decode), None | Some(Some(_))) = (usable(decode), prefill.map(usable)) else {
         for upstream in [Some(decode), prefill].into_iter().flatten() {
             let result = match known(upstream) {
-                Some(upstream) if upstream.accepts_work => Result::Used,
+                Some(_) if usable(upstream).is_some() => Result::Used,
                 Some(_) => Result::Replaced,
                 None => Result::Unknown,
             };
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -6,6 +6,8 @@
 pub const REJECTED_TOTAL: &str = "dogwoodpier_gateway_rejected_total";
 /// Sends to upstreams by result.
 pub const SENDS_TOTAL: &str = "dogwoodpier_gateway_sends_total";
+/// Data centres that are evacuated.
+pub const EVACUATED: &str = "dogwoodpier_gateway_evacuated_data_centres";
 /// Crashes of upstreams by the requests that were in flight there.
 pub const CRASHES_TOTAL: &str = "dogwoodpier_gateway_crashes_total";
 /// New connections to upstreams.
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -91,6 +91,8 @@
     pub config_kind: &'static str,
     /// Name of the configuration's object.
     pub config_name: &'static str,
+    /// Kind of the evacuations, each named after its data centre.
+    pub evacuation_kind: &'static str,
     /// Kind of the upstreams' entries.
     pub upstream_kind: &'static str,
     /// Kind of the instances' own registrations.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -215,7 +215,7 @@
 ) -> Result<Response<AnswerBody>, Rejection> {
     if !lines::has_decode_engine(gateway, &request.service.name) {
         return Err(Rejection::come_back(
-            Reason::NoUpstream,
+            lines::no_upstream(gateway, &request.service.name),
             lines::NO_ENGINE_RETRY_MS,
             request.deadline_ms.remaining(clock::now()),
         ));
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/evacuations.rs
@@ -0,0 +1,68 @@
+//! Data centres that operators have evacuated.
+
+use dogwoodpier_core::gateway::evacuations::Evacuations;
+use dogwoodpier_platform::wire::Change;
+
+use crate::counters;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+use crate::store::Follower;
+
+// The change has to be in force at once, and few follow each other.
+const GATHER_MS: u64 = 100;
+
+/// Returns the follower of the evacuations.
+pub fn follower(gateway: &Gateway) -> Follower {
+    Follower {
+        kind: gateway.dialect.objects.evacuation_kind,
+        replace: |gateway, listing, _| {
+            let data_centres = listing.items.iter().map(|object| object.name.clone());
+            let listed = Evacuations::listed(listing.revision, data_centres);
+            take(gateway, listed, "store");
+        },
+        change: take_change,
+        gather_ms: |_| GATHER_MS,
+    }
+}
+
+fn take_change(gateway: &SharedGateway, change: Change, revision: u64, _: &crate::store::Outage) {
+    let name = &change.object.name;
+    let changed = {
+        let evacuations = &mut gateway.beliefs().upstreams.evacuations;
+        evacuations.change(revision, name, !change.deleted)
+    };
+    if changed {
+        log(gateway, "store");
+    }
+}
+
+/// Takes in a state that the store or a peer tells.
+pub fn take(gateway: &SharedGateway, state: Evacuations, source: &str) {
+    let changed = gateway.beliefs().upstreams.evacuations.take(state);
+    if changed {
+        log(gateway, source);
+    }
+}
+
+fn log(gateway: &SharedGateway, source: &str) {
+    let (data_centres, kept) = {
+        let beliefs = gateway.beliefs();
+        let upstreams = &beliefs.upstreams;
+        let data_centres: Vec<_> = upstreams.evacuations.data_centres().cloned().collect();
+        let kept = upstreams
+            .all()
+            .filter(|upstream| upstreams.may_get_work(upstream));
+        (data_centres, kept.count())
+    };
+    metrics::gauge!(counters::EVACUATED).set(data_centres.len() as f64);
+    gateway.events.write(
+        "evacuations",
+        serde_json::json!({
+            "data_centres": data_centres,
+            "source": source,
+            "upstreams_left": kept,
+        }),
+    );
+    gateway.use_changed.notify_one();
+    gateway.lines.slot_freed();
+}
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::broker::Ask;
 use crate::broker::Release;
 use crate::codec;
+use crate::evacuations;
 use crate::quarantine;
 use crate::quota;
 use crate::quota::QuotaAnswer;
@@ -111,6 +112,7 @@
     let now = clock::now();
     registry::note_reporting(gateway, &report.instance, from);
     quarantine::take_news(gateway, &report.suspects);
+    evacuations::take(gateway, report.evacuations.clone(), &report.instance);
     for (kind, revision) in &report.seen_revisions {
         gateway.revisions.note_peer(kind, *revision);
     }
@@ -239,5 +241,6 @@
         leaving_upstreams: beliefs.upstreams.leaving(),
         seen_revisions: gateway.revisions.here(),
         suspects: gateway.quarantine.news(),
+        evacuations: beliefs.upstreams.evacuations.clone(),
     }
 }
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dialect;
 pub mod dispatch;
 pub mod engines;
+mod evacuations;
 pub mod events;
 pub mod exchange;
 pub mod forwarding;
--- a/crates/dogwoodpier-gateway/src/lines.rs
+++ b/crates/dogwoodpier-gateway/src/lines.rs
@@ -22,6 +22,7 @@
 use dogwoodpier_core::gateway::waiting::Waiter;
 use dogwoodpier_process::clock;
 
+use crate::reject::Reason;
 use crate::state::Beliefs;
 use crate::state::Gateway;
 use crate::state::Holder;
@@ -301,6 +302,14 @@
         .any(|upstream| upstream.stage != Some(Stage::Prefill))
 }
 
+/// Returns why no upstream of a service may get new work.
+pub fn no_upstream(gateway: &Gateway, service: &str) -> Reason {
+    match gateway.beliefs().upstreams.is_evacuated(service) {
+        true => Reason::Evacuated,
+        false => Reason::NoUpstream,
+    }
+}
+
 /// Returns for how long all engines of a service that decode want nothing from this instance.
 pub fn pause_ms(gateway: &Gateway, service: &str) -> u64 {
     let now = clock::now();
--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -45,6 +45,7 @@
         "instance": &*gateway.settings.load().instance,
         "incarnation": gateway.incarnation,
         "configuration_version": configuration.as_ref().map(|current| current.version),
+        "evacuated": beliefs.upstreams.evacuations.data_centres().collect::<Vec<_>>(),
         "members": hearing.members,
         "heard": hearing.heard,
         "in_flight": gateway.drain.in_flight(),
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -22,6 +22,7 @@
 use crate::forwarding;
 use crate::forwarding::Sent;
 use crate::headers;
+use crate::lines;
 use crate::quarantine;
 use crate::reject::Reason;
 use crate::reject::Rejection;
@@ -71,7 +72,8 @@
     let mut progress = Progress::default();
     loop {
         let Some(guard) = choose(gateway, request, &progress.tried) else {
-            return finish(request, progress, Reason::NoUpstream);
+            let reason = lines::no_upstream(gateway, &request.service.name);
+            return finish(request, progress, reason);
         };
         progress.attempts.sends += 1;
         progress.tried.push(guard.upstream().id.clone());
--- a/crates/dogwoodpier-gateway/src/readiness.rs
+++ b/crates/dogwoodpier-gateway/src/readiness.rs
@@ -23,8 +23,15 @@
 
 /// Returns whether the instance takes requests: it knows what to do with them and isn't stopping.
 pub fn is_ready(gateway: &Gateway) -> bool {
-    let informed = gateway.configuration.load().is_some() && gateway.beliefs().upstreams_known;
-    informed && !gateway.drain.is_draining()
+    gateway.configuration.load().is_some()
+        && gateway.beliefs().upstreams_known
+        && knows_evacuations(gateway)
+        && !gateway.drain.is_draining()
+}
+
+/// Returns whether the instance knows which data centres are evacuated, if any may be.
+pub fn knows_evacuations(gateway: &Gateway) -> bool {
+    !gateway.settings.load().evacuations || gateway.beliefs().upstreams.evacuations.are_known()
 }
 
 /// Starts a server of small pages.
--- a/crates/dogwoodpier-gateway/src/reject.rs
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -38,6 +38,8 @@
     OverQuota,
     /// Earlier runs of the request crashed the upstreams that ran it.
     Quarantined,
+    /// All data centres with upstreams of the service are evacuated.
+    Evacuated,
     /// No upstream of the service takes work.
     NoUpstream,
     /// Upstreams are full, and the wait would be too long.
@@ -58,6 +60,7 @@
             | Self::ShuttingDown
             | Self::NoMemory
             | Self::Quarantined
+            | Self::Evacuated
             | Self::NoUpstream
             | Self::Overloaded
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -85,6 +88,7 @@
             Self::UnknownKey => "unknown_key",
             Self::OverQuota => "over_quota",
             Self::Quarantined => "quarantined",
+            Self::Evacuated => "evacuated",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::NotRun => "not_run",
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -45,6 +45,8 @@
     pub capacity: f64,
     /// Units that a workspace may be lent beyond its rate while upstreams have room.
     pub quota_tolerance: Tolerance,
+    /// Whether operators may evacuate data centres, so that the store is asked for it.
+    pub evacuations: bool,
     /// Time from SIGTERM to the end of the process.
     pub grace_ms: u64,
     /// Time for which the entry of an upstream may be missing after the store was away.
@@ -113,6 +115,7 @@
         false => Some(1.0),
     };
     let tolerance = number(&mut root, "quota_tolerance_units", 0.0, 1e15, report);
+    let evacuations = root.flag("evacuations", report);
     let mut retries = root.table("retries", report);
     let ratio = number(&mut retries, "ratio", 0.0, 10.0, report);
     let allowance = number(&mut retries, "allowance", 0.0, 1e9, report);
@@ -136,6 +139,7 @@
         quota_tolerance: Tolerance {
             units: (tolerance? * QUOTA_TOLERANCE_SHARE) as u64,
         },
+        evacuations: evacuations.unwrap_or(false),
         grace_ms: (grace_s? * MS_PER_S) as u64,
         entry_grace_ms: (entry_grace_s? * MS_PER_S) as u64,
         max_buffered_bytes: memory_mb? as usize * BYTES_PER_MB / BODY_MEMORY_PARTS,
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -34,6 +34,7 @@
 use crate::broker::Broker;
 use crate::dialect::Dialect;
 use crate::engines::Learned;
+use crate::evacuations;
 use crate::exchange;
 use crate::lines;
 use crate::lines::Lines;
@@ -179,6 +180,12 @@
         let follower = store::upstreams(&gateway);
         store::follow(gateway, follower)
     });
+    if gateway.settings.load().evacuations {
+        keep(gateway, "evacuations", |gateway| {
+            let follower = evacuations::follower(&gateway);
+            store::follow(gateway, follower)
+        });
+    }
     keep(gateway, "find_peers", registry::find_peers);
     keep(gateway, "expire_upstreams", store::expire_upstreams);
     keep(gateway, "register", registry::run);
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -25,6 +25,7 @@
 use dogwoodpier_platform::Error;
 use dogwoodpier_platform::WatchOutcome;
 use dogwoodpier_platform::wire::Change;
+use dogwoodpier_platform::wire::Listing;
 use dogwoodpier_platform::wire::Object;
 use dogwoodpier_process::clock;
 
@@ -57,9 +58,9 @@
     /// Kind of the objects.
     pub kind: &'static str,
     /// Takes a whole listing. The time tells when the store was last found to be away.
-    pub replace: fn(&SharedGateway, Vec<Object>, &Outage),
-    /// Takes one change.
-    pub change: fn(&SharedGateway, Change, &Outage),
+    pub replace: fn(&SharedGateway, Listing, &Outage),
+    /// Takes one change, with the revision up to which its call tells changes.
+    pub change: fn(&SharedGateway, Change, u64, &Outage),
     /// Returns the pause after changes in which further ones gather for one call, in milliseconds, by
     /// the number of instances.
     pub gather_ms: fn(u64) -> u64,
@@ -202,8 +203,9 @@
     gateway
         .revisions
         .note_here(follower.kind, newest.unwrap_or(0));
-    (follower.replace)(gateway, listing.items, outage);
-    Ok(Some(listing.revision))
+    let revision = listing.revision;
+    (follower.replace)(gateway, listing, outage);
+    Ok(Some(revision))
 }
 
 async fn watch_once(
@@ -230,7 +232,7 @@
             if !changes.changes.is_empty() {
                 gateway.revisions.note_here(follower.kind, changes.revision);
                 for change in changes.changes {
-                    (follower.change)(gateway, change, outage);
+                    (follower.change)(gateway, change, changes.revision, outage);
                 }
                 let members = u64::from(gateway.beliefs().exchange.hearing(clock::now()).members);
                 tokio::time::sleep(Duration::from_millis((follower.gather_ms)(members))).await;
@@ -252,12 +254,12 @@
 pub fn configuration(gateway: &Gateway) -> Follower {
     Follower {
         kind: gateway.dialect.objects.config_kind,
-        replace: |gateway, objects, _| {
-            for object in objects {
+        replace: |gateway, listing, _| {
+            for object in listing.items {
                 take_configuration(gateway, &object);
             }
         },
-        change: |gateway, change, _| {
+        change: |gateway, change, _, _| {
             if !change.deleted {
                 take_configuration(gateway, &change.object);
             }
@@ -300,8 +302,9 @@
 pub fn upstreams(gateway: &Gateway) -> Follower {
     Follower {
         kind: gateway.dialect.objects.upstream_kind,
-        replace: |gateway, objects, outage| {
-            let listing: Vec<Upstream> = objects
+        replace: |gateway, listing, outage| {
+            let listing: Vec<Upstream> = listing
+                .items
                 .iter()
                 .filter_map(|object| read_upstream(gateway, object))
                 .collect();
@@ -312,7 +315,7 @@
                 .replace(listing, outage.grace_deadline_ms(now));
             beliefs.upstreams_known = true;
         },
-        change: |gateway, change, outage| {
+        change: |gateway, change, _, outage| {
             if change.deleted {
                 remove_upstream(gateway, &change.object.name, outage);
             } else if let Some(upstream) = read_upstream(gateway, &change.object) {
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -39,6 +39,7 @@
         leaving_upstreams: [(engine(91), Some(1_700_000_000_000))].into(),
         seen_revisions: [("servers".into(), 12_345), ("config".into(), 12_300)].into(),
         suspects: Vec::new(),
+        evacuations: Default::default(),
     })
 }
 
