Let a part of the fleet watch for evacuations

One of eight instances, eight at least, watches for 28 s at a time and tells all others at once; one that hears nobody ranks itself first.

--- a/crates/dogwoodpier-core/src/gateway/evacuations.rs
+++ b/crates/dogwoodpier-core/src/gateway/evacuations.rs
@@ -4,12 +4,38 @@
 //! others take its load at once. All instances have to stop sending there within seconds, also those
 //! that can't reach the store just then, and none may go back to an older state when a peer that was
 //! frozen tells what it knew. Each state is that of one revision of the store; the newest counts.
+//!
+//! Such orders are rare and each watch is a call that costs, so a part of the fleet watches and tells
+//! the others. An instance that hears nobody is among its own watchers.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use dogwoodpier_derive::wire;
 
+use crate::rendezvous;
+
+// Watchers that are cut off from the store at once, with a third of the fleet, are fewer.
+const MIN_WATCHERS: usize = 8;
+// One of this many instances watches.
+const MEMBERS_PER_WATCHER: usize = 8;
+
+/// Returns whether an instance is one of those that watch the store, given the peers that it relies
+/// on.
+pub fn is_watcher<'a, P>(own: &str, peers: P) -> bool
+where
+    P: IntoIterator<Item = &'a str>,
+{
+    let weight = |name: &str| rendezvous::weight("evacuations", name);
+    let own_rank = (weight(own), own);
+    let (mut members, mut ahead) = (1, 0);
+    for peer in peers {
+        members += 1;
+        ahead += usize::from((weight(peer), peer) > own_rank);
+    }
+    ahead < MIN_WATCHERS.max(members / MEMBERS_PER_WATCHER)
+}
+
 /// The evacuated data centres as of a revision of the store.
 #[wire]
 #[derive(Default, Eq)]
--- a/crates/dogwoodpier-core/tests/gateway_evacuations.rs
+++ b/crates/dogwoodpier-core/tests/gateway_evacuations.rs
@@ -11,6 +11,7 @@
 use proptest::prelude::*;
 
 use dogwoodpier_core::gateway::evacuations::Evacuations;
+use dogwoodpier_core::gateway::evacuations::is_watcher;
 
 const INSTANCES: usize = 4;
 const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
@@ -181,3 +182,20 @@
     assert!(evacuations.are_known());
     assert!(evacuations.contains("a"));
 }
+
+#[test]
+fn watchers_are_few() {
+    let names: Vec<String> = (0..300).map(|number| format!("i{number}")).collect();
+    let watchers = |members: &[String]| {
+        let watches = |own: &&String| {
+            let peers = members.iter().filter(|peer| peer != own);
+            is_watcher(own, peers.map(String::as_str))
+        };
+        members.iter().filter(watches).count()
+    };
+    assert_eq!(watchers(&names), 37);
+    assert_eq!(watchers(&names[..59]), 8);
+    assert_eq!(watchers(&names[..5]), 5);
+    // One that hears nobody watches itself.
+    assert!(is_watcher("i7", []));
+}
--- a/crates/dogwoodpier-gateway/src/evacuations.rs
+++ b/crates/dogwoodpier-gateway/src/evacuations.rs
@@ -1,12 +1,17 @@
 //! Data centres that operators have evacuated.
 
+use dogwoodpier_core::gateway::evacuations;
 use dogwoodpier_core::gateway::evacuations::Evacuations;
 use dogwoodpier_platform::wire::Change;
+use dogwoodpier_process::clock;
 
 use crate::counters;
+use crate::readiness;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
+use crate::store;
 use crate::store::Follower;
+use crate::store::Outage;
 
 // The change has to be in force at once, and few follow each other.
 const GATHER_MS: u64 = 100;
@@ -22,10 +27,22 @@
         },
         change: take_change,
         gather_ms: |_| GATHER_MS,
+        // A watch that went deaf is noticed by what peers tell.
+        watch_ms: |_| store::MAX_WATCH_MS,
+        asks_store: |gateway| is_watcher(gateway) || !readiness::knows_evacuations(gateway),
     }
 }
 
-fn take_change(gateway: &SharedGateway, change: Change, revision: u64, _: &crate::store::Outage) {
+/// Returns whether this instance watches the store for evacuations, and tells its peers of them.
+pub fn is_watcher(gateway: &Gateway) -> bool {
+    let settings = gateway.settings.load();
+    let beliefs = gateway.beliefs();
+    let peers = beliefs.exchange.reliable(clock::now());
+    let peers = peers.map(|(peer, _)| &**peer);
+    settings.evacuations && evacuations::is_watcher(&settings.instance, peers)
+}
+
+fn take_change(gateway: &SharedGateway, change: Change, revision: u64, _: &Outage) {
     let name = &change.object.name;
     let changed = {
         let evacuations = &mut gateway.beliefs().upstreams.evacuations;
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::evacuations::Evacuations;
 use dogwoodpier_core::gateway::exchange::Report;
 use dogwoodpier_core::quarantine::SuspectNews;
 use dogwoodpier_derive::wire;
@@ -195,15 +196,19 @@
     leaving: bool,
     down: BTreeSet<Arc<str>>,
     brokers_know_of_uses: bool,
+    evacuations: Evacuations,
 }
 
 impl Told {
-    // All peers avoid upstreams that are down, and owners that leave. Each peer sees by itself in the
+    // All peers avoid upstreams that are down, and owners that leave. Few watch for evacuations. Each peer sees by itself in the
     // store that an upstream leaves; heartbeats tell it to those who are cut off.
     fn concerns_all(&self, gateway: &Gateway, report: &Report, now: TimeMs) -> bool {
         if report.leaving != self.leaving {
             return true;
         }
+        if report.evacuations != self.evacuations && evacuations::is_watcher(gateway) {
+            return true;
+        }
         let untold: Vec<&Arc<str>> = report
             .down_for_ms
             .keys()
@@ -220,6 +225,7 @@
     fn note_all(&mut self, report: &Report, now: TimeMs) {
         self.all_ms = now;
         self.leaving = report.leaving;
+        self.evacuations = report.evacuations.clone();
         self.down = report.down_for_ms.keys().cloned().collect();
     }
 }
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -49,9 +49,12 @@
 const PEERS_AHEAD: Duration = Duration::from_millis(400);
 // Time between the ends of any two watches of the fleet.
 const FLEET_WATCH_INTERVAL_MS: u64 = 350;
-// Bounds of a watch's wait. The store lets a watch wait for 30 s at most.
+// Bounds of a watch's wait.
 const MIN_WATCH_MS: u64 = 1_400;
-const MAX_WATCH_MS: u64 = 28_000;
+/// Longest wait of a watch. The store lets it wait for 30 s at most.
+pub const MAX_WATCH_MS: u64 = 28_000;
+// Time between two looks whether this instance has to ask the store.
+const ASK_CHECK: Duration = Duration::from_millis(300);
 
 /// What a follower does with the objects of its kind.
 pub struct Follower {
@@ -64,6 +67,10 @@
     /// Returns the pause after changes in which further ones gather for one call, in milliseconds, by
     /// the number of instances.
     pub gather_ms: fn(u64) -> u64,
+    /// Returns the longest wait of a watch in milliseconds, by the number of instances that are heard.
+    pub watch_ms: fn(u64) -> u64,
+    /// Returns whether this instance asks the store; otherwise it hears from peers that do.
+    pub asks_store: fn(&Gateway) -> bool,
 }
 
 /// Revisions of the store up to which changes of one kind were seen.
@@ -153,6 +160,11 @@
     let mut lost = false;
     let mut pause_ms = RETRY_PAUSE_MS;
     loop {
+        if !(follower.asks_store)(&gateway) {
+            revision = None;
+            tokio::time::sleep(ASK_CHECK).await;
+            continue;
+        }
         let result = match revision {
             None => list(&gateway, &follower, &outage).await,
             Some(after) => watch_once(&gateway, &follower, &outage, after).await,
@@ -216,7 +228,7 @@
 ) -> Result<Option<u64>, Error> {
     let kinds = [follower.kind];
     let outcome = tokio::select! {
-        outcome = gateway.store.watch(&kinds, after, watch_wait_ms(gateway)) => outcome?,
+        outcome = gateway.store.watch(&kinds, after, watch_wait_ms(gateway, follower)) => outcome?,
         () = gateway.revisions.peers_ahead(follower.kind, after) => {
             log_store(gateway, follower, "silent", "peers have seen newer changes");
             gateway.store.renew();
@@ -242,14 +254,17 @@
     }
 }
 
-// The larger the fleet, the longer an instance can wait: some other one asks in the meantime.
-fn watch_wait_ms(gateway: &Gateway) -> u64 {
+fn watch_wait_ms(gateway: &Gateway, follower: &Follower) -> u64 {
     let members = gateway.beliefs().exchange.hearing(clock::now()).heard;
-    let longest_ms =
-        (u64::from(members) * FLEET_WATCH_INTERVAL_MS).clamp(MIN_WATCH_MS, MAX_WATCH_MS);
+    let longest_ms = (follower.watch_ms)(u64::from(members));
     rand::random_range(longest_ms * 2 / 3..=longest_ms)
 }
 
+// The larger the fleet, the longer an instance can wait: some other one asks in the meantime.
+fn shared_watch_ms(members: u64) -> u64 {
+    (members * FLEET_WATCH_INTERVAL_MS).clamp(MIN_WATCH_MS, MAX_WATCH_MS)
+}
+
 /// Returns the follower of the configuration.
 pub fn configuration(gateway: &Gateway) -> Follower {
     Follower {
@@ -265,6 +280,8 @@
             }
         },
         gather_ms: |_| GATHER_MS,
+        watch_ms: shared_watch_ms,
+        asks_store: |_| true,
     }
 }
 
@@ -326,6 +343,8 @@
             }
         },
         gather_ms: |members| (GATHER_MS + members * GATHER_MS_PER_MEMBER).min(MAX_GATHER_MS),
+        watch_ms: shared_watch_ms,
+        asks_store: |_| true,
     }
 }
 
