--- a/crates/dogwoodpier-core/src/quarantine/suspects.rs
+++ b/crates/dogwoodpier-core/src/quarantine/suspects.rs
@@ -196,6 +196,10 @@
         is_own: bool,
         now: TimeMs,
     ) -> bool {
+        // Most requests that are answered are no suspects.
+        if !self.crashes.contains_key(&fingerprint) {
+            return false;
+        }
         self.expire(now);
         let settings = self.settings.clone();
         let Some(known) = self.crashes.get_mut(&fingerprint) else {
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -13,15 +13,11 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
-use dogwoodpier_core::gateway::retries::Attempts;
 use dogwoodpier_core::gateway::routes::Repeat;
-use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_http::Reply;
 use dogwoodpier_http::Returning;
 use dogwoodpier_process::clock;
@@ -37,6 +33,8 @@
 use crate::lines;
 use crate::lines::Claim;
 use crate::lines::Place;
+use crate::prefill;
+use crate::prefill::Progress;
 use crate::quarantine;
 use crate::reject::Reason;
 use crate::reject::Rejection;
@@ -47,8 +45,6 @@
 use crate::stream::Relay;
 use crate::stream::Resume;
 
-// Largest answer to a prefill.
-const MAX_HANDLE_BYTES: usize = 64 * 1024;
 // Places that one request is given, those whose engines rejected it included.
 const MAX_PLACES: u32 = 4;
 // Time from a free slot to the first event that is assumed before any was seen.
@@ -60,8 +56,6 @@
 const RETURNED_WAIT_MS: u64 = 2_200;
 // Clients' waits differ by their own delays; only a larger difference tells a request that returned.
 const RETURNED_MARGIN_MS: u64 = 250;
-// Part of a KV cache's life at the end in which it may be gone before another engine has fetched it.
-const CACHE_MARGIN_MS: u64 = 100;
 // Part of the expected output that a request holds on average while it runs. Requests of an engine
 // are at different points of theirs.
 const HELD_OUTPUT: f64 = 0.8;
@@ -116,31 +110,6 @@
     }
 }
 
-/// What became of a request so far.
-#[derive(Default)]
-struct Progress {
-    attempts: Attempts,
-    timed_out: bool,
-    // Engine that failed the request last.
-    failed: Option<Arc<str>>,
-    // KV cache that was made for an engine that rejected the request.
-    cache: Option<Cache>,
-}
-
-struct Cache {
-    source: HeaderValue,
-    use_deadline_ms: TimeMs,
-}
-
-impl Progress {
-    // Returns a KV cache that an engine rejected the request without taking. It is tried once more.
-    fn fresh_cache(&mut self, request: &ClientRequest) -> Option<HeaderValue> {
-        let cache = self.cache.take()?;
-        let now = clock::now();
-        (cache.use_deadline_ms > now && request.deadline_ms > now).then_some(cache.source)
-    }
-}
-
 /// A stream that goes on at another engine.
 pub struct Resumed {
     /// Body of the engine's answer.
@@ -338,7 +307,7 @@
     }
     let source = match progress.fresh_cache(request) {
         Some(cache) => Some(cache),
-        None => read_prompt(gateway, request, prefill, &decode, progress).await,
+        None => prefill::read_prompt(gateway, request, prefill, &decode, progress).await,
     };
     // News may have come while it waited for its place or its prompt was read.
     if gateway.quarantine.holds(request.fingerprint) {
@@ -375,92 +344,6 @@
     None
 }
 
-// Has the prompt read by a prefill engine and returns where the decode engine finds the KV cache.
-// Without it the decode engine reads the prompt itself.
-async fn read_prompt(
-    gateway: &SharedGateway,
-    request: &ClientRequest,
-    prefill: Option<UseGuard>,
-    decode: &UseGuard,
-    progress: &mut Progress,
-) -> Option<HeaderValue> {
-    let mut guard = prefill?;
-    let is_first = !progress.attempts.prefill_costs_retry();
-    let may_prefill = match is_first {
-        true => gateway.take_prefill(request),
-        false => gateway.take_retry(request),
-    };
-    if !may_prefill {
-        return None;
-    }
-    progress.attempts.prefills += 1;
-    let names = &gateway.dialect.headers;
-    let stage = HeaderValue::from_static(gateway.dialect.prefill_stage);
-    let extra = vec![(names.stage.clone(), stage)];
-    let started_ms = clock::now();
-    let limit_ms = request
-        .deadline_ms
-        .min(started_ms.after(request.route.objective_ms));
-    let engine = guard.upstream().clone();
-    let sent = forwarding::send_unpaid(gateway, request, &engine, extra, limit_ms).await;
-    if let Sent::Cut(_) = sent {
-        quarantine::note_cut(gateway, &request.in_flight(), &engine).await;
-    }
-    let reply = match sent {
-        Sent::Answered(reply) => reply,
-        Sent::NotExecuted(_) | Sent::Withheld => {
-            guard.set_result(broker::Result::Full);
-            return None;
-        }
-        Sent::NotSent(_) | Sent::Cut(_) | Sent::Lost(_) | Sent::TimedOut => {
-            guard.set_result(broker::Result::Unreachable);
-            return None;
-        }
-    };
-    let Some(source) = read_source(gateway, reply, &engine).await else {
-        gateway.note(&engine, Outcome::Failed);
-        return None;
-    };
-    if is_first {
-        gateway.give_back_prefill(request);
-    }
-    let now = clock::now();
-    let elapsed_ms = now.since(started_ms);
-    gateway.note(&engine, Outcome::Answered { elapsed_ms });
-    gateway.events.write(
-        "prefilled",
-        serde_json::json!({
-            "request_id": request.id_text(),
-            "prefill": &*engine.id,
-            "decode": &*decode.upstream().id,
-            "elapsed_ms": elapsed_ms,
-            "prompt_tokens": request.prompt.map(|size| size.prompt_tokens),
-        }),
-    );
-    let life_ms = request
-        .service
-        .engine
-        .as_ref()
-        .map_or(0, |spec| spec.handle_ttl_ms);
-    progress.cache = Some(Cache {
-        source: source.clone(),
-        use_deadline_ms: now.after(life_ms.saturating_sub(CACHE_MARGIN_MS)),
-    });
-    Some(source)
-}
-
-async fn read_source(gateway: &Gateway, reply: Reply, prefill: &Upstream) -> Option<HeaderValue> {
-    if reply.status != StatusCode::OK {
-        return None;
-    }
-    let (body, returning) = reply.into_body();
-    let whole = Limited::new(body, MAX_HANDLE_BYTES).collect().await.ok()?;
-    returning.give_back();
-    let handle = (gateway.dialect.decode_cache_handle)(&whole.to_bytes())?;
-    let source = (gateway.dialect.cache_source)(prefill.address, &handle);
-    HeaderValue::from_str(&source).ok()
-}
-
 // Turns the head of an engine's answer into the response, or returns `None` if it can't be used.
 fn accept(
     gateway: &SharedGateway,
--- a/crates/dogwoodpier-gateway/src/exchange.rs
+++ b/crates/dogwoodpier-gateway/src/exchange.rs
@@ -200,8 +200,9 @@
 }
 
 impl Told {
-    // All peers avoid upstreams that are down, and owners that leave. Few watch for evacuations. Each peer sees by itself in the
-    // store that an upstream leaves; heartbeats tell it to those who are cut off.
+    // All peers avoid upstreams that are down, owners that leave, and data centres that are evacuated,
+    // which few watch for. Each peer sees by itself in the store that an upstream leaves; heartbeats tell
+    // it to those who are cut off.
     fn concerns_all(&self, gateway: &Gateway, report: &Report, now: TimeMs) -> bool {
         if report.leaving != self.leaving {
             return true;
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod operators;
 pub mod owners;
 pub mod plain;
+mod prefill;
 mod quarantine;
 pub mod quota;
 pub mod readiness;
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -186,7 +186,7 @@
         note_failure(gateway, request, upstream, "the answer isn't genuine");
         return None;
     }
-    quarantine::note_answered(gateway, &request.in_flight());
+    quarantine::note_answered(gateway, request.id_text(), request.fingerprint);
     if answer.status.is_server_error() {
         gateway.note(upstream, Outcome::Failed);
         progress.failure = Some(answer);
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -0,0 +1,143 @@
+//! The prefill of a generation request, and the KV cache that it leaves.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::gateway::retries::Attempts;
+use dogwoodpier_core::gateway::upstreams::Upstream;
+use dogwoodpier_http::Reply;
+use dogwoodpier_process::clock;
+
+use crate::broker;
+use crate::forwarding;
+use crate::forwarding::Sent;
+use crate::quarantine;
+use crate::request::ClientRequest;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+use crate::state::UseGuard;
+
+// Largest answer to a prefill.
+const MAX_HANDLE_BYTES: usize = 64 * 1024;
+// Part of a KV cache's life at the end in which it may be gone before another engine has fetched it.
+const CACHE_MARGIN_MS: u64 = 100;
+
+/// What became of a request so far.
+#[derive(Default)]
+pub struct Progress {
+    /// What was sent so far.
+    pub attempts: Attempts,
+    /// Whether the last send got no answer in time.
+    pub timed_out: bool,
+    /// Engine that failed the request last.
+    pub failed: Option<Arc<str>>,
+    /// KV cache that was made for an engine that rejected the request.
+    pub cache: Option<Cache>,
+}
+
+impl Progress {
+    /// Returns a KV cache that an engine rejected the request without taking. It is tried once more.
+    pub fn fresh_cache(&mut self, request: &ClientRequest) -> Option<HeaderValue> {
+        let cache = self.cache.take()?;
+        let now = clock::now();
+        (cache.use_deadline_ms > now && request.deadline_ms > now).then_some(cache.source)
+    }
+}
+
+/// A KV cache that a prefill engine holds.
+pub struct Cache {
+    source: HeaderValue,
+    use_deadline_ms: TimeMs,
+}
+
+/// Has the prompt read by a prefill engine and returns where the decode engine finds the KV cache.
+/// Without it the decode engine reads the prompt itself.
+pub async fn read_prompt(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+    prefill: Option<UseGuard>,
+    decode: &UseGuard,
+    progress: &mut Progress,
+) -> Option<HeaderValue> {
+    let mut guard = prefill?;
+    let is_first = !progress.attempts.prefill_costs_retry();
+    let may_prefill = match is_first {
+        true => gateway.take_prefill(request),
+        false => gateway.take_retry(request),
+    };
+    if !may_prefill {
+        return None;
+    }
+    progress.attempts.prefills += 1;
+    let names = &gateway.dialect.headers;
+    let stage = HeaderValue::from_static(gateway.dialect.prefill_stage);
+    let extra = vec![(names.stage.clone(), stage)];
+    let started_ms = clock::now();
+    let limit_ms = request
+        .deadline_ms
+        .min(started_ms.after(request.route.objective_ms));
+    let engine = guard.upstream().clone();
+    let sent = forwarding::send_unpaid(gateway, request, &engine, extra, limit_ms).await;
+    if let Sent::Cut(_) = sent {
+        quarantine::note_cut(gateway, &request.in_flight(), &engine).await;
+    }
+    let reply = match sent {
+        Sent::Answered(reply) => reply,
+        Sent::NotExecuted(_) | Sent::Withheld => {
+            guard.set_result(broker::Result::Full);
+            return None;
+        }
+        Sent::NotSent(_) | Sent::Cut(_) | Sent::Lost(_) | Sent::TimedOut => {
+            guard.set_result(broker::Result::Unreachable);
+            return None;
+        }
+    };
+    let Some(source) = read_source(gateway, reply, &engine).await else {
+        gateway.note(&engine, Outcome::Failed);
+        return None;
+    };
+    if is_first {
+        gateway.give_back_prefill(request);
+    }
+    let now = clock::now();
+    let elapsed_ms = now.since(started_ms);
+    gateway.note(&engine, Outcome::Answered { elapsed_ms });
+    gateway.events.write(
+        "prefilled",
+        serde_json::json!({
+            "request_id": request.id_text(),
+            "prefill": &*engine.id,
+            "decode": &*decode.upstream().id,
+            "elapsed_ms": elapsed_ms,
+            "prompt_tokens": request.prompt.map(|size| size.prompt_tokens),
+        }),
+    );
+    let life_ms = request
+        .service
+        .engine
+        .as_ref()
+        .map_or(0, |spec| spec.handle_ttl_ms);
+    progress.cache = Some(Cache {
+        source: source.clone(),
+        use_deadline_ms: now.after(life_ms.saturating_sub(CACHE_MARGIN_MS)),
+    });
+    Some(source)
+}
+
+async fn read_source(gateway: &Gateway, reply: Reply, prefill: &Upstream) -> Option<HeaderValue> {
+    if reply.status != StatusCode::OK {
+        return None;
+    }
+    let (body, returning) = reply.into_body();
+    let whole = Limited::new(body, MAX_HANDLE_BYTES).collect().await.ok()?;
+    returning.give_back();
+    let handle = (gateway.dialect.decode_cache_handle)(&whole.to_bytes())?;
+    let source = (gateway.dialect.cache_source)(prefill.address, &handle);
+    HeaderValue::from_str(&source).ok()
+}
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -185,11 +185,11 @@
 }
 
 /// Notes that an upstream answered a request: crashes before weren't its own.
-pub fn note_answered(gateway: &Gateway, run: &InFlight) {
+pub fn note_answered(gateway: &Gateway, request_id: &str, fingerprint: u64) {
     let news = gateway
         .quarantine
         .lock()
-        .note_answer(run.fingerprint, clock::now());
+        .note_answer(fingerprint, clock::now());
     let Some(news) = news else {
         return;
     };
@@ -197,8 +197,8 @@
     gateway.events.write(
         "request_acquitted",
         serde_json::json!({
-            "request_id": &*run.request_id,
-            "fingerprint": format!("{:016x}", run.fingerprint),
+            "request_id": request_id,
+            "fingerprint": format!("{fingerprint:016x}"),
         }),
     );
 }
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -136,7 +136,11 @@
                     if let Some(returning) = self.returning.take() {
                         returning.give_back();
                     }
-                    quarantine::note_answered(&self.gateway, &self.run);
+                    let InFlight {
+                        request_id,
+                        fingerprint,
+                    } = &self.run;
+                    quarantine::note_answered(&self.gateway, request_id, *fingerprint);
                     self.log_end("complete");
                     return None;
                 }
