Count upstreams that may have crashed, not connections that they cut

Cause: while it is looked whether an upstream that cut a connection has ended, the cut counts as a crash. Three cuts within 50 ms by one upstream that goes on, of requests with one fingerprint, had the next ones refused with 503. A look counts for its upstream now, once, and not beside a crash of it that is known.

--- a/crates/dogwoodpier-core/src/quarantine/suspects.rs
+++ b/crates/dogwoodpier-core/src/quarantine/suspects.rs
@@ -1,6 +1,7 @@
 //! Crash reports by request, and what follows from them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use dogwoodpier_derive::plain;
 
@@ -63,8 +64,8 @@
     crashes: BTreeMap<u64, Vec<Known>>,
     // Last answers of requests that were suspects, by fingerprint.
     answers: BTreeMap<u64, Answered>,
-    // Cut connections of requests whose upstreams may have crashed, by fingerprint.
-    probes: BTreeMap<u64, usize>,
+    // Crashes that there may have been, by fingerprint: one for each connection that was cut.
+    probes: BTreeMap<u64, Vec<u64>>,
     // Where the next heartbeat goes on with older reports.
     next_old: usize,
 }
@@ -241,7 +242,7 @@
     /// Returns what a request may do.
     pub fn standing(&self, fingerprint: u64, now: TimeMs) -> Standing {
         let crashes: Vec<&Crash> = self.live(fingerprint, now).collect();
-        let probes = self.probes.get(&fingerprint).copied().unwrap_or(0);
+        let probes = self.count_probes(fingerprint, &crashes);
         let is_guilty =
             crashes.len() >= self.settings.max_crashes || crashes.iter().any(|crash| crash.alone);
         let last_ms = crashes.iter().map(|crash| crash.expires_ms).max();
@@ -316,18 +317,29 @@
     }
 
     /// Notes that it isn't known yet whether an upstream that cut a request's connection has crashed.
-    pub fn begin_probe(&mut self, fingerprint: u64) {
-        *self.probes.entry(fingerprint).or_default() += 1;
+    pub fn begin_probe(&mut self, fingerprint: u64, crash_id: u64) {
+        self.probes.entry(fingerprint).or_default().push(crash_id);
     }
 
     /// Notes that it is known.
-    pub fn end_probe(&mut self, fingerprint: u64) {
-        if let Some(probes) = self.probes.get_mut(&fingerprint) {
-            *probes -= 1;
-            if *probes == 0 {
-                self.probes.remove(&fingerprint);
-            }
+    pub fn end_probe(&mut self, fingerprint: u64, crash_id: u64) {
+        let Some(probes) = self.probes.get_mut(&fingerprint) else {
+            return;
+        };
+        if let Some(place) = probes.iter().position(|probe| *probe == crash_id) {
+            probes.swap_remove(place);
         }
+        if probes.is_empty() {
+            self.probes.remove(&fingerprint);
+        }
+    }
+
+    // Returns the number of upstreams that may have crashed beside those that are known to. An upstream
+    // that goes on may cut many connections of a request that is sent often.
+    fn count_probes(&self, fingerprint: u64, known: &[&Crash]) -> usize {
+        let probes = self.probes.get(&fingerprint).into_iter().flatten();
+        let unknown = probes.filter(|probe| known.iter().all(|crash| crash.crash_id != **probe));
+        unknown.collect::<BTreeSet<_>>().len()
     }
 
     /// Returns the number of crashes that count against a request.
--- a/crates/dogwoodpier-core/tests/crashing_repeats.rs
+++ b/crates/dogwoodpier-core/tests/crashing_repeats.rs
@@ -246,21 +246,40 @@
 fn probes_count() {
     let mut table = table();
     let now = TimeMs(1_000_000);
-    table.note_crash(CRASHING, Crash::id(1, 1), now);
-    table.begin_probe(CRASHING);
+    let known = Crash::id(1, 1);
+    let probes = [Crash::id(2, 1), Crash::id(3, 1)];
+    table.note_crash(CRASHING, known, now);
+    table.begin_probe(CRASHING, probes[0]);
     assert_eq!(table.standing(CRASHING, now), Standing::OneCopy);
-    table.begin_probe(CRASHING);
+    table.begin_probe(CRASHING, probes[1]);
     let held = Standing::Quarantined {
         retry_after_ms: PROBE_MS,
     };
     assert_eq!(table.standing(CRASHING, now), held);
-    table.end_probe(CRASHING);
-    assert_eq!(table.standing(CRASHING, now), Standing::OneCopy);
-    table.end_probe(CRASHING);
-    table.end_probe(CRASHING);
+    for probe in probes {
+        table.end_probe(CRASHING, probe);
+        assert_eq!(table.standing(CRASHING, now), Standing::OneCopy);
+    }
+    table.end_probe(CRASHING, probes[0]);
     assert_eq!(table.standing(CRASHING, now), Standing::OneCopy);
 }
 
+// An upstream that goes on cuts many connections of a request that is sent often.
+#[test]
+fn probes_of_one_upstream() {
+    let mut table = table();
+    let now = TimeMs(1_000_000);
+    let crash_id = Crash::id(1, 1);
+    for _ in 0..10 {
+        table.begin_probe(LOOKUP, crash_id);
+    }
+    assert_eq!(table.standing(LOOKUP, now), Standing::Clear);
+    // Known to have crashed by one of them, while the others aren't over.
+    table.note_crash(LOOKUP, crash_id, now);
+    table.begin_probe(LOOKUP, Crash::id(2, 1));
+    assert_eq!(table.standing(LOOKUP, now), Standing::OneCopy);
+}
+
 #[test]
 fn unreasonable_times() {
     let mut table = table();
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -113,7 +113,7 @@
         return;
     }
     // The process may still be closing its sockets.
-    let probe = Probe::begin(gateway, run.fingerprint);
+    let probe = Probe::begin(gateway, run.fingerprint, crash_id(upstream));
     let (run, upstream) = (run.clone(), upstream.clone());
     tokio::spawn(async move {
         tokio::time::sleep(Duration::from_millis(PROBE_MS)).await;
@@ -132,21 +132,26 @@
 struct Probe {
     gateway: SharedGateway,
     fingerprint: u64,
+    crash_id: u64,
 }
 
 impl Probe {
-    fn begin(gateway: &SharedGateway, fingerprint: u64) -> Self {
-        gateway.quarantine.lock().begin_probe(fingerprint);
+    fn begin(gateway: &SharedGateway, fingerprint: u64, crash_id: u64) -> Self {
+        let mut suspects = gateway.quarantine.lock();
+        suspects.begin_probe(fingerprint, crash_id);
+        drop(suspects);
         Self {
             gateway: gateway.clone(),
             fingerprint,
+            crash_id,
         }
     }
 }
 
 impl Drop for Probe {
     fn drop(&mut self) {
-        self.gateway.quarantine.lock().end_probe(self.fingerprint);
+        let mut suspects = self.gateway.quarantine.lock();
+        suspects.end_probe(self.fingerprint, self.crash_id);
     }
 }
 
@@ -155,16 +160,20 @@
     dogwoodpier_http::takes_connections(&forwarding::destination(gateway, upstream)).await
 }
 
-fn note_crash(gateway: &Gateway, run: &InFlight, upstream: &Upstream) {
-    let now = clock::now();
+// Returns the id of the crash of an upstream's incarnation: it crashes once.
+fn crash_id(upstream: &Upstream) -> u64 {
     let started_unix_ms = upstream.started_unix_ms.unwrap_or_default();
-    let crash_id = Crash::id(
+    Crash::id(
         rendezvous::weight("upstream", &upstream.id),
         rendezvous::weight("start", &started_unix_ms.to_string()),
-    );
+    )
+}
+
+fn note_crash(gateway: &Gateway, run: &InFlight, upstream: &Upstream) {
+    let now = clock::now();
     let (news, crashes) = {
         let mut suspects = gateway.quarantine.lock();
-        let news = suspects.note_crash(run.fingerprint, crash_id, now);
+        let news = suspects.note_crash(run.fingerprint, crash_id(upstream), now);
         (news, suspects.crashes_of(run.fingerprint, now))
     };
     let Some(news) = news else {
