Log and show the rate limits that upstreams name

Nothing told whether an instance had seen Server-Limit, so that 'the header isn't read' couldn't be told from 'each instance keeps it alone'. No decision uses it yet.

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -12,5 +12,6 @@
 pub mod retries;
 pub mod routes;
 pub mod shutdown;
+pub mod upstream_limits;
 pub mod upstreams;
 pub mod wait_queue;
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -52,6 +52,8 @@
     pub signature: HeaderName,
     /// Present in the responses of an upstream that is leaving.
     pub leaving: HeaderName,
+    /// Requests per second that an upstream accepts from all instances together, a decimal number.
+    pub rate_limit: HeaderName,
     /// Present in the response of an upstream that has not run the request.
     pub not_executed: HeaderName,
     /// Asks an engine for only one stage of the work.
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -105,6 +105,14 @@
     let elapsed_ms = clock::now().since(started_ms);
     metrics::counter!(counters::SENDS_TOTAL, "result" => outcome.as_str()).increment(1);
     metrics::histogram!(counters::SEND_MS).record(elapsed_ms as f64);
+    if gateway
+        .state()
+        .upstream_limits
+        .rate_per_s(upstream)
+        .is_some()
+    {
+        metrics::counter!(counters::LIMITED_SENDS_TOTAL, "result" => outcome.as_str()).increment(1);
+    }
     match &outcome {
         SendOutcome::Answered(_) | SendOutcome::Withheld => {}
         SendOutcome::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
@@ -180,6 +188,7 @@
         Ok(Err(error)) => SendOutcome::Lost(error.to_string()),
         Ok(Ok(reply)) => {
             apply_response_hints(gateway, upstream, &reply);
+            record_limit(gateway, upstream, &reply, now);
             classify(gateway, request, reply)
         }
     }
@@ -215,11 +224,57 @@
     }
 }
 
+// Records the rate limit that a response names, or the end of the limit if it names none.
+fn record_limit(gateway: &Gateway, upstream: &Upstream, reply: &Reply, sent_ms: TimeMs) {
+    // Another incarnation than the intended one speaks for itself only.
+    if reply.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let named = reply.headers.get(&gateway.dialect.headers.rate_limit);
+    let rate_per_s = named.and_then(decimal);
+    let now = clock::now();
+    let mut state = gateway.state();
+    let has_changed = match (named, rate_per_s) {
+        (_, Some(rate_per_s)) => state
+            .upstream_limits
+            .record_limit(upstream, rate_per_s, now),
+        // Failures may lack the header although the limit holds.
+        (None, _) if reply.status.is_success() => {
+            state.upstream_limits.record_no_limit(upstream, sent_ms)
+        }
+        (None, _) => false,
+        (Some(_), None) => {
+            drop(state);
+            gateway.events.write(
+                "upstream_limit_unreadable",
+                serde_json::json!({ "upstream": &*upstream.id, "value": format!("{named:?}") }),
+            );
+            return;
+        }
+    };
+    drop(state);
+    if has_changed {
+        gateway.events.write(
+            "upstream_limit",
+            serde_json::json!({
+                "upstream": &*upstream.id,
+                "rate_per_s": rate_per_s,
+                "source": "its answer",
+            }),
+        );
+    }
+}
+
 // Reads a decimal number of seconds. Upstreams do not send dates in this header.
 fn seconds_ms(value: &HeaderValue) -> Option<u64> {
-    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    let is_time = seconds.is_finite() && seconds > 0.0;
-    is_time.then_some((seconds * MS_PER_S) as u64)
+    let seconds = decimal(value).filter(|seconds| *seconds > 0.0)?;
+    Some((seconds * MS_PER_S) as u64)
+}
+
+// Reads a decimal number that is not negative.
+fn decimal(value: &HeaderValue) -> Option<f64> {
+    let number: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
 }
 
 /// Returns the destination of requests to an upstream.
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -21,6 +21,7 @@
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::shutdown::Shutdown;
+use dogwoodpier_core::gateway::upstream_limits::UpstreamLimits;
 use dogwoodpier_core::gateway::upstreams::Upstreams;
 use dogwoodpier_http::Connections;
 use dogwoodpier_platform::Client;
@@ -142,6 +143,7 @@
             upstreams: Upstreams::default(),
             upstreams_known: false,
             health: UpstreamHealth::default(),
+            upstream_limits: UpstreamLimits::default(),
             peer_reports: PeerReports::new(settings.report_options),
             quotas: Quotas::default(),
             quota_shares: Quotas::default(),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -28,6 +28,7 @@
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::Route;
 use dogwoodpier_core::gateway::shutdown::Shutdown;
+use dogwoodpier_core::gateway::upstream_limits::UpstreamLimits;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_core::gateway::upstreams::Upstreams;
 use dogwoodpier_http::Connections;
@@ -111,6 +112,8 @@
     pub upstreams_known: bool,
     /// Recent outcomes of sends, by upstream.
     pub health: UpstreamHealth,
+    /// Rate limits that upstreams have named.
+    pub upstream_limits: UpstreamLimits,
     /// Known peers and their latest reports.
     pub peer_reports: PeerReports,
     /// Quotas of the workspaces that this instance owns.
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -387,6 +387,7 @@
         }
         if restarted {
             state.health.forget(&upstream.id);
+            state.upstream_limits.forget(&upstream.id);
         }
         for id in state.upstreams.replaced_by(&upstream) {
             state
@@ -410,6 +411,7 @@
         let known = state.upstreams.remove(id, keep_deadline_ms);
         if keep_deadline_ms.is_none() {
             state.health.forget(id);
+            state.upstream_limits.forget(id);
         }
         known
     };
