--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod retries;
 pub mod routes;
 pub mod shutdown;
+pub mod token_bucket;
 pub mod upstream_limits;
 pub mod upstreams;
 pub mod wait_queue;
--- a/crates/dogwoodpier-core/src/gateway/quota.rs
+++ b/crates/dogwoodpier-core/src/gateway/quota.rs
@@ -21,6 +21,8 @@
 use crate::TimeMs;
 
 use super::routes::Workspace;
+use super::token_bucket::BucketRate;
+use super::token_bucket::TokenBucket;
 
 // Time for which an instance keeps the bucket of a workspace that it does not consider its own,
 // after a peer has requested units of it: the peer may have a more recent view of the fleet.
@@ -44,8 +46,8 @@
         reachable: 1,
     };
 
-    // Returns the share of the fleet's rate that the reachable instances may use together.
-    fn share(self) -> f64 {
+    /// Returns the share of the fleet's rate that the reachable instances may use together.
+    pub fn share(self) -> f64 {
         f64::from(self.reachable.max(1)) / f64::from(self.members.max(self.reachable).max(1))
     }
 }
@@ -78,12 +80,10 @@
     },
 }
 
-// Token bucket. Its level is the number of units that were available at `updated_ms`; it is
-// negative after an overdraft or a request larger than the burst.
+// The level is negative after an overdraft or a request larger than the burst.
 #[derive(Debug)]
 struct Bucket {
-    level: f64,
-    updated_ms: TimeMs,
+    tokens: TokenBucket,
     // Time of the last request for admission.
     last_request_ms: TimeMs,
 }
@@ -108,58 +108,49 @@
         if workspace.rate_per_s == 0 {
             return Decision::Admitted;
         }
-        let rate_per_ms = workspace.rate_per_s as f64 * membership.share() / 1_000.0;
-        let cap = workspace.burst as f64 * membership.share();
-        let bucket = self.refilled(workspace, membership, now);
+        let rate = bucket_rate(workspace, membership);
+        let bucket = self.refilled(workspace, rate, now);
         bucket.last_request_ms = now;
         // A request that is larger than the burst is admitted if the bucket is full.
-        let needed = (units as f64).min(cap);
+        let needed = (units as f64).min(rate.burst);
         let overdraft_units = overdraft.units as f64 * membership.share();
-        if bucket.level + overdraft_units < needed {
-            let missing = needed - bucket.level;
+        let level = bucket.tokens.level();
+        if level + overdraft_units < needed {
+            let missing = needed - level;
             return Decision::Rejected {
-                retry_after_ms: (missing / rate_per_ms).ceil() as u64,
-                level: bucket.level as i64,
+                retry_after_ms: (missing / rate.units_per_ms).ceil() as u64,
+                level: level as i64,
             };
         }
-        bucket.level -= units as f64;
+        bucket.tokens.take(units as f64);
         Decision::Admitted
     }
 
     /// Refunds the units charged for a request that has not run.
     pub fn refund(&mut self, workspace: &str, units: u64) {
-        // The next refill limits the level to the burst.
         if let Some(bucket) = self.buckets.get_mut(workspace) {
-            bucket.level += units as f64;
+            bucket.tokens.take(-(units as f64));
         }
     }
 
     /// Returns the level of a workspace's bucket as of its last update.
     pub fn level(&self, workspace: &str) -> Option<f64> {
-        self.buckets.get(workspace).map(|bucket| bucket.level)
+        self.buckets
+            .get(workspace)
+            .map(|bucket| bucket.tokens.level())
     }
 
     // Returns a workspace's bucket, refilled up to `now`. A new bucket is empty, because the usage
     // before is not known.
-    fn refilled(
-        &mut self,
-        workspace: &Workspace,
-        membership: Membership,
-        now: TimeMs,
-    ) -> &mut Bucket {
-        let rate_per_ms = workspace.rate_per_s as f64 * membership.share() / 1_000.0;
-        let cap = workspace.burst as f64 * membership.share();
+    fn refilled(&mut self, workspace: &Workspace, rate: BucketRate, now: TimeMs) -> &mut Bucket {
         let bucket = self
             .buckets
             .entry(workspace.name.clone())
             .or_insert(Bucket {
-                level: 0.0,
-                updated_ms: now,
+                tokens: TokenBucket::empty(now),
                 last_request_ms: now,
             });
-        let refill = now.since(bucket.updated_ms) as f64 * rate_per_ms;
-        bucket.level = (bucket.level + refill).min(cap);
-        bucket.updated_ms = bucket.updated_ms.max(now);
+        bucket.tokens.refill(rate, now);
         bucket
     }
 
@@ -172,7 +163,7 @@
     {
         let mut owned_names = BTreeSet::new();
         for workspace in owned {
-            self.refilled(workspace, membership, now);
+            self.refilled(workspace, bucket_rate(workspace, membership), now);
             owned_names.insert(workspace.name.clone());
         }
         self.buckets.retain(|name, bucket| {
@@ -181,3 +172,10 @@
         });
     }
 }
+
+fn bucket_rate(workspace: &Workspace, membership: Membership) -> BucketRate {
+    BucketRate {
+        units_per_ms: workspace.rate_per_s as f64 * membership.share() / 1_000.0,
+        burst: workspace.burst as f64 * membership.share(),
+    }
+}
