Requests to owners: one way to ask and to await the answer

Permits for limited upstreams will ask an owner as quotas do. The loop over owners moves to owners::ask, the tickets to PendingRequests. No change of behaviour: workspace_quotas and the gateway's tests pass.

--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod operators;
 pub mod owners;
 pub mod peer_messages;
+pub mod pending;
 pub mod plain;
 mod prefill;
 mod quarantine;
--- a/crates/dogwoodpier-gateway/src/owners.rs
+++ b/crates/dogwoodpier-gateway/src/owners.rs
@@ -11,6 +11,8 @@
 use dogwoodpier_core::gateway::owners::UnresponsiveOwners;
 use dogwoodpier_process::clock;
 
+use crate::peer_messages::Message;
+use crate::pending::PendingRequests;
 use crate::state::Gateway;
 
 /// Time within which an owner answers: several round trips between data centres of a region.
@@ -33,6 +35,21 @@
     },
 }
 
+/// Reply to a request to the owner of a service or a workspace.
+pub enum OwnerReply<A> {
+    /// This instance is the owner and decides itself.
+    Local,
+    /// A peer is the owner and has answered.
+    Peer {
+        /// Its address for messages between peers.
+        address: SocketAddr,
+        /// Its answer.
+        answer: A,
+    },
+    /// No owner answered.
+    NoAnswer,
+}
+
 /// Owners that did not answer recently.
 #[derive(Default)]
 pub struct Owners {
@@ -56,6 +73,29 @@
     }
 }
 
+/// Sends a request to the owner of `name`, or to the next one if it does not answer. `message`
+/// returns the request with a ticket.
+pub async fn ask<A, M>(
+    gateway: &Gateway,
+    name: &str,
+    pending: &PendingRequests<A>,
+    message: M,
+) -> OwnerReply<A>
+where
+    M: Fn(u64) -> Message,
+{
+    for _ in 0..MAX_OWNERS {
+        let Owner::Peer { instance, address } = owner_of(gateway, name) else {
+            return OwnerReply::Local;
+        };
+        match pending.send(gateway, address, &message).await {
+            Some(answer) => return OwnerReply::Peer { address, answer },
+            None => gateway.owners.record_timeout(gateway, &instance, name),
+        }
+    }
+    OwnerReply::NoAnswer
+}
+
 /// Returns the owner of a service or a workspace.
 pub fn owner_of(gateway: &Gateway, name: &str) -> Owner {
     rank_owners(gateway, name, 1).pop().unwrap_or(Owner::Local)
--- a/crates/dogwoodpier-gateway/src/quota.rs
+++ b/crates/dogwoodpier-gateway/src/quota.rs
@@ -1,18 +1,11 @@
 //! Quota units, requested from the instances that own the workspaces' buckets.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
-
 use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::quota::Overdraft;
 use dogwoodpier_core::gateway::routes::Workspace;
@@ -20,9 +13,7 @@
 use dogwoodpier_process::clock;
 
 use crate::owners;
-use crate::owners::ANSWER_TIMEOUT;
-use crate::owners::MAX_UNANSWERED_REQUESTS;
-use crate::owners::Owner;
+use crate::owners::OwnerReply;
 use crate::peer_messages::Message;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
@@ -65,28 +56,6 @@
     pub units: u64,
 }
 
-/// Quota requests of this instance that await an answer.
-pub struct PendingQuotaRequests {
-    next_ticket: AtomicU64,
-    pending: Mutex<BTreeMap<u64, oneshot::Sender<Decision>>>,
-}
-
-impl Default for PendingQuotaRequests {
-    fn default() -> Self {
-        Self {
-            // Starts at a random number, as answers to an earlier process may still arrive.
-            next_ticket: AtomicU64::new(rand::random()),
-            pending: Mutex::default(),
-        }
-    }
-}
-
-impl PendingQuotaRequests {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, oneshot::Sender<Decision>>> {
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Which instance decided on a request for units.
 #[derive(Clone, Copy, Debug)]
 pub enum DecidedBy {
@@ -203,28 +172,31 @@
     units: u64,
     has_room: bool,
 ) -> (Decision, DecidedBy) {
-    for _ in 0..owners::MAX_OWNERS {
-        let (instance, address) = match owners::owner_of(gateway, &workspace.name) {
-            Owner::Local => {
-                let decision = decide_locally(gateway, workspace, units, has_room);
-                return (decision, DecidedBy::Local);
-            }
-            Owner::Peer { instance, address } => (instance, address),
-        };
-        match request_from_owner(gateway, address, workspace, units, has_room).await {
-            Some(decision) => return (decision, DecidedBy::Peer(address)),
-            None => gateway
-                .owners
-                .record_timeout(gateway, &instance, &workspace.name),
+    let message = |ticket| {
+        Message::QuotaAsk(QuotaRequest {
+            ticket,
+            workspace: workspace.name.clone(),
+            units,
+            has_room,
+        })
+    };
+    let pending = &gateway.pending_quota_requests;
+    match owners::ask(gateway, &workspace.name, pending, message).await {
+        OwnerReply::Local => {
+            let decision = decide_locally(gateway, workspace, units, has_room);
+            (decision, DecidedBy::Local)
+        }
+        OwnerReply::Peer { address, answer } => (answer, DecidedBy::Peer(address)),
+        OwnerReply::NoAnswer => {
+            let now = clock::now();
+            let mut state = gateway.state();
+            let mut membership = state.peer_reports.membership(now);
+            membership.reachable = 1;
+            let shares = &mut state.quota_shares;
+            let decision = shares.admit(workspace, units, membership, Overdraft::NONE, now);
+            (decision, DecidedBy::LocalShare)
         }
     }
-    let now = clock::now();
-    let mut state = gateway.state();
-    let mut membership = state.peer_reports.membership(now);
-    membership.reachable = 1;
-    let shares = &mut state.quota_shares;
-    let decision = shares.admit(workspace, units, membership, Overdraft::NONE, now);
-    (decision, DecidedBy::LocalShare)
 }
 
 fn decide_locally(
@@ -245,47 +217,6 @@
         .admit(workspace, units, membership, tolerance, now)
 }
 
-// Removes a quota request that no longer awaits an answer.
-struct PendingQuotaRequest<'a> {
-    pending: &'a PendingQuotaRequests,
-    ticket: u64,
-}
-
-impl Drop for PendingQuotaRequest<'_> {
-    fn drop(&mut self) {
-        self.pending.lock().remove(&self.ticket);
-    }
-}
-
-// Requests units from an owner. Returns `None` if it does not answer.
-async fn request_from_owner(
-    gateway: &SharedGateway,
-    owner: SocketAddr,
-    workspace: &Workspace,
-    units: u64,
-    has_room: bool,
-) -> Option<Decision> {
-    let pending = &gateway.pending_quota_requests;
-    let ticket = pending.next_ticket.fetch_add(1, Ordering::Relaxed);
-    let (sender, mut answer) = oneshot::channel();
-    pending.lock().insert(ticket, sender);
-    let _pending = PendingQuotaRequest { pending, ticket };
-    let message = Message::QuotaAsk(QuotaRequest {
-        ticket,
-        workspace: workspace.name.clone(),
-        units,
-        has_room,
-    });
-    for _ in 0..MAX_UNANSWERED_REQUESTS {
-        gateway.send_message(owner, &message);
-        match tokio::time::timeout(ANSWER_TIMEOUT, &mut answer).await {
-            Ok(decision) => return decision.ok(),
-            Err(_) => continue,
-        }
-    }
-    None
-}
-
 /// Answers the quota request of a peer.
 pub fn handle_request(gateway: &Gateway, from: SocketAddr, request: &QuotaRequest) {
     let configuration = gateway.configuration.load();
@@ -309,8 +240,8 @@
 /// Handles the answer to a quota request of this instance. Returns the units if the request has
 /// been dropped or was answered before.
 pub fn handle_answer(gateway: &Gateway, from: SocketAddr, answer: QuotaAnswer) {
-    let sender = gateway.pending_quota_requests.lock().remove(&answer.ticket);
-    let is_delivered = sender.is_some_and(|sender| sender.send(answer.decision).is_ok());
+    let pending = &gateway.pending_quota_requests;
+    let is_delivered = pending.deliver(answer.ticket, answer.decision);
     if !is_delivered && answer.decision == Decision::Admitted {
         let message = Message::QuotaReturn(QuotaRefund {
             workspace: answer.workspace,
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -38,11 +38,11 @@
 use crate::evacuations;
 use crate::owners::Owners;
 use crate::peer_messages;
+use crate::pending::PendingRequests;
 use crate::quarantine::Quarantine;
 use crate::queues;
 use crate::queues::Queues;
 use crate::quota;
-use crate::quota::PendingQuotaRequests;
 use crate::readiness;
 use crate::registry;
 use crate::reload;
@@ -155,7 +155,7 @@
         socket,
         broker: Broker::default(),
         owners: Owners::default(),
-        pending_quota_requests: PendingQuotaRequests::default(),
+        pending_quota_requests: PendingRequests::default(),
         quarantine: Quarantine::default(),
         timing_stats: TimingStats::default(),
         queues: Queues::default(),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use dogwoodpier_core::gateway::placement::Candidate;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
+use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::PREFILL_RESERVE;
 use dogwoodpier_core::gateway::retries::RetryBudget;
@@ -45,9 +46,9 @@
 use crate::engines::TimingStats;
 use crate::owners::Owners;
 use crate::peer_messages::Message;
+use crate::pending::PendingRequests;
 use crate::quarantine::Quarantine;
 use crate::queues::Queues;
-use crate::quota::PendingQuotaRequests;
 use crate::registry::PeerAddresses;
 use crate::request::ClientRequest;
 use crate::settings::Settings;
@@ -72,7 +73,7 @@
     /// Owners that did not answer recently.
     pub owners: Owners,
     /// Quota requests of this instance that await an answer.
-    pub pending_quota_requests: PendingQuotaRequests,
+    pub pending_quota_requests: PendingRequests<Decision>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     /// Statistics on clients' waits and engines' first events.
