Keep to the rate limits that upstreams name, over the whole fleet

What callers saw: nothing yet; an upstream that asked for relief got none. One that had named 4.1 requests a second got 54 in 4 s (allowed 30), as many as those that named nothing.

Choosing, waiting, refusing and retrying only knew upstreams that are gone, full or paused for one instance.

Change: an answer that names a limit is told to all peers, the latest observation counts, and a limit ends with a successful answer without it to a request that was sent after it had last been named. Every send now needs a SendPermit. For a limited upstream its owner issues them from one token bucket: the owner of the upstream's id, or for engines the broker of their service, which so knows which of them may be used. A service's request is sent elsewhere when a permit is denied, and waits for one only if all its upstreams are limited and the answer can still be on time; otherwise it is refused at once with Retry-After (503 upstream_limited).

Why it works: sends of all kinds (first, retry, prefill, decode, resume) pass forwarding::send, which takes the permit by value; one bucket refills at the limit and holds at most a quarter second of it, or one request; an owner that hears only a part of the fleet issues only that part.

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod memory_limit;
 pub mod owners;
 pub mod peer_reports;
+pub mod permits;
 pub mod placement;
 pub mod quota;
 pub mod retries;
--- /dev/null
+++ b/crates/dogwoodpier-core/src/gateway/permits.rs
@@ -0,0 +1,119 @@
+//! Permits to send requests to upstreams that have named a rate limit.
+//!
+//! Load pattern: an upstream accepts a few requests per second from all instances together, while
+//! hundreds of instances have requests for it. A share of the limit for each instance would often be
+//! less than one request and would lie unused at instances without requests. One instance, the
+//! owner, therefore holds a token bucket for the upstream and issues a permit for each request. A
+//! request that can wait gets a permit for a later time, so that requests are sent in the order in
+//! which they asked, without polling. An owner that receives reports from only a part of the fleet
+//! may not be the only owner, and issues the corresponding part of the permits.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dogwoodpier_derive::wire;
+
+use crate::TimeMs;
+
+use super::quota::Membership;
+use super::token_bucket::BucketRate;
+use super::token_bucket::TokenBucket;
+
+// Time whose permits may be used at once.
+const BURST_MS: f64 = 250.0;
+// Lowest and highest rate. Without a request now and then, nobody would notice the end of a limit
+// of 0.
+const MIN_RATE_PER_S: f64 = 0.25;
+const MAX_RATE_PER_S: f64 = 1_000_000.0;
+
+/// Decision on whether a request may be sent to an upstream.
+#[wire]
+#[derive(Copy, Eq)]
+pub enum PermitDecision {
+    /// It may be sent after a time.
+    Granted {
+        /// Time to wait.
+        wait_ms: u64,
+    },
+    /// It can't be sent in the time that it can wait.
+    Denied {
+        /// Time until the next permit, if no other is issued.
+        retry_after_ms: u64,
+    },
+}
+
+/// The buckets of the upstreams for which this instance issues permits.
+#[derive(Debug, Default)]
+pub struct Permits {
+    buckets: BTreeMap<Arc<str>, TokenBucket>,
+}
+
+impl Permits {
+    /// Issues a permit that is valid after at most `max_wait_ms`, or denies it. `rate_per_s` is the
+    /// limit that the upstream has named.
+    pub fn request(
+        &mut self,
+        upstream: &Arc<str>,
+        rate_per_s: f64,
+        max_wait_ms: u64,
+        membership: Membership,
+        now: TimeMs,
+    ) -> PermitDecision {
+        let rate = bucket_rate(rate_per_s, membership);
+        // What was sent before is not known, so a new bucket is empty.
+        let bucket = self
+            .buckets
+            .entry(upstream.clone())
+            .or_insert_with(|| TokenBucket::empty(now));
+        bucket.refill(rate, now);
+        let wait_ms = wait_for_permit_ms(bucket, rate);
+        if wait_ms > max_wait_ms {
+            return PermitDecision::Denied {
+                retry_after_ms: wait_ms,
+            };
+        }
+        bucket.take(1.0);
+        PermitDecision::Granted { wait_ms }
+    }
+
+    /// Returns whether a permit for an upstream is available now. True if none has been requested
+    /// before.
+    pub fn is_available(
+        &self,
+        upstream: &str,
+        rate_per_s: f64,
+        membership: Membership,
+        now: TimeMs,
+    ) -> bool {
+        let rate = bucket_rate(rate_per_s, membership);
+        self.buckets.get(upstream).is_none_or(|bucket| {
+            let mut bucket = bucket.clone();
+            bucket.refill(rate, now);
+            wait_for_permit_ms(&bucket, rate) == 0
+        })
+    }
+
+    /// Removes the bucket of an upstream that is gone.
+    pub fn forget(&mut self, upstream: &str) {
+        self.buckets.remove(upstream);
+    }
+}
+
+// Returns the time until a bucket holds a whole permit.
+fn wait_for_permit_ms(bucket: &TokenBucket, rate: BucketRate) -> u64 {
+    let missing = (1.0 - bucket.level()).max(0.0);
+    (missing / rate.units_per_ms).ceil() as u64
+}
+
+fn bucket_rate(rate_per_s: f64, membership: Membership) -> BucketRate {
+    let rate_per_s = match rate_per_s.is_nan() {
+        // Rates from peers are not validated.
+        true => MIN_RATE_PER_S,
+        false => rate_per_s.clamp(MIN_RATE_PER_S, MAX_RATE_PER_S),
+    };
+    let units_per_ms = rate_per_s * membership.share() / 1_000.0;
+    BucketRate {
+        units_per_ms,
+        burst: (units_per_ms * BURST_MS).max(1.0),
+    }
+}
--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -294,8 +294,8 @@
             .max(MIN_SUCCESS_RATE)
     }
 
-    // Returns the average time to an answer, or `default_ms` before the first answer.
-    fn latency_ms(&self, upstream: &str, default_ms: f64) -> f64 {
+    /// Returns the average time to an answer, or `default_ms` before the first answer.
+    pub fn latency_ms(&self, upstream: &str, default_ms: f64) -> f64 {
         match self.records.get(upstream) {
             Some(record) if record.latency_ms > 0.0 => record.latency_ms,
             _ => default_ms,
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -144,6 +144,7 @@
                     seen_revisions: Default::default(),
                     suspects: Vec::new(),
                     evacuations: Default::default(),
+                    limits: Default::default(),
                 };
                 self.in_flight.push((now_ms + self.delay_ms, to, report));
             }
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -118,6 +118,8 @@
     Replaced,
     /// The instance does not know the engine, or not yet.
     Unknown,
+    /// Nothing was sent to it, as its rate limit allowed no request.
+    Withheld,
 }
 
 /// The end of the use of a granted engine.
@@ -472,6 +474,7 @@
                 state.health.record_freed(&release.upstream);
                 None
             }
+            GrantOutcome::Withheld => None,
             GrantOutcome::Full => Some(Outcome::Full),
             GrantOutcome::Unreachable => Some(Outcome::Unreachable),
             GrantOutcome::Replaced => Some(Outcome::Replaced),
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -8,6 +8,8 @@
 pub const SENDS_TOTAL: &str = "dogwoodpier_gateway_sends_total";
 /// Sends to upstreams that have named a rate limit, by result.
 pub const LIMITED_SENDS_TOTAL: &str = "dogwoodpier_gateway_limited_sends_total";
+/// Decisions on permits for upstreams that have named a rate limit, by result.
+pub const PERMITS_TOTAL: &str = "dogwoodpier_gateway_permits_total";
 /// Number of evacuated data centres.
 pub const EVACUATED: &str = "dogwoodpier_gateway_evacuated_data_centres";
 /// Crashes of upstreams, counted for each request that was in flight there.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -29,6 +29,7 @@
 use crate::forwarding;
 use crate::forwarding::SendOutcome;
 use crate::headers;
+use crate::permits;
 use crate::prefill;
 use crate::prefill::Progress;
 use crate::quarantine;
@@ -152,10 +153,15 @@
     let extra_headers = last_event.map(|last| (names.last_event_id.clone(), last));
     let extra_headers = extra_headers.into_iter().collect();
     let upstream = placement.decode.upstream().clone();
+    let wait_deadline_ms = now.after(request.route.objective_ms);
+    let permit = permits::acquire(gateway, request, &upstream, wait_deadline_ms)
+        .await
+        .ok()?;
     let outcome = forwarding::send(
         gateway,
         request,
         &upstream,
+        permit,
         extra_headers,
         request.deadline_ms,
     )
@@ -313,6 +319,13 @@
         );
         return None;
     }
+    // Before the prefill, whose cache would expire during a wait for a permit.
+    let wait_deadline_ms = request.received_ms.after(request.route.objective_ms);
+    let upstream = decode.upstream().clone();
+    let Ok(permit) = permits::acquire(gateway, request, &upstream, wait_deadline_ms).await else {
+        decode.set_result(broker::GrantOutcome::Withheld);
+        return None;
+    };
     let cache_source = match progress.take_reusable_cache(request) {
         Some(cache) => Some(cache),
         None => prefill::run_prefill(gateway, request, prefill, &decode, progress).await,
@@ -324,11 +337,11 @@
     let names = &gateway.dialect.headers;
     let extra_headers = cache_source.map(|cache_source| (names.cache_source.clone(), cache_source));
     let extra_headers = extra_headers.into_iter().collect();
-    let upstream = decode.upstream().clone();
     let outcome = forwarding::send(
         gateway,
         request,
         &upstream,
+        permit,
         extra_headers,
         request.deadline_ms,
     )
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -20,6 +20,7 @@
 use dogwoodpier_process::clock;
 
 use crate::counters;
+use crate::permits::SendPermit;
 use crate::request::ClientRequest;
 use crate::state::Gateway;
 
@@ -77,13 +78,22 @@
     gateway: &Gateway,
     request: &ClientRequest,
     upstream: &Upstream,
+    permit: SendPermit,
     extra_headers: ExtraHeaders,
     send_deadline_ms: TimeMs,
 ) -> SendOutcome {
     if let Some(charge) = &request.charge {
         charge.record_run();
     }
-    let outcome = send_uncharged(gateway, request, upstream, extra_headers, send_deadline_ms).await;
+    let outcome = send_uncharged(
+        gateway,
+        request,
+        upstream,
+        permit,
+        extra_headers,
+        send_deadline_ms,
+    )
+    .await;
     if let Some(charge) = &request.charge
         && outcome.has_not_run()
     {
@@ -97,6 +107,8 @@
     gateway: &Gateway,
     request: &ClientRequest,
     upstream: &Upstream,
+    // Used up by this send.
+    _permit: SendPermit,
     extra_headers: ExtraHeaders,
     send_deadline_ms: TimeMs,
 ) -> SendOutcome {
@@ -254,17 +266,23 @@
     };
     drop(state);
     if has_changed {
-        gateway.events.write(
-            "upstream_limit",
-            serde_json::json!({
-                "upstream": &*upstream.id,
-                "rate_per_s": rate_per_s,
-                "source": "its answer",
-            }),
-        );
+        gateway.report_needed.notify_one();
+        log_limit(gateway, upstream, rate_per_s, "its answer");
     }
 }
 
+/// Logs that an upstream has named, changed or ended a rate limit.
+pub fn log_limit(gateway: &Gateway, upstream: &Upstream, rate_per_s: Option<f64>, source: &str) {
+    gateway.events.write(
+        "upstream_limit",
+        serde_json::json!({
+            "upstream": &*upstream.id,
+            "rate_per_s": rate_per_s,
+            "source": source,
+        }),
+    );
+}
+
 // Reads a decimal number of seconds. Upstreams do not send dates in this header.
 fn seconds_ms(value: &HeaderValue) -> Option<u64> {
     let seconds = decimal(value).filter(|seconds| *seconds > 0.0)?;
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod owners;
 pub mod peer_messages;
 pub mod pending;
+pub mod permits;
 pub mod plain;
 mod prefill;
 mod quarantine;
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -21,6 +21,10 @@
 use crate::broker::PlacementRequest;
 use crate::codec;
 use crate::evacuations;
+use crate::forwarding;
+use crate::permits;
+use crate::permits::PermitAnswer;
+use crate::permits::PermitRequest;
 use crate::quarantine;
 use crate::quota;
 use crate::quota::QuotaAnswer;
@@ -62,6 +66,10 @@
         /// Ticket of the request.
         ticket: u64,
     },
+    /// A request for a permit to send to a limited upstream.
+    PermitAsk(PermitRequest),
+    /// The answer to a permit request.
+    PermitAnswer(PermitAnswer),
 }
 
 /// Binds the socket for messages between peers.
@@ -107,6 +115,8 @@
         Message::Withdraw { instance, ticket } => {
             broker::handle_withdrawal(gateway, &instance, ticket);
         }
+        Message::PermitAsk(request) => permits::handle_request(gateway, from, &request),
+        Message::PermitAnswer(answer) => permits::handle_answer(gateway, answer),
     }
 }
 
@@ -129,6 +139,15 @@
                 );
             }
         }
+        for (id, reported) in &report.limits {
+            let Some(upstream) = state.upstreams.get(id).cloned() else {
+                continue;
+            };
+            let limits = &mut state.upstream_limits;
+            if limits.record_report(&upstream, *reported, now) {
+                forwarding::log_limit(gateway, &upstream, reported.rate_per_s, &report.instance);
+            }
+        }
         state.peer_reports.handle_report(report, now);
         for (upstream, for_ms) in &down_for_ms {
             state.health.record_peer_unreachable(upstream, *for_ms, now);
@@ -203,6 +222,7 @@
     last_broadcast_ms: TimeMs,
     leaving: bool,
     down: BTreeSet<Arc<str>>,
+    limited: BTreeSet<Arc<str>>,
     brokers_hold_load: bool,
     evacuations: Evacuations,
 }
@@ -219,6 +239,15 @@
         if report.evacuations != self.evacuations && evacuations::is_watcher(gateway) {
             return true;
         }
+        let limited = report
+            .limits
+            .iter()
+            .filter(|(_, reported)| reported.rate_per_s.is_some());
+        let mut unreported = limited.filter(|(id, _)| !self.limited.contains(*id));
+        // As long as an instance doesn't know a limit, it exceeds it.
+        if unreported.any(|(id, _)| !gateway.state().upstream_limits.is_reported_by_peers(id)) {
+            return true;
+        }
         let unreported: Vec<&Arc<str>> = report
             .down_for_ms
             .keys()
@@ -237,6 +266,7 @@
         self.leaving = report.leaving;
         self.evacuations = report.evacuations.clone();
         self.down = report.down_for_ms.keys().cloned().collect();
+        self.limited = report.limits.keys().cloned().collect();
     }
 }
 
@@ -258,5 +288,6 @@
         seen_revisions: gateway.revisions.own(),
         suspects: gateway.quarantine.pending_updates(),
         evacuations: state.upstreams.evacuations.clone(),
+        limits: state.upstream_limits.reports(now),
     }
 }
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -22,6 +22,8 @@
 use crate::forwarding;
 use crate::forwarding::SendOutcome;
 use crate::headers;
+use crate::permits;
+use crate::permits::SendPermit;
 use crate::quarantine;
 use crate::queues;
 use crate::reject::Reason;
@@ -34,6 +36,9 @@
 // Sends of one request, including rejected ones. More of them would only shift load between
 // upstreams.
 const MAX_SENDS: u32 = 3;
+// Permits that a request is denied before only upstreams without a limit are tried: each denial
+// costs a round trip to another instance.
+const MAX_DENIED_PERMITS: u32 = 3;
 // Largest response; it is buffered until it is complete.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 // Time after which a service that rejects is likely to have room: a few of its usual response
@@ -73,16 +78,19 @@
 ) -> Result<Response<ResponseBody>, Rejection> {
     let mut progress = Progress::default();
     loop {
-        let Some(guard) = select_upstream(gateway, request, &progress.tried) else {
-            let reason = queues::no_upstream(gateway, &request.service.name);
-            return finish(request, progress, reason);
+        let (guard, permit) = match select_permitted(gateway, request, &progress.tried).await {
+            Ok(selected) => selected,
+            Err(NotSelected {
+                reason,
+                retry_after_ms,
+            }) => return finish(request, progress, reason, retry_after_ms),
         };
         progress.attempts.sends += 1;
         progress.tried.push(guard.upstream().id.clone());
-        match attempt(gateway, request, &guard, &mut progress).await {
+        match attempt(gateway, request, &guard, permit, &mut progress).await {
             Some(response) => return Ok(response.into_response()),
             None if may_retry(gateway, request, &progress) => {}
-            None => return finish(request, progress, Reason::NotRun),
+            None => return finish(request, progress, Reason::NotRun, NOT_RUN_RETRY_MS),
         }
     }
 }
@@ -91,6 +99,7 @@
     request: &ClientRequest,
     progress: Progress,
     not_run: Reason,
+    retry_after_ms: u64,
 ) -> Result<Response<ResponseBody>, Rejection> {
     if let Some(failure) = progress.failure {
         return Ok(failure.into_response());
@@ -106,7 +115,7 @@
     }
     Err(Rejection::with_retry_after(
         not_run,
-        NOT_RUN_RETRY_MS,
+        retry_after_ms,
         request.deadline_ms.remaining(now),
     ))
 }
@@ -118,17 +127,96 @@
         && gateway.take_retry(request)
 }
 
+/// Why no upstream was selected.
+struct NotSelected {
+    reason: Reason,
+    retry_after_ms: u64,
+}
+
+// Selects an upstream that may be sent the request now. If there are only upstreams whose rate
+// limit is used up, waits for one of them for as long as the response can still be on time.
+async fn select_permitted(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+    tried: &[Arc<str>],
+) -> Result<(LoadGuard, SendPermit), NotSelected> {
+    for denied in 0..=MAX_DENIED_PERMITS {
+        let unlimited_only = denied == MAX_DENIED_PERMITS;
+        let Some(guard) = select_upstream(gateway, request, tried, unlimited_only) else {
+            break;
+        };
+        let now = clock::now();
+        if let Ok(permit) = permits::acquire(gateway, request, guard.upstream(), now).await {
+            return Ok((guard, permit));
+        }
+    }
+    let Some((guard, wait_deadline_ms)) = select_next_permitted(gateway, request) else {
+        return Err(NotSelected {
+            reason: queues::no_upstream(gateway, &request.service.name),
+            retry_after_ms: NOT_RUN_RETRY_MS,
+        });
+    };
+    match permits::acquire(gateway, request, guard.upstream(), wait_deadline_ms).await {
+        Ok(permit) => Ok((guard, permit)),
+        Err(denied) => {
+            // Clients that are refused at the same time must not return at the same time.
+            let spread = 1.0 + rand::random::<f64>();
+            let retry_after_ms = denied.retry_after_ms.max(NOT_RUN_RETRY_MS) as f64 * spread;
+            Err(NotSelected {
+                reason: Reason::UpstreamLimited,
+                retry_after_ms: retry_after_ms as u64,
+            })
+        }
+    }
+}
+
+// Selects the upstream that is expected to have the next permit. Also returns the time until which
+// it is worth waiting for it.
+fn select_next_permitted(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+) -> Option<(LoadGuard, TimeMs)> {
+    let now = clock::now();
+    let (upstream, latency_ms) = {
+        let state = gateway.state();
+        let candidates = state.candidates(&request.service.name);
+        let limited = candidates.into_iter().filter(|candidate| {
+            let upstream = &candidate.upstream;
+            state.upstream_limits.rate_per_s(upstream).is_some()
+                && state.health.backoff_ms(&upstream.id, now) == 0
+        });
+        let next = limited
+            .min_by_key(|candidate| state.upstream_limits.withheld_ms(&candidate.upstream, now))?;
+        let latency_ms = state.health.latency_ms(&next.upstream.id, 0.0);
+        (next.upstream, latency_ms)
+    };
+    let usable_ms = request.route.objective_ms.saturating_sub(latency_ms as u64);
+    let wait_deadline_ms = request
+        .received_ms
+        .after(usable_ms)
+        .min(request.deadline_ms);
+    Some((track_request(gateway, &upstream), wait_deadline_ms))
+}
+
+// `unlimited_only` leaves out the upstreams that have named a rate limit.
 fn select_upstream(
     gateway: &SharedGateway,
     request: &ClientRequest,
     tried: &[Arc<str>],
+    unlimited_only: bool,
 ) -> Option<LoadGuard> {
     let upstream = {
         let settings = gateway.settings.load();
         let state = gateway.state();
         let mut candidates = state.candidates(&request.service.name);
         let now = clock::now();
-        candidates.retain(|candidate| state.health.backoff_ms(&candidate.upstream.id, now) == 0);
+        candidates.retain(|candidate| {
+            let upstream = &candidate.upstream;
+            let is_limited = state.upstream_limits.rate_per_s(upstream).is_some();
+            state.health.backoff_ms(&upstream.id, now) == 0
+                && state.has_permit(upstream, now)
+                && !(unlimited_only && is_limited)
+        });
         if candidates
             .iter()
             .any(|candidate| !tried.contains(&candidate.upstream.id))
@@ -145,11 +233,15 @@
             .or_else(|| selector.select_any(&candidates))?;
         candidates.swap_remove(index).upstream
     };
+    Some(track_request(gateway, &upstream))
+}
+
+fn track_request(gateway: &SharedGateway, upstream: &Arc<Upstream>) -> LoadGuard {
     let load = UpstreamLoad {
         requests: 1,
         ..UpstreamLoad::default()
     };
-    Some(gateway.track_load(&upstream, load, Holder::Local))
+    gateway.track_load(upstream, load, Holder::Local)
 }
 
 // Sends a request once. Returns the response for the client, or records in `progress` what
@@ -158,12 +250,21 @@
     gateway: &SharedGateway,
     request: &ClientRequest,
     guard: &LoadGuard,
+    permit: SendPermit,
     progress: &mut Progress,
 ) -> Option<BufferedResponse> {
     let upstream = guard.upstream();
     let started_ms = clock::now();
     let send_deadline_ms = send_deadline(request, progress.attempts.runs, started_ms);
-    let outcome = forwarding::send(gateway, request, upstream, Vec::new(), send_deadline_ms).await;
+    let outcome = forwarding::send(
+        gateway,
+        request,
+        upstream,
+        permit,
+        Vec::new(),
+        send_deadline_ms,
+    )
+    .await;
     if outcome.has_not_run() {
         return None;
     }
--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -17,6 +17,7 @@
 use crate::broker;
 use crate::forwarding;
 use crate::forwarding::SendOutcome;
+use crate::permits;
 use crate::quarantine;
 use crate::request::ClientRequest;
 use crate::state::Gateway;
@@ -67,6 +68,11 @@
     progress: &mut Progress,
 ) -> Option<HeaderValue> {
     let mut guard = prefill?;
+    let engine = guard.upstream().clone();
+    let Ok(permit) = permits::acquire(gateway, request, &engine, clock::now()).await else {
+        guard.set_result(broker::GrantOutcome::Withheld);
+        return None;
+    };
     let is_first = !progress.attempts.prefill_costs_retry();
     let may_prefill = match is_first {
         true => gateway.take_prefill_retry(request),
@@ -83,10 +89,15 @@
     let send_deadline_ms = request
         .deadline_ms
         .min(started_ms.after(request.route.objective_ms));
-    let engine = guard.upstream().clone();
-    let outcome =
-        forwarding::send_uncharged(gateway, request, &engine, extra_headers, send_deadline_ms)
-            .await;
+    let outcome = forwarding::send_uncharged(
+        gateway,
+        request,
+        &engine,
+        permit,
+        extra_headers,
+        send_deadline_ms,
+    )
+    .await;
     if let SendOutcome::Cut(_) = outcome {
         quarantine::handle_cut(gateway, &request.in_flight(), &engine).await;
     }
--- a/crates/dogwoodpier-gateway/src/queues.rs
+++ b/crates/dogwoodpier-gateway/src/queues.rs
@@ -375,6 +375,7 @@
         .into_iter()
         .filter(|candidate| !state.health.is_avoided(&candidate.upstream.id, now))
         .filter(|candidate| request.excluded_engine.as_ref() != Some(&candidate.upstream.id))
+        .filter(|candidate| state.has_permit(&candidate.upstream, now))
         .filter(|candidate| {
             let deadline_ms = request.backoffs.get(&candidate.upstream.id);
             deadline_ms.is_none_or(|deadline_ms| *deadline_ms <= now)
--- a/crates/dogwoodpier-gateway/src/reject.rs
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -44,6 +44,8 @@
     NoUpstream,
     /// All upstreams are full and the wait would be too long.
     Overloaded,
+    /// The rate limits that upstreams have named allow no request in time.
+    UpstreamLimited,
     /// Upstreams rejected the request or could not be reached; it has not run.
     NotRun,
     /// The deadline passed while an upstream may be running the request.
@@ -63,6 +65,7 @@
             | Self::Evacuated
             | Self::NoUpstream
             | Self::Overloaded
+            | Self::UpstreamLimited
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -91,6 +94,7 @@
             Self::Evacuated => "evacuated",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::UpstreamLimited => "upstream_limited",
             Self::NotRun => "not_run",
             Self::ExpiredMayHaveRun => "expired_may_have_run",
             Self::AnswerLost => "answer_lost",
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -17,6 +17,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::peer_reports::PeerReports;
+use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::RetryBudget;
@@ -144,6 +145,7 @@
             upstreams_known: false,
             health: UpstreamHealth::default(),
             upstream_limits: UpstreamLimits::default(),
+            permits: Permits::default(),
             peer_reports: PeerReports::new(settings.report_options),
             quotas: Quotas::default(),
             quota_shares: Quotas::default(),
@@ -156,6 +158,7 @@
         broker: Broker::default(),
         owners: Owners::default(),
         pending_quota_requests: PendingRequests::default(),
+        pending_permit_requests: PendingRequests::default(),
         quarantine: Quarantine::default(),
         timing_stats: TimingStats::default(),
         queues: Queues::default(),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -18,6 +18,8 @@
 use dogwoodpier_core::gateway::peer_reports::Grant;
 use dogwoodpier_core::gateway::peer_reports::PeerReports;
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
+use dogwoodpier_core::gateway::permits::PermitDecision;
+use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::placement::Candidate;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
@@ -74,6 +76,8 @@
     pub owners: Owners,
     /// Quota requests of this instance that await an answer.
     pub pending_quota_requests: PendingRequests<Decision>,
+    /// Permit requests of this instance that await an answer.
+    pub pending_permit_requests: PendingRequests<PermitDecision>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     /// Statistics on clients' waits and engines' first events.
@@ -115,6 +119,8 @@
     pub health: UpstreamHealth,
     /// Rate limits that upstreams have named.
     pub upstream_limits: UpstreamLimits,
+    /// Permits for the limited upstreams that this instance issues them for.
+    pub permits: Permits,
     /// Known peers and their latest reports.
     pub peer_reports: PeerReports,
     /// Quotas of the workspaces that this instance owns.
@@ -273,6 +279,24 @@
             .collect()
     }
 
+    /// Returns whether an upstream may be sent a request now, as far as this instance knows.
+    pub fn has_permit(&self, upstream: &Upstream, now: TimeMs) -> bool {
+        let Some(rate_per_s) = self.upstream_limits.rate_per_s(upstream) else {
+            return true;
+        };
+        let membership = self.peer_reports.membership(now);
+        let permits = &self.permits;
+        self.upstream_limits.withheld_ms(upstream, now) == 0
+            && permits.is_available(&upstream.id, rate_per_s, membership, now)
+    }
+
+    /// Removes what is known of an incarnation of an upstream.
+    pub fn forget_upstream(&mut self, id: &str) {
+        self.health.forget(id);
+        self.upstream_limits.forget(id);
+        self.permits.forget(id);
+    }
+
     /// Adjusts the part of a service's engine memory that may be allocated, by the result of a
     /// placement that has ended.
     pub fn update_memory_limit(
@@ -311,6 +335,7 @@
                 limit.record_rejected(held_kv_tokens, kv_tokens);
             }
             broker::GrantOutcome::Unreachable
+            | broker::GrantOutcome::Withheld
             | broker::GrantOutcome::Replaced
             | broker::GrantOutcome::Unknown => {}
         }
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -386,8 +386,7 @@
             return;
         }
         if restarted {
-            state.health.forget(&upstream.id);
-            state.upstream_limits.forget(&upstream.id);
+            state.forget_upstream(&upstream.id);
         }
         for id in state.upstreams.replaced_by(&upstream) {
             state
@@ -410,8 +409,7 @@
         let mut state = gateway.state();
         let known = state.upstreams.remove(id, keep_deadline_ms);
         if keep_deadline_ms.is_none() {
-            state.health.forget(id);
-            state.upstream_limits.forget(id);
+            state.forget_upstream(id);
         }
         known
     };
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -4,12 +4,16 @@
 
 use dogwoodpier_core::gateway::peer_reports::Report;
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
+use dogwoodpier_core::gateway::permits::PermitDecision;
 use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::upstream_limits::ReportedLimit;
 use dogwoodpier_gateway::broker::PlacementAnswer;
 use dogwoodpier_gateway::broker::PlacementVerdict;
 use dogwoodpier_gateway::codec;
 use dogwoodpier_gateway::codec::CodecError;
 use dogwoodpier_gateway::peer_messages::Message;
+use dogwoodpier_gateway::permits::PermitAnswer;
+use dogwoodpier_gateway::permits::PermitRequest;
 use dogwoodpier_gateway::quota::QuotaAnswer;
 use dogwoodpier_gateway::quota::QuotaRequest;
 
@@ -40,12 +44,37 @@
         seen_revisions: [("servers".into(), 12_345), ("config".into(), 12_300)].into(),
         suspects: Vec::new(),
         evacuations: Default::default(),
+        limits: Default::default(),
     })
 }
 
+fn report_with_limit() -> Message {
+    let Message::Report(mut report) = report(1) else {
+        unreachable!("a report");
+    };
+    let reported = ReportedLimit {
+        started_unix_ms: Some(1_700_000_000_000),
+        rate_per_s: Some(4.7),
+        age_ms: 250,
+    };
+    report.limits.insert("i-00000001".into(), reported);
+    Message::Report(report)
+}
+
 fn messages() -> Vec<Message> {
     vec![
         report(2),
+        report_with_limit(),
+        Message::PermitAsk(PermitRequest {
+            ticket: 10,
+            upstream: "i-1".into(),
+            rate_per_s: 4.7,
+            max_wait_ms: 240,
+        }),
+        Message::PermitAnswer(PermitAnswer {
+            ticket: 10,
+            decision: PermitDecision::Granted { wait_ms: 120 },
+        }),
         Message::Answer(PlacementAnswer {
             ticket: 7,
             verdict: PlacementVerdict::Granted {
