--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -70,6 +70,7 @@
         seen_revisions: BTreeMap::new(),
         suspects: Vec::new(),
         evacuations: Default::default(),
+        limits: Default::default(),
     }
 }
 
