Limits: refuse at once for limited engines, bounded reports, and tests of the decisions

Cause: a request for engines that are all limited joined the queue by the interval between two free slots that was seen before the limits, and was refused only at the end of its wait. The queue now knows the shortest interval that the limits allow (rate_limits_reject_early). A report holds at most 200 limits, so that it fits into a datagram whatever upstreams name. Membership is counted once a selection. The fleet of gateway_quota's test moves to common/members.rs and serves both; its checks are unchanged.

--- a/crates/dogwoodpier-core/src/gateway/permits.rs
+++ b/crates/dogwoodpier-core/src/gateway/permits.rs
@@ -49,17 +49,17 @@
 }
 
 impl Permits {
-    /// Issues a permit that is valid after at most `max_wait_ms`, or denies it. `rate_per_s` is the
+    /// Issues a permit that is valid after at most `max_wait_ms`, or denies it. `limit_per_s` is the
     /// limit that the upstream has named.
     pub fn request(
         &mut self,
         upstream: &Arc<str>,
-        rate_per_s: f64,
+        limit_per_s: f64,
         max_wait_ms: u64,
         membership: Membership,
         now: TimeMs,
     ) -> PermitDecision {
-        let rate = bucket_rate(rate_per_s, membership);
+        let rate = bucket_rate(limit_per_s, membership);
         // What was sent before is not known, so a new bucket is empty.
         let bucket = self
             .buckets
@@ -81,11 +81,11 @@
     pub fn is_available(
         &self,
         upstream: &str,
-        rate_per_s: f64,
+        limit_per_s: f64,
         membership: Membership,
         now: TimeMs,
     ) -> bool {
-        let rate = bucket_rate(rate_per_s, membership);
+        let rate = bucket_rate(limit_per_s, membership);
         self.buckets.get(upstream).is_none_or(|bucket| {
             let mut bucket = bucket.clone();
             bucket.refill(rate, now);
@@ -105,13 +105,17 @@
     (missing / rate.units_per_ms).ceil() as u64
 }
 
-fn bucket_rate(rate_per_s: f64, membership: Membership) -> BucketRate {
-    let rate_per_s = match rate_per_s.is_nan() {
+/// Returns the rate at which permits are issued for a limit.
+pub fn permit_rate_per_s(limit_per_s: f64) -> f64 {
+    match limit_per_s.is_nan() {
         // Rates from peers are not validated.
         true => MIN_RATE_PER_S,
-        false => rate_per_s.clamp(MIN_RATE_PER_S, MAX_RATE_PER_S),
-    };
-    let units_per_ms = rate_per_s * membership.share() / 1_000.0;
+        false => limit_per_s.clamp(MIN_RATE_PER_S, MAX_RATE_PER_S),
+    }
+}
+
+fn bucket_rate(limit_per_s: f64, membership: Membership) -> BucketRate {
+    let units_per_ms = permit_rate_per_s(limit_per_s) * membership.share() / 1_000.0;
     BucketRate {
         units_per_ms,
         burst: (units_per_ms * BURST_MS).max(1.0),
--- a/crates/dogwoodpier-core/src/gateway/upstream_limits.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstream_limits.rs
@@ -18,6 +18,8 @@
 
 // Time for which the end of a limit is reported: several reports of a fleet of 300 instances.
 const END_REPORT_MS: u64 = 10_000;
+// Observations in one report, which has to fit into a datagram.
+const MAX_REPORTED_LIMITS: usize = 200;
 
 #[plain]
 #[derive(Copy)]
@@ -143,10 +145,14 @@
             };
             Some((id.clone(), reported))
         });
-        own.filter(|(_, reported)| {
-            reported.rate_per_s.is_some() || reported.age_ms <= END_REPORT_MS
-        })
-        .collect()
+        let mut reported: Vec<(Arc<str>, ReportedLimit)> = own
+            .filter(|(_, reported)| {
+                reported.rate_per_s.is_some() || reported.age_ms <= END_REPORT_MS
+            })
+            .collect();
+        reported.sort_by_key(|(_, reported)| reported.age_ms);
+        reported.truncate(MAX_REPORTED_LIMITS);
+        reported.into_iter().collect()
     }
 
     /// Returns whether a peer has reported a limit of an upstream.
--- a/crates/dogwoodpier-core/src/gateway/wait_queue.rs
+++ b/crates/dogwoodpier-core/src/gateway/wait_queue.rs
@@ -51,6 +51,8 @@
 pub struct WaitQueue {
     waiters: Vec<Waiter>,
     grant_interval_ms: f64,
+    // The rate limits of the engines allow no shorter interval.
+    min_grant_interval_ms: f64,
     last_grant_ms: Option<TimeMs>,
 }
 
@@ -59,6 +61,7 @@
         Self {
             waiters: Vec::new(),
             grant_interval_ms: INITIAL_GRANT_INTERVAL_MS,
+            min_grant_interval_ms: 0.0,
             last_grant_ms: None,
         }
     }
@@ -75,6 +78,17 @@
         self.waiters.is_empty()
     }
 
+    /// Sets the shortest interval between two grants that the rate limits of all engines together
+    /// allow, 0 without limits.
+    pub fn set_min_grant_interval(&mut self, interval_ms: f64) {
+        self.min_grant_interval_ms = interval_ms;
+    }
+
+    // Returns the expected interval between two grants.
+    fn expected_interval_ms(&self) -> f64 {
+        self.grant_interval_ms.max(self.min_grant_interval_ms)
+    }
+
     /// Returns the expected waiting time of a new request with a priority.
     pub fn expected_wait_ms(&self, priority: u8, now: TimeMs) -> u64 {
         let ahead = self
@@ -82,7 +96,7 @@
             .iter()
             .filter(|waiter| waiter.priority <= priority && waiter.on_time_deadline_ms > now)
             .count();
-        ((ahead + 1) as f64 * self.grant_interval_ms) as u64
+        ((ahead + 1) as f64 * self.expected_interval_ms()) as u64
     }
 
     /// Adds a request that found no free slot to the queue, or rejects it. `was_rejected` states
@@ -110,7 +124,7 @@
     /// Returns the time after which a rejected caller should retry: when the queue has advanced,
     /// spread by `jitter`, from 0 to 1, so that rejected callers do not retry at the same time.
     pub fn retry_after_ms(&self, jitter: f64) -> u64 {
-        let queue_ms = (self.waiters.len() + 1) as f64 * self.grant_interval_ms;
+        let queue_ms = (self.waiters.len() + 1) as f64 * self.expected_interval_ms();
         let after_ms = (queue_ms * (1.0 + jitter) + jitter * 2_000.0) as u64;
         after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
     }
--- a/crates/dogwoodpier-core/tests/gateway_quota.rs
+++ b/crates/dogwoodpier-core/tests/gateway_quota.rs
@@ -2,17 +2,14 @@
 //! allow, whichever peers are reachable.
 
 mod common;
+#[path = "common/members.rs"]
+mod members;
 
 use std::sync::Arc;
 
 use proptest::prelude::*;
 
 use dogwoodpier_core::TimeMs;
-use dogwoodpier_core::gateway::owners;
-use dogwoodpier_core::gateway::owners::UnresponsiveOwners;
-use dogwoodpier_core::gateway::peer_reports::PeerReportOptions;
-use dogwoodpier_core::gateway::peer_reports::PeerReports;
-use dogwoodpier_core::gateway::peer_reports::Report;
 use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::quota::Membership;
 use dogwoodpier_core::gateway::quota::Overdraft;
@@ -20,6 +17,8 @@
 use dogwoodpier_core::gateway::routes::QuotaUnit;
 use dogwoodpier_core::gateway::routes::Workspace;
 
+use self::members::Members;
+
 const RATE_PER_S: u64 = 10_000;
 const BURST: u64 = 10_000;
 const COST: u64 = 500;
@@ -36,64 +35,33 @@
 }
 
 /// Instances that share a quota. Each asks the instance that it considers the workspace's owner.
-/// Reports arrive after `delay_ms`, and no message crosses a partition.
 struct Fleet {
+    members: Members,
     quotas: Vec<Quotas>,
     own_shares: Vec<Quotas>,
-    peer_reports: Vec<PeerReports>,
-    unresponsive: Vec<UnresponsiveOwners>,
-    in_flight: Vec<(u64, usize, Report)>,
     admitted: Vec<(u64, u64)>,
-    delay_ms: u64,
-    sequence: u64,
 }
 
 impl Fleet {
     fn new(size: usize, delay_ms: u64) -> Self {
-        let mut fleet = Self {
+        Self {
+            members: Members::new(size, delay_ms),
             quotas: (0..size).map(|_| Quotas::default()).collect(),
             own_shares: (0..size).map(|_| Quotas::default()).collect(),
-            peer_reports: (0..size)
-                .map(|_| PeerReports::new(PeerReportOptions::default()))
-                .collect(),
-            unresponsive: (0..size).map(|_| UnresponsiveOwners::default()).collect(),
-            in_flight: Vec::new(),
             admitted: Vec::new(),
-            delay_ms,
-            sequence: 0,
-        };
-        for instance in 0..size {
-            for peer in (0..size).filter(|peer| *peer != instance) {
-                fleet.peer_reports[instance].register(&name(peer), 1.0, TimeMs(0));
-            }
         }
-        fleet
-    }
-
-    // Returns the instance that `instance` considers the owner.
-    fn owner(&self, instance: usize, now: TimeMs) -> usize {
-        let own = name(instance);
-        let peers = self.peer_reports[instance].live_peers(now);
-        let peers = peers.filter(|(peer, _)| !self.unresponsive[instance].contains(peer, now));
-        let members = peers.chain(std::iter::once((&own, 1.0)));
-        let owner = owners::rank_owners("firm", members, 1).remove(0);
-        owner[1..]
-            .parse()
-            .expect("the name of an instance ends with its number")
     }
 
     fn request(&mut self, instance: usize, now_ms: u64, partition_at: Option<usize>) -> bool {
         let now = TimeMs(now_ms);
-        for _ in 0..2 {
-            let owner = self.owner(instance, now);
-            if is_partitioned(instance, owner, partition_at) {
-                self.unresponsive[instance].record_timeout(&name(owner), now);
-                continue;
-            }
-            let membership = self.peer_reports[owner].membership(now);
+        let owner = self
+            .members
+            .reachable_owner(instance, "firm", now, partition_at);
+        if let Some(owner) = owner {
+            let membership = self.members.membership(owner, now);
             return self.decide(owner, membership, now, |fleet| &mut fleet.quotas);
         }
-        let members = self.peer_reports[instance].membership(now).members;
+        let members = self.members.membership(instance, now).members;
         let membership = Membership {
             members,
             reachable: 1,
@@ -117,56 +85,15 @@
     fn advance(&mut self, now_ms: u64) {
         let now = TimeMs(now_ms);
         for instance in 0..self.quotas.len() {
-            let owned = (self.owner(instance, now) == instance).then(|| Arc::new(workspace()));
-            let membership = self.peer_reports[instance].membership(now);
+            let is_owner = self.members.owner(instance, "firm", now) == instance;
+            let owned = is_owner.then(|| Arc::new(workspace()));
+            let membership = self.members.membership(instance, now);
             self.quotas[instance].advance(&owned, membership, now);
         }
     }
 
-    fn report(&mut self, now_ms: u64, partition_at: Option<usize>) {
-        self.sequence += 1;
-        for from in 0..self.quotas.len() {
-            for to in (0..self.quotas.len()).filter(|to| *to != from) {
-                if is_partitioned(from, to, partition_at) {
-                    continue;
-                }
-                let report = Report {
-                    instance: name(from),
-                    incarnation: 1,
-                    sequence: self.sequence,
-                    capacity: 1.0,
-                    leaving: false,
-                    uses: Default::default(),
-                    uses_valid_ms: 1_000,
-                    tickets: Default::default(),
-                    down_for_ms: Default::default(),
-                    leaving_upstreams: Default::default(),
-                    seen_revisions: Default::default(),
-                    suspects: Vec::new(),
-                    evacuations: Default::default(),
-                    limits: Default::default(),
-                };
-                self.in_flight.push((now_ms + self.delay_ms, to, report));
-            }
-        }
-    }
-
-    fn deliver(&mut self, now_ms: u64) {
-        let now = TimeMs(now_ms);
-        let (due, later) = std::mem::take(&mut self.in_flight)
-            .into_iter()
-            .partition(|(at_ms, ..)| *at_ms <= now_ms);
-        self.in_flight = later;
-        for (_, to, report) in due {
-            self.peer_reports[to].handle_report(report, now);
-        }
-    }
-
     fn step(&mut self, now_ms: u64, partition_at: Option<usize>) {
-        self.deliver(now_ms);
-        if now_ms.is_multiple_of(300) {
-            self.report(now_ms, partition_at);
-        }
+        self.members.step(now_ms, partition_at);
         if now_ms.is_multiple_of(1_000) {
             self.advance(now_ms);
         }
@@ -187,14 +114,6 @@
     }
 }
 
-fn is_partitioned(from: usize, to: usize, partition_at: Option<usize>) -> bool {
-    partition_at.is_some_and(|partition_at| (from < partition_at) != (to < partition_at))
-}
-
-fn name(instance: usize) -> Arc<str> {
-    format!("n{instance}").into()
-}
-
 proptest! {
     #![proptest_config(common::config(7, 40))]
 
--- a/crates/dogwoodpier-core/tests/gateway_waiting.rs
+++ b/crates/dogwoodpier-core/tests/gateway_waiting.rs
@@ -78,6 +78,22 @@
     assert_eq!((burst.rejected, burst.timed_out, burst.late), (0, 0, 0));
 }
 
+// Engines with rate limits grant four slots per second together. A burst before the queue has seen
+// any grant is rejected on arrival, except for what can be answered on time.
+#[test]
+fn rate_limits_reject_early() {
+    let mut queue = WaitQueue::default();
+    queue.set_min_grant_interval(250.0);
+    let mut queued = 0;
+    for ticket in 0..20 {
+        match queue.enqueue(waiter(ticket, 1, 0), false, 0.5, TimeMs(0)) {
+            Enqueue::Queued => queued += 1,
+            Enqueue::Rejected { retry_after_ms } => assert!(retry_after_ms >= 500),
+        }
+    }
+    assert_eq!(queued, OBJECTIVE_MS / 250);
+}
+
 #[test]
 fn peek_prefers_urgent_then_on_time() {
     let mut queue = WaitQueue::default();
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -213,10 +213,9 @@
         candidates.retain(|candidate| {
             let upstream = &candidate.upstream;
             let is_limited = state.upstream_limits.rate_per_s(upstream).is_some();
-            state.health.backoff_ms(&upstream.id, now) == 0
-                && state.has_permit(upstream, now)
-                && !(unlimited_only && is_limited)
+            state.health.backoff_ms(&upstream.id, now) == 0 && !(unlimited_only && is_limited)
         });
+        state.retain_permitted(&mut candidates, now);
         if candidates
             .iter()
             .any(|candidate| !tried.contains(&candidate.upstream.id))
--- a/crates/dogwoodpier-gateway/src/queues.rs
+++ b/crates/dogwoodpier-gateway/src/queues.rs
@@ -215,6 +215,8 @@
             on_time_deadline_ms: request.on_time_deadline_ms,
             queue_deadline_ms,
         };
+        let permit_interval_ms = gateway.state().permit_interval_ms(&request.service);
+        service.queue.set_min_grant_interval(permit_interval_ms);
         let spread = rand::random();
         match service.queue.enqueue(waiter, request.returned, spread, now) {
             Enqueue::Rejected { retry_after_ms } => {
@@ -370,12 +372,12 @@
     spec: &EngineSpec,
 ) -> Option<(Arc<Upstream>, Option<Arc<Upstream>>)> {
     let now = clock::now();
-    let (mut prefilling, mut decoding): (Vec<Candidate>, Vec<Candidate>) = state
-        .candidates(&request.service)
+    let mut candidates = state.candidates(&request.service);
+    state.retain_permitted(&mut candidates, now);
+    let (mut prefilling, mut decoding): (Vec<Candidate>, Vec<Candidate>) = candidates
         .into_iter()
         .filter(|candidate| !state.health.is_avoided(&candidate.upstream.id, now))
         .filter(|candidate| request.excluded_engine.as_ref() != Some(&candidate.upstream.id))
-        .filter(|candidate| state.has_permit(&candidate.upstream, now))
         .filter(|candidate| {
             let deadline_ms = request.backoffs.get(&candidate.upstream.id);
             deadline_ms.is_none_or(|deadline_ms| *deadline_ms <= now)
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of a gateway share.
 
+use std::cell::LazyCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use dogwoodpier_core::gateway::peer_reports::Grant;
 use dogwoodpier_core::gateway::peer_reports::PeerReports;
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
+use dogwoodpier_core::gateway::permits;
 use dogwoodpier_core::gateway::permits::PermitDecision;
 use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::placement::Candidate;
@@ -32,6 +34,7 @@
 use dogwoodpier_core::gateway::routes::Route;
 use dogwoodpier_core::gateway::shutdown::Shutdown;
 use dogwoodpier_core::gateway::upstream_limits::UpstreamLimits;
+use dogwoodpier_core::gateway::upstreams::Stage;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_core::gateway::upstreams::Upstreams;
 use dogwoodpier_http::Connections;
@@ -56,6 +59,8 @@
 use crate::settings::Settings;
 use crate::store::Revisions;
 
+const MS_PER_S: f64 = 1_000.0;
+
 /// A gateway, shared by all of its tasks.
 pub struct Gateway {
     /// Random number drawn at the start of the process.
@@ -279,15 +284,32 @@
             .collect()
     }
 
-    /// Returns whether an upstream may be sent a request now, as far as this instance knows.
-    pub fn has_permit(&self, upstream: &Upstream, now: TimeMs) -> bool {
-        let Some(rate_per_s) = self.upstream_limits.rate_per_s(upstream) else {
-            return true;
-        };
-        let membership = self.peer_reports.membership(now);
-        let permits = &self.permits;
-        self.upstream_limits.withheld_ms(upstream, now) == 0
-            && permits.is_available(&upstream.id, rate_per_s, membership, now)
+    /// Removes the candidates that may not be sent a request now because of their rate limits, as
+    /// far as this instance knows.
+    pub fn retain_permitted(&self, candidates: &mut Vec<Candidate>, now: TimeMs) {
+        let membership = LazyCell::new(|| self.peer_reports.membership(now));
+        candidates.retain(|candidate| {
+            let upstream = &candidate.upstream;
+            let limit_per_s = self.upstream_limits.rate_per_s(upstream);
+            limit_per_s.is_none_or(|limit_per_s| {
+                let permits = &self.permits;
+                self.upstream_limits.withheld_ms(upstream, now) == 0
+                    && permits.is_available(&upstream.id, limit_per_s, *membership, now)
+            })
+        });
+    }
+
+    /// Returns the average time between two permits for the decode engines of a service, 0 if one of
+    /// them has no rate limit.
+    pub fn permit_interval_ms(&self, service: &str) -> f64 {
+        let serving = self.upstreams.available(service);
+        let decoding = serving.filter(|upstream| upstream.stage != Some(Stage::Prefill));
+        let limits = decoding.map(|upstream| self.upstream_limits.rate_per_s(upstream));
+        let rates = limits.map(|limit_per_s| limit_per_s.map(permits::permit_rate_per_s));
+        let total_per_s: Option<f64> = rates.sum();
+        total_per_s
+            .filter(|total_per_s| *total_per_s > 0.0)
+            .map_or(0.0, |total_per_s| MS_PER_S / total_per_s)
     }
 
     /// Removes what is known of an incarnation of an upstream.
