Limited services: wait for an upstream that answers, and not for one that has just failed the request

Cause: with all upstreams of a service limited, the one with the next permit was chosen even if it was avoided as unreachable, or had failed this very request. Found by reading; no run shows it, as the tests' limited upstreams are sound.

--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -150,7 +150,7 @@
             return Ok((guard, permit));
         }
     }
-    let Some((guard, wait_deadline_ms)) = select_next_permitted(gateway, request) else {
+    let Some((guard, wait_deadline_ms)) = select_next_permitted(gateway, request, tried) else {
         return Err(NotSelected {
             reason: queues::no_upstream(gateway, &request.service.name),
             retry_after_ms: NOT_RUN_RETRY_MS,
@@ -175,6 +175,7 @@
 fn select_next_permitted(
     gateway: &SharedGateway,
     request: &ClientRequest,
+    tried: &[Arc<str>],
 ) -> Option<(LoadGuard, TimeMs)> {
     let now = clock::now();
     let (upstream, latency_ms) = {
@@ -185,8 +186,14 @@
             state.upstream_limits.rate_per_s(upstream).is_some()
                 && state.health.backoff_ms(&upstream.id, now) == 0
         });
-        let next = limited
-            .min_by_key(|candidate| state.upstream_limits.withheld_ms(&candidate.upstream, now))?;
+        let next = limited.min_by_key(|candidate| {
+            let upstream = &candidate.upstream;
+            (
+                state.health.is_avoided(&upstream.id, now),
+                tried.contains(&upstream.id),
+                state.upstream_limits.withheld_ms(upstream, now),
+            )
+        })?;
         let latency_ms = state.health.latency_ms(&next.upstream.id, 0.0);
         (next.upstream, latency_ms)
     };
