--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -4,6 +4,7 @@
 use dogwoodpier_process::recorder;
 
 use crate::counters;
+use crate::readiness;
 use crate::state::Gateway;
 
 /// Returns all metrics in the Prometheus text format.
@@ -16,6 +17,7 @@
 pub fn state(gateway: &Gateway) -> String {
     let now = clock::now();
     let configuration = gateway.configuration.load();
+    let unmet_conditions = readiness::unmet_conditions(gateway);
     let state = gateway.state();
     let membership = state.peer_reports.membership(now);
     let upstreams: Vec<serde_json::Value> = state
@@ -53,6 +55,7 @@
         "evacuated": state.upstreams.evacuations.data_centres().collect::<Vec<_>>(),
         "members": membership.members,
         "heard": membership.reachable,
+        "unmet_conditions": unmet_conditions,
         "in_flight": gateway.drain.in_flight(),
         "draining": gateway.drain.is_draining(),
         "upstreams": upstreams,
--- a/crates/dogwoodpier-gateway/src/readiness.rs
+++ b/crates/dogwoodpier-gateway/src/readiness.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -19,15 +20,40 @@
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
+// Short enough for an operator who waits for a start.
+const REPORT_INTERVAL: Duration = Duration::from_secs(3);
+
 type Page = Response<Full<Bytes>>;
 
 /// Returns whether the instance accepts requests: it has read all it needs from the store and isn't
 /// stopping.
 pub fn is_ready(gateway: &Gateway) -> bool {
-    gateway.configuration.load().is_some()
-        && gateway.state().upstreams_known
-        && knows_evacuations(gateway)
-        && !gateway.drain.is_draining()
+    unmet_conditions(gateway).is_empty()
+}
+
+/// Returns why the instance is not ready; empty if it is.
+pub fn unmet_conditions(gateway: &Gateway) -> Vec<&'static str> {
+    let conditions = [
+        ("configuration", gateway.configuration.load().is_some()),
+        ("upstreams", gateway.state().upstreams_known),
+        ("evacuations", knows_evacuations(gateway)),
+        ("not_stopping", !gateway.drain.is_draining()),
+    ];
+    let unmet = conditions.into_iter().filter(|(_, is_met)| !is_met);
+    unmet.map(|(name, _)| name).collect()
+}
+
+/// Logs why the instance is not ready, until it stops.
+pub async fn report(gateway: SharedGateway) {
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        let unmet = unmet_conditions(&gateway);
+        if !unmet.is_empty() && !gateway.drain.is_draining() {
+            gateway
+                .events
+                .write("not_ready", serde_json::json!({ "missing": unmet }));
+        }
+    }
 }
 
 /// Returns whether the instance knows which data centres are evacuated. Always true if evacuations
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -200,6 +200,7 @@
     spawn_supervised(gateway, "receive", peer_messages::receive);
     spawn_supervised(gateway, "report", peer_messages::report);
     spawn_supervised(gateway, "quotas", quota::advance);
+    spawn_supervised(gateway, "readiness", readiness::report);
 }
 
 // Spawns a task that is restarted if it panics.
