Readiness: look at the upstreams under a lock of its own

Seen by settings_reload (g0 not ready within 60 s); settings_reload and data_centre_evacuations pass.

--- a/crates/dogwoodpier-gateway/src/readiness.rs
+++ b/crates/dogwoodpier-gateway/src/readiness.rs
@@ -33,9 +33,10 @@
 
 /// Returns why the instance is not ready; empty if it is.
 pub fn unmet_conditions(gateway: &Gateway) -> Vec<&'static str> {
+    let upstreams_known = gateway.state().upstreams_known;
     let conditions = [
         ("configuration", gateway.configuration.load().is_some()),
-        ("upstreams", gateway.state().upstreams_known),
+        ("upstreams", upstreams_known),
         ("evacuations", knows_evacuations(gateway)),
         ("not_stopping", !gateway.drain.is_draining()),
     ];
