Permits: issuers notify each other, so that two of them keep to one limit

Cause: an owner that answers slowly is suspected by some instances and not by others; the rest of the fleet still hears it, so that it and its successor each issued permits at the whole limit, for as long as they disagreed. Seen in core: two_issuers_stay_within_the_limit, 40 requests in 4 s, tolerated 35.

--- a/crates/dogwoodpier-core/src/gateway/permits.rs
+++ b/crates/dogwoodpier-core/src/gateway/permits.rs
@@ -5,8 +5,10 @@
 //! less than one request and would lie unused at instances without requests. One instance, the
 //! owner, therefore holds a token bucket for the upstream and issues a permit for each request. A
 //! request that can wait gets a permit for a later time, so that requests are sent in the order in
-//! which they asked, without polling. An owner that receives reports from only a part of the fleet
-//! may not be the only owner, and issues the corresponding part of the permits.
+//! which they asked, without polling. Instances may disagree on the owner, as one that answers slowly
+//! is slow for some of them only. Issuers therefore notify each other of the permits that they issue.
+//! An owner that receives reports from only a part of the fleet may not be the only owner, and issues
+//! the corresponding part of the permits.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -60,12 +62,7 @@
         now: TimeMs,
     ) -> PermitDecision {
         let rate = bucket_rate(limit_per_s, membership);
-        // What was sent before is not known, so a new bucket is empty.
-        let bucket = self
-            .buckets
-            .entry(upstream.clone())
-            .or_insert_with(|| TokenBucket::empty(now));
-        bucket.refill(rate, now);
+        let bucket = self.refilled(upstream, rate, now);
         let wait_ms = wait_for_permit_ms(bucket, rate);
         if wait_ms > max_wait_ms {
             return PermitDecision::Denied {
@@ -93,6 +90,29 @@
         })
     }
 
+    /// Records that another instance has issued a permit: for a time, some instances may ask the
+    /// owner and others its successor.
+    pub fn record_issued(
+        &mut self,
+        upstream: &Arc<str>,
+        limit_per_s: f64,
+        membership: Membership,
+        now: TimeMs,
+    ) {
+        let rate = bucket_rate(limit_per_s, membership);
+        self.refilled(upstream, rate, now).take(1.0);
+    }
+
+    // Returns the bucket of an upstream. A new one is empty, as it is not known what was sent before.
+    fn refilled(&mut self, upstream: &Arc<str>, rate: BucketRate, now: TimeMs) -> &mut TokenBucket {
+        let bucket = self
+            .buckets
+            .entry(upstream.clone())
+            .or_insert_with(|| TokenBucket::empty(now));
+        bucket.refill(rate, now);
+        bucket
+    }
+
     /// Removes the bucket of an upstream that is gone.
     pub fn forget(&mut self, upstream: &str) {
         self.buckets.remove(upstream);
--- a/crates/dogwoodpier-core/tests/upstream_limits.rs
+++ b/crates/dogwoodpier-core/tests/upstream_limits.rs
@@ -55,16 +55,29 @@
         let owner = self
             .members
             .reachable_owner(instance, UPSTREAM, now, partition_at);
-        let Some(owner) = owner else {
-            return;
-        };
+        if let Some(owner) = owner {
+            self.request_from(owner, limit_per_s, max_wait_ms, now_ms);
+        }
+    }
+
+    // Returns whether a permit was issued.
+    fn request_from(
+        &mut self,
+        owner: usize,
+        limit_per_s: f64,
+        max_wait_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let now = TimeMs(now_ms);
         let membership = self.members.membership(owner, now);
         let permits = &mut self.permits[owner];
         let id: Arc<str> = UPSTREAM.into();
         let decision = permits.request(&id, limit_per_s, max_wait_ms, membership, now);
         if let PermitDecision::Granted { wait_ms } = decision {
             self.sent_ms.push(now_ms + wait_ms);
+            return true;
         }
+        false
     }
 
     fn most_sent_in_window(&self) -> usize {
@@ -158,6 +171,35 @@
     assert!((42..=51).contains(&sent), "{sent} requests in 10 s");
 }
 
+// The owner answers so slowly that half of the instances have turned to its successor, while all of
+// them still receive its reports.
+#[test]
+fn two_issuers_stay_within_the_limit() {
+    const LIMIT_PER_S: f64 = 5.0;
+    const DELAY_MS: u64 = 100;
+    let mut fleet = Fleet::new(4, 20);
+    let mut notices: Vec<(u64, usize)> = Vec::new();
+    for now_ms in (0..20_000_u64).step_by(10) {
+        fleet.members.step(now_ms, None);
+        for (_, issuer) in notices.extract_if(.., |(at_ms, _)| *at_ms <= now_ms) {
+            let now = TimeMs(now_ms);
+            let membership = fleet.members.membership(issuer, now);
+            let permits = &mut fleet.permits[issuer];
+            permits.record_issued(&UPSTREAM.into(), LIMIT_PER_S, membership, now);
+        }
+        for issuer in 0..2 {
+            if fleet.request_from(issuer, LIMIT_PER_S, 0, now_ms) {
+                notices.push((now_ms + DELAY_MS, 1 - issuer));
+            }
+        }
+    }
+    let most = fleet.most_sent_in_window();
+    let tolerated = tolerated(LIMIT_PER_S);
+    assert!(most <= tolerated, "{most} requests, tolerated {tolerated}");
+    let sent = fleet.sent_ms.len();
+    assert!((95..=115).contains(&sent), "{sent} requests in 20 s");
+}
+
 #[test]
 fn permits_are_issued_in_turn() {
     let mut permits = Permits::default();
--- a/crates/dogwoodpier-gateway/src/owners.rs
+++ b/crates/dogwoodpier-gateway/src/owners.rs
@@ -98,7 +98,9 @@
 
 /// Returns the owner of a service or a workspace.
 pub fn owner_of(gateway: &Gateway, name: &str) -> Owner {
-    rank_owners(gateway, name, 1).pop().unwrap_or(Owner::Local)
+    rank_owners(gateway, name, 1, Unresponsive::Excluded)
+        .pop()
+        .unwrap_or(Owner::Local)
 }
 
 /// Returns whether this instance owns a service or a workspace.
@@ -109,25 +111,57 @@
 /// Returns the addresses of the peers among the first owners of a service: the current one and its
 /// successors.
 pub fn addresses(gateway: &Gateway, name: &str) -> Vec<SocketAddr> {
-    let owners = rank_owners(gateway, name, MAX_OWNERS).into_iter();
+    peer_addresses(rank_owners(
+        gateway,
+        name,
+        MAX_OWNERS,
+        Unresponsive::Excluded,
+    ))
+}
+
+/// Returns the addresses of the peers that any instance may consider the owner of `name`, whether or
+/// not they answer this one.
+pub fn candidates(gateway: &Gateway, name: &str) -> Vec<SocketAddr> {
+    peer_addresses(rank_owners(
+        gateway,
+        name,
+        MAX_OWNERS + 1,
+        Unresponsive::Included,
+    ))
+}
+
+fn peer_addresses(owners: Vec<Owner>) -> Vec<SocketAddr> {
     let address = |owner| match owner {
         Owner::Local => None,
         Owner::Peer { address, .. } => Some(address),
     };
-    owners.filter_map(address).collect()
+    owners.into_iter().filter_map(address).collect()
 }
 
-fn rank_owners(gateway: &Gateway, name: &str, count: usize) -> Vec<Owner> {
+// Whether peers that did not answer this instance recently are ranked.
+#[derive(Clone, Copy, PartialEq)]
+enum Unresponsive {
+    Included,
+    Excluded,
+}
+
+fn rank_owners(
+    gateway: &Gateway,
+    name: &str,
+    count: usize,
+    unresponsive: Unresponsive,
+) -> Vec<Owner> {
     let now = clock::now();
     let settings = gateway.settings.load();
     let own = settings.instance.clone();
     let ranking = {
         let state = gateway.state();
-        let unresponsive = gateway.owners.lock();
+        let suspected = gateway.owners.lock();
         let peers = state.peer_reports.live_peers(now);
         let peers = peers.filter(|(peer, _)| {
             // With a peer of unknown address as the owner, each instance would decide by itself.
-            !unresponsive.contains(peer, now) && gateway.peer_addresses.get(peer).is_some()
+            (unresponsive == Unresponsive::Included || !suspected.contains(peer, now))
+                && gateway.peer_addresses.get(peer).is_some()
         });
         let members = peers.chain(std::iter::once((&own, settings.capacity)));
         owners::rank_owners(name, members, count)
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -24,6 +24,7 @@
 use crate::forwarding;
 use crate::permits;
 use crate::permits::PermitAnswer;
+use crate::permits::PermitNotice;
 use crate::permits::PermitRequest;
 use crate::quarantine;
 use crate::quota;
@@ -70,6 +71,8 @@
     PermitAsk(PermitRequest),
     /// The answer to a permit request.
     PermitAnswer(PermitAnswer),
+    /// Notice of a permit that the sender has issued.
+    PermitNotice(PermitNotice),
 }
 
 /// Binds the socket for messages between peers.
@@ -117,6 +120,7 @@
         }
         Message::PermitAsk(request) => permits::handle_request(gateway, from, &request),
         Message::PermitAnswer(answer) => permits::handle_answer(gateway, answer),
+        Message::PermitNotice(notice) => permits::handle_notice(gateway, &notice),
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/permits.rs
+++ b/crates/dogwoodpier-gateway/src/permits.rs
@@ -34,6 +34,15 @@
     pub max_wait_ms: u64,
 }
 
+/// Notice of a permit, for the instances that others may ask for permits for the same upstream.
+#[wire]
+pub struct PermitNotice {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// Limit by which the permit was issued.
+    pub limit_per_s: f64,
+}
+
 /// The answer to a request for a permit.
 #[wire]
 pub struct PermitAnswer {
@@ -149,11 +158,33 @@
         };
     };
     let known = state.upstream_limits.rate_per_s(&upstream);
-    let rate_per_s = known.unwrap_or(asked_rate_per_s);
+    let limit_per_s = known.unwrap_or(asked_rate_per_s);
+    let membership = state.peer_reports.membership(now);
+    let permits = &mut state.permits;
+    let decision = permits.request(&upstream.id, limit_per_s, max_wait_ms, membership, now);
+    drop(state);
+    if let PermitDecision::Granted { .. } = decision {
+        let notice = Message::PermitNotice(PermitNotice {
+            upstream: upstream.id.clone(),
+            limit_per_s,
+        });
+        for address in owners::candidates(gateway, owned_name(&upstream)) {
+            gateway.send_message(address, &notice);
+        }
+    }
+    decision
+}
+
+/// Handles a peer's notice of a permit.
+pub fn handle_notice(gateway: &Gateway, notice: &PermitNotice) {
+    let now = clock::now();
+    let mut state = gateway.state();
+    let Some(upstream) = state.upstreams.get(&notice.upstream).cloned() else {
+        return;
+    };
     let membership = state.peer_reports.membership(now);
-    state
-        .permits
-        .request(&upstream.id, rate_per_s, max_wait_ms, membership, now)
+    let permits = &mut state.permits;
+    permits.record_issued(&upstream.id, notice.limit_per_s, membership, now);
 }
 
 fn log_decision(
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -13,6 +13,7 @@
 use dogwoodpier_gateway::codec::CodecError;
 use dogwoodpier_gateway::peer_messages::Message;
 use dogwoodpier_gateway::permits::PermitAnswer;
+use dogwoodpier_gateway::permits::PermitNotice;
 use dogwoodpier_gateway::permits::PermitRequest;
 use dogwoodpier_gateway::quota::QuotaAnswer;
 use dogwoodpier_gateway::quota::QuotaRequest;
@@ -71,6 +72,10 @@
             rate_per_s: 4.7,
             max_wait_ms: 240,
         }),
+        Message::PermitNotice(PermitNotice {
+            upstream: "i-1".into(),
+            limit_per_s: 4.7,
+        }),
         Message::PermitAnswer(PermitAnswer {
             ticket: 10,
             decision: PermitDecision::Granted { wait_ms: 120 },
