Test fleets: a failed wait says why, and ports are reserved for the whole host

Ports were reserved by lock files in the temporary directory, so that two runs with different ones could take the same port.

--- a/crates/dogwoodpier-fakes/src/fleet/node.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/node.rs
@@ -109,7 +109,17 @@
             self.operator_status("/ready").await == Some(StatusCode::OK)
         })
         .await
-        .with_context(|| format!("{}; end of its log: {}", self.name, self.log_tail()))
+        .with_context(|| self.describe())
+    }
+
+    // Describes the process for the message of a failed wait.
+    fn describe(&self) -> String {
+        let state = self.process.system_state();
+        format!(
+            "{}, {state}; end of its log: {}",
+            self.name,
+            self.log_tail()
+        )
     }
 
     /// Waits until `condition` returns true for the node's state dump.
@@ -121,7 +131,7 @@
             self.dump().await.is_ok_and(|dump| condition(&dump))
         })
         .await
-        .with_context(|| format!("{}; end of its log: {}", self.name, self.log_tail()))
+        .with_context(|| self.describe())
     }
 
     /// Sends a GET request to the operators' address and returns the status, or `None` if there is
--- a/crates/dogwoodpier-fakes/src/fleet/ports.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/ports.rs
@@ -1,6 +1,6 @@
 //! Reservation of ports for processes whose ports must be known before they start.
 
-use std::fs::File;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 
@@ -10,29 +10,28 @@
 const FIRST_PORT: u16 = 12_000;
 const LAST_PORT: u16 = 31_999;
 const MAX_ATTEMPTS: u32 = 1_000;
-const LOCKS_DIRECTORY: &str = "dogwoodpier-ports";
+// A listener on a port of this address reserves the port. Unlike a lock file, it is seen by all
+// processes on this host, whichever temporary directory they use.
+const LOCK_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
 
 /// An address of this host that no process listened on when it was reserved, and that no other
 /// fleet reserves.
 pub struct ReservedAddress {
     /// The address.
     pub address: SocketAddr,
-    // The lock is released when the file is dropped or the process exits.
-    _lock: File,
+    // The port is free again when the listener is dropped or the process exits.
+    _lock: TcpListener,
 }
 
-/// Reserves an address by locking a file. Fleets in other processes on this host check the lock, so
-/// that none of them takes the port before the process that it is meant for has started.
+/// Reserves an address. Fleets in other processes on this host see the reservation, so that none of
+/// them takes the port before the process that it is meant for has started.
 pub fn reserve_address() -> std::io::Result<ReservedAddress> {
-    let directory = std::env::temp_dir().join(LOCKS_DIRECTORY);
-    std::fs::create_dir_all(&directory)?;
     let mut last_error = std::io::Error::other("no port was tried");
     for _ in 0..MAX_ATTEMPTS {
         let port = rand::rng().random_range(FIRST_PORT..=LAST_PORT);
-        let lock = File::create(directory.join(port.to_string()))?;
-        if lock.try_lock().is_err() {
+        let Ok(lock) = TcpListener::bind((LOCK_ADDRESS, port)) else {
             continue;
-        }
+        };
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         match TcpListener::bind(address) {
             Ok(_) => {
--- a/crates/dogwoodpier-fakes/src/fleet/process.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/process.rs
@@ -119,6 +119,17 @@
         Ok(self.child.wait().await?)
     }
 
+    /// Returns the state of the process as the system names it, such as `S (sleeping)` or
+    /// `Z (zombie)` for one that has exited.
+    pub fn system_state(&self) -> String {
+        let Some(id) = self.id() else {
+            return "exited".to_owned();
+        };
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let state = status.lines().find_map(|line| line.strip_prefix("State:"));
+        state.map_or("gone", str::trim).to_owned()
+    }
+
     /// Returns the last `LOG_TAIL_BYTES` of the process's log.
     pub fn log_tail(&self) -> String {
         let bytes = std::fs::read(&self.log_file).unwrap_or_default();
