--- a/crates/dogwoodpier-core/src/gateway/upstream_limits.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstream_limits.rs
@@ -25,7 +25,7 @@
 #[derive(Copy)]
 struct Observation {
     // `None` if the upstream stated no limit.
-    rate_per_s: Option<f64>,
+    limit_per_s: Option<f64>,
     observed_ms: TimeMs,
 }
 
@@ -37,7 +37,7 @@
     pub started_unix_ms: Option<u64>,
     /// Requests per second that the upstream accepts from all instances together, `None` if the
     /// limit has ended.
-    pub rate_per_s: Option<f64>,
+    pub limit_per_s: Option<f64>,
     /// Time since the observation.
     pub age_ms: u64,
 }
@@ -64,7 +64,7 @@
     fn latest(&self) -> Option<Observation> {
         let observations = [self.own, self.peers].into_iter().flatten();
         // At the same time, a limit takes precedence.
-        observations.max_by_key(|latest| (latest.observed_ms, latest.rate_per_s.is_some()))
+        observations.max_by_key(|latest| (latest.observed_ms, latest.limit_per_s.is_some()))
     }
 }
 
@@ -76,20 +76,20 @@
 
 impl UpstreamLimits {
     /// Records that a response named a limit. Returns whether the limit is new or has changed.
-    pub fn record_limit(&mut self, upstream: &Upstream, rate_per_s: f64, now: TimeMs) -> bool {
-        let previous = self.rate_per_s(upstream);
+    pub fn record_limit(&mut self, upstream: &Upstream, limit_per_s: f64, now: TimeMs) -> bool {
+        let previous = self.limit_per_s(upstream);
         self.entry(&upstream.id, upstream.started_unix_ms).own = Some(Observation {
-            rate_per_s: Some(rate_per_s),
+            limit_per_s: Some(limit_per_s),
             observed_ms: now,
         });
-        previous != Some(rate_per_s)
+        previous != Some(limit_per_s)
     }
 
     /// Records a successful response without a limit to a request that was sent at `sent_ms`.
     /// Returns whether this ends a limit. It doesn't if the limit was named after `sent_ms`, since
     /// the response may be older than the one that named it.
     pub fn record_no_limit(&mut self, upstream: &Upstream, sent_ms: TimeMs) -> bool {
-        if self.rate_per_s(upstream).is_none() {
+        if self.limit_per_s(upstream).is_none() {
             return false;
         }
         let entry = self.entry(&upstream.id, upstream.started_unix_ms);
@@ -98,7 +98,7 @@
             .is_none_or(|latest| latest.observed_ms < sent_ms);
         if is_newer {
             entry.own = Some(Observation {
-                rate_per_s: None,
+                limit_per_s: None,
                 observed_ms: sent_ms,
             });
         }
@@ -115,12 +115,12 @@
         if reported.started_unix_ms != upstream.started_unix_ms {
             return false;
         }
-        let previous = self.rate_per_s(upstream);
-        if previous.is_none() && reported.rate_per_s.is_none() {
+        let previous = self.limit_per_s(upstream);
+        if previous.is_none() && reported.limit_per_s.is_none() {
             return false;
         }
         let observation = Observation {
-            rate_per_s: reported.rate_per_s,
+            limit_per_s: reported.limit_per_s,
             observed_ms: TimeMs(now.0.saturating_sub(reported.age_ms)),
         };
         let entry = self.entry(&upstream.id, upstream.started_unix_ms);
@@ -130,7 +130,7 @@
         if is_newer {
             entry.peers = Some(observation);
         }
-        previous != self.rate_per_s(upstream)
+        previous != self.limit_per_s(upstream)
     }
 
     /// Returns the observations of this instance that are the latest, for its peers: limits in
@@ -140,14 +140,14 @@
             let own = entry.own.filter(|own| entry.latest() == Some(*own))?;
             let reported = ReportedLimit {
                 started_unix_ms: entry.started_unix_ms,
-                rate_per_s: own.rate_per_s,
+                limit_per_s: own.limit_per_s,
                 age_ms: now.since(own.observed_ms),
             };
             Some((id.clone(), reported))
         });
         let mut reported: Vec<(Arc<str>, ReportedLimit)> = own
             .filter(|(_, reported)| {
-                reported.rate_per_s.is_some() || reported.age_ms <= END_REPORT_MS
+                reported.limit_per_s.is_some() || reported.age_ms <= END_REPORT_MS
             })
             .collect();
         reported.sort_by_key(|(_, reported)| reported.age_ms);
@@ -158,16 +158,16 @@
     /// Returns whether a peer has reported a limit of an upstream.
     pub fn is_reported_by_peers(&self, upstream: &str) -> bool {
         let reported = self.entries.get(upstream).and_then(|entry| entry.peers);
-        reported.is_some_and(|reported| reported.rate_per_s.is_some())
+        reported.is_some_and(|reported| reported.limit_per_s.is_some())
     }
 
     /// Returns the limit of an upstream in requests per second, if it has named one.
-    pub fn rate_per_s(&self, upstream: &Upstream) -> Option<f64> {
+    pub fn limit_per_s(&self, upstream: &Upstream) -> Option<f64> {
         let entry = self.entries.get(&upstream.id)?;
         if entry.started_unix_ms != upstream.started_unix_ms {
             return None;
         }
-        entry.latest()?.rate_per_s
+        entry.latest()?.limit_per_s
     }
 
     /// Records that no permit for an upstream is expected before a time.
@@ -178,7 +178,7 @@
 
     /// Returns the time until a permit for an upstream may be available, 0 if it has no limit.
     pub fn withheld_ms(&self, upstream: &Upstream, now: TimeMs) -> u64 {
-        if self.rate_per_s(upstream).is_none() {
+        if self.limit_per_s(upstream).is_none() {
             return 0;
         }
         let entry = self.entries.get(&upstream.id);
--- a/crates/dogwoodpier-core/tests/upstream_limits.rs
+++ b/crates/dogwoodpier-core/tests/upstream_limits.rs
@@ -249,10 +249,10 @@
     }
 }
 
-fn reported(rate_per_s: Option<f64>, age_ms: u64) -> ReportedLimit {
+fn reported(limit_per_s: Option<f64>, age_ms: u64) -> ReportedLimit {
     ReportedLimit {
         started_unix_ms: Some(1),
-        rate_per_s,
+        limit_per_s,
         age_ms,
     }
 }
@@ -266,9 +266,9 @@
     assert!(!limits.record_limit(&upstream, 4.7, TimeMs(200)));
     // The request was sent before the limit was last named.
     assert!(!limits.record_no_limit(&upstream, TimeMs(150)));
-    assert_eq!(limits.rate_per_s(&upstream), Some(4.7));
+    assert_eq!(limits.limit_per_s(&upstream), Some(4.7));
     assert!(limits.record_no_limit(&upstream, TimeMs(201)));
-    assert_eq!(limits.rate_per_s(&upstream), None);
+    assert_eq!(limits.limit_per_s(&upstream), None);
 }
 
 #[test]
@@ -279,11 +279,11 @@
     // An older report of another peer.
     assert!(!limits.record_report(&upstream, reported(Some(9.0), 400), TimeMs(1_100)));
     assert!(!limits.record_report(&upstream, reported(None, 400), TimeMs(1_100)));
-    assert_eq!(limits.rate_per_s(&upstream), Some(5.0));
+    assert_eq!(limits.limit_per_s(&upstream), Some(5.0));
     assert!(limits.record_limit(&upstream, 4.0, TimeMs(1_200)));
     assert!(!limits.record_report(&upstream, reported(Some(5.0), 100), TimeMs(1_250)));
     assert!(limits.record_report(&upstream, reported(None, 10), TimeMs(1_300)));
-    assert_eq!(limits.rate_per_s(&upstream), None);
+    assert_eq!(limits.limit_per_s(&upstream), None);
 }
 
 // What a peer has observed is not passed on, nor is an observation of this instance's own that a
@@ -309,10 +309,10 @@
 fn limit_ends_with_its_incarnation() {
     let mut limits = UpstreamLimits::default();
     limits.record_limit(&upstream(1), 5.0, TimeMs(100));
-    assert_eq!(limits.rate_per_s(&upstream(2)), None);
+    assert_eq!(limits.limit_per_s(&upstream(2)), None);
     assert!(!limits.record_report(&upstream(2), reported(Some(5.0), 0), TimeMs(200)));
     assert!(limits.record_limit(&upstream(2), 3.0, TimeMs(300)));
-    assert_eq!(limits.rate_per_s(&upstream(2)), Some(3.0));
+    assert_eq!(limits.limit_per_s(&upstream(2)), Some(3.0));
 }
 
 #[test]
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -120,7 +120,7 @@
     if gateway
         .state()
         .upstream_limits
-        .rate_per_s(upstream)
+        .limit_per_s(upstream)
         .is_some()
     {
         metrics::counter!(counters::LIMITED_SENDS_TOTAL, "result" => outcome.as_str()).increment(1);
@@ -243,13 +243,13 @@
         return;
     }
     let named = reply.headers.get(&gateway.dialect.headers.rate_limit);
-    let rate_per_s = named.and_then(decimal);
+    let limit_per_s = named.and_then(decimal);
     let now = clock::now();
     let mut state = gateway.state();
-    let has_changed = match (named, rate_per_s) {
-        (_, Some(rate_per_s)) => state
+    let has_changed = match (named, limit_per_s) {
+        (_, Some(limit_per_s)) => state
             .upstream_limits
-            .record_limit(upstream, rate_per_s, now),
+            .record_limit(upstream, limit_per_s, now),
         // Failures may lack the header although the limit holds.
         (None, _) if reply.status.is_success() => {
             state.upstream_limits.record_no_limit(upstream, sent_ms)
@@ -267,17 +267,17 @@
     drop(state);
     if has_changed {
         gateway.report_needed.notify_one();
-        log_limit(gateway, upstream, rate_per_s, "its answer");
+        log_limit(gateway, upstream, limit_per_s, "its answer");
     }
 }
 
 /// Logs that an upstream has named, changed or ended a rate limit.
-pub fn log_limit(gateway: &Gateway, upstream: &Upstream, rate_per_s: Option<f64>, source: &str) {
+pub fn log_limit(gateway: &Gateway, upstream: &Upstream, limit_per_s: Option<f64>, source: &str) {
     gateway.events.write(
         "upstream_limit",
         serde_json::json!({
             "upstream": &*upstream.id,
-            "rate_per_s": rate_per_s,
+            "limit_per_s": limit_per_s,
             "source": source,
         }),
     );
--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -35,7 +35,7 @@
                 "address": upstream.address.to_string(),
                 "accepts_work": upstream.accepts_work,
                 "avoided": state.health.is_avoided(&upstream.id, now),
-                "limit_per_s": state.upstream_limits.rate_per_s(upstream),
+                "limit_per_s": state.upstream_limits.limit_per_s(upstream),
                 "success": state.health.success_rate(&upstream.id, now),
                 "own_use": own,
                 "peers_use": state.peer_reports.peer_load(&upstream.id, now),
--- a/crates/dogwoodpier-gateway/src/owners.rs
+++ b/crates/dogwoodpier-gateway/src/owners.rs
@@ -1,4 +1,5 @@
-//! Selection of the instances that own a service or a workspace and decide on requests for it.
+//! Selection of the instances that own a service, a workspace or an upstream with a rate limit, and
+//! decide on requests for it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,7 +23,7 @@
 /// Owners that are tried before an instance decides by itself.
 pub const MAX_OWNERS: usize = 2;
 
-/// The owner of a service or a workspace.
+/// The owner of a service, a workspace or an upstream with a rate limit.
 pub enum Owner {
     /// This instance.
     Local,
@@ -35,7 +36,7 @@
     },
 }
 
-/// Reply to a request to the owner of a service or a workspace.
+/// Reply to a request to an owner.
 pub enum OwnerReply<A> {
     /// This instance is the owner and decides itself.
     Local,
@@ -96,14 +97,14 @@
     OwnerReply::NoAnswer
 }
 
-/// Returns the owner of a service or a workspace.
+/// Returns the owner of a service, a workspace or an upstream with a rate limit.
 pub fn owner_of(gateway: &Gateway, name: &str) -> Owner {
     rank_owners(gateway, name, 1, Unresponsive::Excluded)
         .pop()
         .unwrap_or(Owner::Local)
 }
 
-/// Returns whether this instance owns a service or a workspace.
+/// Returns whether this instance owns `name`.
 pub fn is_local(gateway: &Gateway, name: &str) -> bool {
     matches!(owner_of(gateway, name), Owner::Local)
 }
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -149,7 +149,7 @@
             };
             let limits = &mut state.upstream_limits;
             if limits.record_report(&upstream, *reported, now) {
-                forwarding::log_limit(gateway, &upstream, reported.rate_per_s, &report.instance);
+                forwarding::log_limit(gateway, &upstream, reported.limit_per_s, &report.instance);
             }
         }
         state.peer_reports.handle_report(report, now);
@@ -246,7 +246,7 @@
         let limited = report
             .limits
             .iter()
-            .filter(|(_, reported)| reported.rate_per_s.is_some());
+            .filter(|(_, reported)| reported.limit_per_s.is_some());
         let mut unreported = limited.filter(|(id, _)| !self.limited.contains(*id));
         // As long as an instance doesn't know a limit, it exceeds it.
         if unreported.any(|(id, _)| !gateway.state().upstream_limits.is_reported_by_peers(id)) {
--- a/crates/dogwoodpier-gateway/src/permits.rs
+++ b/crates/dogwoodpier-gateway/src/permits.rs
@@ -29,7 +29,7 @@
     /// The upstream.
     pub upstream: Arc<str>,
     /// Limit of the upstream, as the sender knows it.
-    pub rate_per_s: f64,
+    pub limit_per_s: f64,
     /// Time for which the request can wait.
     pub max_wait_ms: u64,
 }
@@ -77,11 +77,11 @@
 ) -> Result<SendPermit, NoPermit> {
     let now = clock::now();
     let max_wait_ms = wait_deadline_ms.remaining(now);
-    let (rate_per_s, withheld_ms) = {
+    let (limit_per_s, withheld_ms) = {
         let limits = &gateway.state().upstream_limits;
-        match limits.rate_per_s(upstream) {
+        match limits.limit_per_s(upstream) {
             None => return Ok(SendPermit(())),
-            Some(rate_per_s) => (rate_per_s, limits.withheld_ms(upstream, now)),
+            Some(limit_per_s) => (limit_per_s, limits.withheld_ms(upstream, now)),
         }
     };
     if withheld_ms > max_wait_ms {
@@ -89,8 +89,8 @@
             retry_after_ms: withheld_ms,
         });
     }
-    let decision = decide(gateway, upstream, rate_per_s, max_wait_ms).await;
-    log_decision(gateway, request, upstream, rate_per_s, decision);
+    let decision = decide(gateway, upstream, limit_per_s, max_wait_ms).await;
+    log_decision(gateway, request, upstream, limit_per_s, decision);
     match decision {
         PermitDecision::Granted { wait_ms: 0 } => Ok(SendPermit(())),
         PermitDecision::Granted { wait_ms } => {
@@ -123,20 +123,20 @@
 async fn decide(
     gateway: &Gateway,
     upstream: &Upstream,
-    rate_per_s: f64,
+    limit_per_s: f64,
     max_wait_ms: u64,
 ) -> PermitDecision {
     let message = |ticket| {
         Message::PermitAsk(PermitRequest {
             ticket,
             upstream: upstream.id.clone(),
-            rate_per_s,
+            limit_per_s,
             max_wait_ms,
         })
     };
     let pending = &gateway.pending_permit_requests;
     match owners::ask(gateway, owned_name(upstream), pending, message).await {
-        OwnerReply::Local => decide_locally(gateway, &upstream.id, rate_per_s, max_wait_ms),
+        OwnerReply::Local => decide_locally(gateway, &upstream.id, limit_per_s, max_wait_ms),
         OwnerReply::Peer { answer, .. } => answer,
         OwnerReply::NoAnswer => PermitDecision::Denied {
             retry_after_ms: NO_DECISION_RETRY_MS,
@@ -147,7 +147,7 @@
 fn decide_locally(
     gateway: &Gateway,
     id: &str,
-    asked_rate_per_s: f64,
+    asked_limit_per_s: f64,
     max_wait_ms: u64,
 ) -> PermitDecision {
     let now = clock::now();
@@ -157,8 +157,8 @@
             retry_after_ms: NO_DECISION_RETRY_MS,
         };
     };
-    let known = state.upstream_limits.rate_per_s(&upstream);
-    let limit_per_s = known.unwrap_or(asked_rate_per_s);
+    let known_limit_per_s = state.upstream_limits.limit_per_s(&upstream);
+    let limit_per_s = known_limit_per_s.unwrap_or(asked_limit_per_s);
     let membership = state.peer_reports.membership(now);
     let permits = &mut state.permits;
     let decision = permits.request(&upstream.id, limit_per_s, max_wait_ms, membership, now);
@@ -191,7 +191,7 @@
     gateway: &Gateway,
     request: &ClientRequest,
     upstream: &Upstream,
-    rate_per_s: f64,
+    limit_per_s: f64,
     decision: PermitDecision,
 ) {
     let (result, wait_ms) = match decision {
@@ -206,7 +206,7 @@
             "upstream": &*upstream.id,
             "result": result,
             "wait_ms": wait_ms,
-            "rate_per_s": rate_per_s,
+            "limit_per_s": limit_per_s,
         }),
     );
 }
@@ -216,12 +216,12 @@
     let PermitRequest {
         ticket,
         upstream,
-        rate_per_s,
+        limit_per_s,
         max_wait_ms,
     } = request;
     let answer = PermitAnswer {
         ticket: *ticket,
-        decision: decide_locally(gateway, upstream, *rate_per_s, *max_wait_ms),
+        decision: decide_locally(gateway, upstream, *limit_per_s, *max_wait_ms),
     };
     gateway.send_message(from, &Message::PermitAnswer(answer));
 }
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -183,7 +183,7 @@
         let candidates = state.candidates(&request.service.name);
         let limited = candidates.into_iter().filter(|candidate| {
             let upstream = &candidate.upstream;
-            state.upstream_limits.rate_per_s(upstream).is_some()
+            state.upstream_limits.limit_per_s(upstream).is_some()
                 && state.health.backoff_ms(&upstream.id, now) == 0
         });
         let next = limited.min_by_key(|candidate| {
@@ -219,7 +219,7 @@
         let now = clock::now();
         candidates.retain(|candidate| {
             let upstream = &candidate.upstream;
-            let is_limited = state.upstream_limits.rate_per_s(upstream).is_some();
+            let is_limited = state.upstream_limits.limit_per_s(upstream).is_some();
             state.health.backoff_ms(&upstream.id, now) == 0 && !(unlimited_only && is_limited)
         });
         state.retain_permitted(&mut candidates, now);
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -290,7 +290,7 @@
         let membership = LazyCell::new(|| self.peer_reports.membership(now));
         candidates.retain(|candidate| {
             let upstream = &candidate.upstream;
-            let limit_per_s = self.upstream_limits.rate_per_s(upstream);
+            let limit_per_s = self.upstream_limits.limit_per_s(upstream);
             limit_per_s.is_none_or(|limit_per_s| {
                 let permits = &self.permits;
                 self.upstream_limits.withheld_ms(upstream, now) == 0
@@ -304,7 +304,7 @@
     pub fn permit_interval_ms(&self, service: &str) -> f64 {
         let serving = self.upstreams.available(service);
         let decoding = serving.filter(|upstream| upstream.stage != Some(Stage::Prefill));
-        let limits = decoding.map(|upstream| self.upstream_limits.rate_per_s(upstream));
+        let limits = decoding.map(|upstream| self.upstream_limits.limit_per_s(upstream));
         let rates = limits.map(|limit_per_s| limit_per_s.map(permits::permit_rate_per_s));
         let total_per_s: Option<f64> = rates.sum();
         total_per_s
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -55,7 +55,7 @@
     };
     let reported = ReportedLimit {
         started_unix_ms: Some(1_700_000_000_000),
-        rate_per_s: Some(4.7),
+        limit_per_s: Some(4.7),
         age_ms: 250,
     };
     report.limits.insert("i-00000001".into(), reported);
@@ -69,7 +69,7 @@
         Message::PermitAsk(PermitRequest {
             ticket: 10,
             upstream: "i-1".into(),
-            rate_per_s: 4.7,
+            limit_per_s: 4.7,
             max_wait_ms: 240,
         }),
         Message::PermitNotice(PermitNotice {
