Limits travel in a message of their own, so that reports keep their encoding

Cause: one more field in the report raised the version of all messages between instances. During an update the two versions wouldn't have heard each other at all: two brokers for each service, two owners for each workspace. Now the version stays 2 and reports are as on, to the byte; limits, permits and notices are new messages at the end, which an earlier version drops with a line. Not run: a mixed fleet.

--- a/crates/dogwoodpier-core/src/gateway/peer_reports.rs
+++ b/crates/dogwoodpier-core/src/gateway/peer_reports.rs
@@ -25,7 +25,6 @@
 
 use super::evacuations::Evacuations;
 use super::quota::Membership;
-use super::upstream_limits::ReportedLimit;
 
 /// Load on one upstream, by one instance or several.
 #[wire]
@@ -105,8 +104,6 @@
     pub suspects: Vec<SuspectUpdate>,
     /// Evacuated data centres, whose upstreams receive no new requests.
     pub evacuations: Evacuations,
-    /// Rate limits of upstreams that the sender itself has observed.
-    pub limits: BTreeMap<Arc<str>, ReportedLimit>,
 }
 
 /// Intervals and timeouts of the reports to all peers.
--- a/crates/dogwoodpier-core/tests/common/members.rs
+++ b/crates/dogwoodpier-core/tests/common/members.rs
@@ -110,7 +110,6 @@
                     seen_revisions: Default::default(),
                     suspects: Vec::new(),
                     evacuations: Default::default(),
-                    limits: Default::default(),
                 };
                 self.in_flight.push((now_ms + self.delay_ms, to, report));
             }
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -70,7 +70,6 @@
         seen_revisions: BTreeMap::new(),
         suspects: Vec::new(),
         evacuations: Default::default(),
-        limits: Default::default(),
     }
 }
 
--- a/crates/dogwoodpier-core/tests/gateway_reports.rs
+++ b/crates/dogwoodpier-core/tests/gateway_reports.rs
@@ -51,7 +51,6 @@
         seen_revisions: BTreeMap::new(),
         suspects: Vec::new(),
         evacuations: Default::default(),
-        limits: BTreeMap::new(),
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/codec.rs
+++ b/crates/dogwoodpier-gateway/src/codec.rs
@@ -5,7 +5,7 @@
 use crate::peer_messages::Message;
 
 // The first byte of a message is the version of the encoding.
-const VERSION: u8 = 3;
+const VERSION: u8 = 2;
 
 /// A message that can't be decoded.
 #[derive(Debug, Error, PartialEq)]
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -1,5 +1,6 @@
 //! Messages between peers, over UDP.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::evacuations::Evacuations;
 use dogwoodpier_core::gateway::peer_reports::Report;
+use dogwoodpier_core::gateway::upstream_limits::ReportedLimit;
 use dogwoodpier_core::quarantine::SuspectUpdate;
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
@@ -73,6 +75,18 @@
     PermitAnswer(PermitAnswer),
     /// Notice of a permit that the sender has issued.
     PermitNotice(PermitNotice),
+    /// Rate limits of upstreams that the sender has observed. They are no part of a report, whose
+    /// encoding must not change while instances of an earlier version run.
+    Limits(LimitReport),
+}
+
+/// Rate limits of upstreams that an instance itself has observed.
+#[wire]
+pub struct LimitReport {
+    /// Name of the sender.
+    pub instance: Arc<str>,
+    /// The limits, by the id of the upstream.
+    pub limits: BTreeMap<Arc<str>, ReportedLimit>,
 }
 
 /// Binds the socket for messages between peers.
@@ -121,6 +135,7 @@
         Message::PermitAsk(request) => permits::handle_request(gateway, from, &request),
         Message::PermitAnswer(answer) => permits::handle_answer(gateway, answer),
         Message::PermitNotice(notice) => permits::handle_notice(gateway, &notice),
+        Message::Limits(report) => handle_limits(gateway, &report),
     }
 }
 
@@ -143,15 +158,6 @@
                 );
             }
         }
-        for (id, reported) in &report.limits {
-            let Some(upstream) = state.upstreams.get(id).cloned() else {
-                continue;
-            };
-            let limits = &mut state.upstream_limits;
-            if limits.record_report(&upstream, *reported, now) {
-                forwarding::log_limit(gateway, &upstream, reported.limit_per_s, &report.instance);
-            }
-        }
         state.peer_reports.handle_report(report, now);
         for (upstream, for_ms) in &down_for_ms {
             state.health.record_peer_unreachable(upstream, *for_ms, now);
@@ -160,6 +166,20 @@
     gateway.queues.slot_freed();
 }
 
+fn handle_limits(gateway: &Gateway, report: &LimitReport) {
+    let now = clock::now();
+    let mut state = gateway.state();
+    for (id, reported) in &report.limits {
+        let Some(upstream) = state.upstreams.get(id).cloned() else {
+            continue;
+        };
+        let limits = &mut state.upstream_limits;
+        if limits.record_report(&upstream, *reported, now) {
+            forwarding::log_limit(gateway, &upstream, reported.limit_per_s, &report.instance);
+        }
+    }
+}
+
 /// Reports to all peers at every heartbeat and on urgent changes, and to the brokers while this
 /// instance uses engines, for as long as the process lives.
 pub async fn report(gateway: SharedGateway) {
@@ -186,6 +206,11 @@
         sequence += 1;
         let now = clock::now();
         let report = build_report(&gateway, sequence);
+        let limits = gateway.state().upstream_limits.reports(now);
+        if is_due || sent.lack_limit(&gateway, &limits) {
+            sent.limited = limits.keys().cloned().collect();
+            send_limits(&gateway, limits);
+        }
         let brokers = broker::addresses(&gateway);
         if is_due || sent.needs_broadcast(&gateway, &report, now) {
             sent.record_broadcast(&report, now);
@@ -219,6 +244,19 @@
     }
 }
 
+fn send_limits(gateway: &Gateway, limits: BTreeMap<Arc<str>, ReportedLimit>) {
+    if limits.is_empty() {
+        return;
+    }
+    let message = Message::Limits(LimitReport {
+        instance: gateway.settings.load().instance.clone(),
+        limits,
+    });
+    for address in gateway.peer_addresses.all() {
+        gateway.send_message(address, &message);
+    }
+}
+
 // What the reports so far contained.
 #[derive(Default)]
 struct SentReports {
@@ -243,15 +281,6 @@
         if report.evacuations != self.evacuations && evacuations::is_watcher(gateway) {
             return true;
         }
-        let limited = report
-            .limits
-            .iter()
-            .filter(|(_, reported)| reported.limit_per_s.is_some());
-        let mut unreported = limited.filter(|(id, _)| !self.limited.contains(*id));
-        // As long as an instance doesn't know a limit, it exceeds it.
-        if unreported.any(|(id, _)| !gateway.state().upstream_limits.is_reported_by_peers(id)) {
-            return true;
-        }
         let unreported: Vec<&Arc<str>> = report
             .down_for_ms
             .keys()
@@ -265,12 +294,21 @@
         }
     }
 
+    // Returns whether a limit has to reach all peers at once, since each of them exceeds it until it
+    // knows it. The first instance that observes a limit notifies the others.
+    fn lack_limit(&self, gateway: &Gateway, limits: &BTreeMap<Arc<str>, ReportedLimit>) -> bool {
+        let limited = limits
+            .iter()
+            .filter(|(_, reported)| reported.limit_per_s.is_some());
+        let mut unreported = limited.filter(|(id, _)| !self.limited.contains(*id));
+        unreported.any(|(id, _)| !gateway.state().upstream_limits.is_reported_by_peers(id))
+    }
+
     fn record_broadcast(&mut self, report: &Report, now: TimeMs) {
         self.last_broadcast_ms = now;
         self.leaving = report.leaving;
         self.evacuations = report.evacuations.clone();
         self.down = report.down_for_ms.keys().cloned().collect();
-        self.limited = report.limits.keys().cloned().collect();
     }
 }
 
@@ -292,6 +330,5 @@
         seen_revisions: gateway.revisions.own(),
         suspects: gateway.quarantine.pending_updates(),
         evacuations: state.upstreams.evacuations.clone(),
-        limits: state.upstream_limits.reports(now),
     }
 }
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -11,6 +11,7 @@
 use dogwoodpier_gateway::broker::PlacementVerdict;
 use dogwoodpier_gateway::codec;
 use dogwoodpier_gateway::codec::CodecError;
+use dogwoodpier_gateway::peer_messages::LimitReport;
 use dogwoodpier_gateway::peer_messages::Message;
 use dogwoodpier_gateway::permits::PermitAnswer;
 use dogwoodpier_gateway::permits::PermitNotice;
@@ -45,27 +46,25 @@
         seen_revisions: [("servers".into(), 12_345), ("config".into(), 12_300)].into(),
         suspects: Vec::new(),
         evacuations: Default::default(),
-        limits: Default::default(),
     })
 }
 
-fn report_with_limit() -> Message {
-    let Message::Report(mut report) = report(1) else {
-        unreachable!("a report");
-    };
+fn limits() -> Message {
     let reported = ReportedLimit {
         started_unix_ms: Some(1_700_000_000_000),
         limit_per_s: Some(4.7),
         age_ms: 250,
     };
-    report.limits.insert("i-00000001".into(), reported);
-    Message::Report(report)
+    Message::Limits(LimitReport {
+        instance: "front-zg-a-17".into(),
+        limits: [("i-00000001".into(), reported)].into(),
+    })
 }
 
 fn messages() -> Vec<Message> {
     vec![
         report(2),
-        report_with_limit(),
+        limits(),
         Message::PermitAsk(PermitRequest {
             ticket: 10,
             upstream: "i-1".into(),
