Log the prompt parts of suspects, and how far their answers were

The adapter decodes the parts of a prompt that others may share, and a counter follows the events of each stream without buffering them. No decision reads either yet.

--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -81,6 +81,7 @@
     let limit = configuration.limits.max_body_bytes;
     let body = read_body(gateway, body, limit, deadline_ms).await?;
     let prompt = (gateway.dialect.decode_prompt_size)(&head.headers);
+    let shared_parts = (gateway.dialect.decode_shared_parts)(&head.headers).into();
     let mut forwarded = headers::to_upstream(&head.headers, names);
     if let Some(workspace) = &workspace {
         let value = HeaderValue::from_str(&workspace.name)
@@ -128,6 +129,7 @@
         workspace,
         priority,
         prompt,
+        shared_parts,
         received_ms,
         client_wait_ms,
         deadline_ms,
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -121,6 +121,9 @@
     pub decode_upstream: fn(&str, &Value) -> Result<Upstream, DecodeError>,
     /// Reads the size of a generation request from its headers.
     pub decode_prompt_size: fn(&HeaderMap) -> Option<PromptSize>,
+    /// Reads the ids of the parts of a generation request's prompt that other requests may share, in
+    /// the order of the prompt. Empty if there are none.
+    pub decode_shared_parts: fn(&HeaderMap) -> Vec<u64>,
     /// Decodes the response to a request that was only prefilled.
     pub decode_cache_handle: fn(&[u8]) -> Option<CacheHandle>,
     /// Returns the value of the cache source header for a cache at an engine's address.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -39,6 +39,7 @@
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
+use crate::sse::EventCounter;
 use crate::sse::EventSplitter;
 use crate::state::Gateway;
 use crate::state::LoadGuard;
@@ -416,6 +417,7 @@
         bytes: 0,
         last_chunk_ms: now,
         longest_gap_ms: 0,
+        events: is_event_stream(request, status).then(EventCounter::default),
         resume,
     };
     let mut response = Response::new(ResponseBody::streamed(relay.into_body()));
@@ -424,6 +426,11 @@
     Some(response)
 }
 
+fn is_event_stream(request: &ClientRequest, status: StatusCode) -> bool {
+    let is_streamed = matches!(request.route.retry_policy, RetryPolicy::Stream { .. });
+    is_streamed && status.is_success()
+}
+
 fn resumable(
     gateway: &Gateway,
     request: &Arc<ClientRequest>,
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -38,6 +38,7 @@
 const MAX_SUSPECT_REQUESTS: usize = 5_000;
 // Crashes of other requests may account for two.
 const MAX_CRASHES_PER_REQUEST: usize = 3;
+const MAX_LOGGED_PARTS: usize = 16;
 
 /// Crashes during which requests of the fleet were in flight.
 pub struct Quarantine {
@@ -67,6 +68,10 @@
     pub request_id: Arc<str>,
     /// Hash by which a repeated request is recognized.
     pub fingerprint: u64,
+    /// Ids of the parts of its prompt that other requests may share, in order.
+    pub shared_parts: Arc<[u64]>,
+    /// Number of events of the response that this upstream has sent completely.
+    pub events: u64,
 }
 
 impl Quarantine {
@@ -189,11 +194,19 @@
             "fingerprint": format!("{:016x}", request.fingerprint),
             "upstream": &*upstream.id,
             "crashes": crashes,
+            "events": request.events,
+            "shared_parts": logged_parts(&request.shared_parts),
             "quarantined": gateway.quarantine.is_quarantined(request.fingerprint),
         }),
     );
 }
 
+// Returns the last shared parts of a prompt, in the form that requests name them.
+fn logged_parts(parts: &[u64]) -> Vec<String> {
+    let logged = &parts[parts.len().saturating_sub(MAX_LOGGED_PARTS)..];
+    logged.iter().map(|part| format!("{part:x}")).collect()
+}
+
 /// Records that an upstream responded to a request: earlier crashes were not caused by it.
 pub fn record_answer(gateway: &Gateway, request_id: &str, fingerprint: u64) {
     let update = gateway
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -72,6 +72,8 @@
     pub priority: u8,
     /// Size, if it is a generation request.
     pub prompt: Option<PromptSize>,
+    /// Ids of the parts of its prompt that other requests may share, in order.
+    pub shared_parts: Arc<[u64]>,
     /// Time at which its head was read.
     pub received_ms: TimeMs,
     /// Milliseconds that the client was willing to wait when it sent the request.
@@ -86,6 +88,8 @@
         InFlight {
             request_id: self.id_text().into(),
             fingerprint: self.fingerprint,
+            shared_parts: self.shared_parts.clone(),
+            events: 0,
         }
     }
 
--- a/crates/dogwoodpier-gateway/src/sse.rs
+++ b/crates/dogwoodpier-gateway/src/sse.rs
@@ -93,6 +93,64 @@
     }
 }
 
+/// Counts the events of a stream that is forwarded as it arrives.
+#[derive(Debug, Default)]
+pub struct EventCounter {
+    complete: u64,
+    line: Line,
+    // The event in progress has a field. A block of comments is no event.
+    has_field: bool,
+    has_bytes: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+impl EventCounter {
+    /// Adds the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.push_byte(*byte);
+        }
+    }
+
+    /// Returns the number of complete events.
+    pub fn complete(&self) -> u64 {
+        self.complete
+    }
+
+    /// Returns whether the last event isn't complete.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_bytes
+    }
+
+    fn push_byte(&mut self, byte: u8) {
+        match (byte, self.line) {
+            (b'\r', _) => {}
+            (b'\n', Line::Empty) => {
+                self.complete += u64::from(self.has_field);
+                self.has_field = false;
+                self.has_bytes = false;
+            }
+            (b'\n', _) => self.line = Line::Empty,
+            (b':', Line::Empty) => self.begin_line(Line::Comment),
+            (_, Line::Empty) => self.begin_line(Line::Field),
+            (_, Line::Comment | Line::Field) => {}
+        }
+    }
+
+    fn begin_line(&mut self, line: Line) {
+        self.line = line;
+        self.has_bytes = true;
+        self.has_field |= line == Line::Field;
+    }
+}
+
 // Returns where the last occurrence of `end` ends.
 fn last_end(bytes: &[u8], end: &[u8]) -> Option<usize> {
     let start = bytes.windows(end.len()).rposition(|window| window == end)?;
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -22,6 +22,7 @@
 use crate::quarantine;
 use crate::quarantine::InFlight;
 use crate::request::ClientRequest;
+use crate::sse::EventCounter;
 use crate::sse::EventSplitter;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
@@ -92,6 +93,8 @@
     pub last_chunk_ms: TimeMs,
     /// Longest time between two chunks.
     pub longest_gap_ms: u64,
+    /// Counts the events that the engine has sent; absent if the response is no stream of events.
+    pub events: Option<EventCounter>,
     /// Present if the stream may be resumed at another engine after a cut.
     pub resume: Option<ResumeState>,
 }
@@ -142,6 +145,7 @@
                     let InFlight {
                         request_id,
                         fingerprint,
+                        ..
                     } = &self.in_flight;
                     quarantine::record_answer(&self.gateway, request_id, *fingerprint);
                     self.log_end("complete");
@@ -156,9 +160,14 @@
                     }
                 }
                 Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data()
-                        && let Some(chunk) = self.forwardable(data)
-                    {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let Some(events) = &mut self.events {
+                        events.push(&data);
+                        self.in_flight.events = events.complete();
+                    }
+                    if let Some(chunk) = self.forwardable(data) {
                         self.record_chunk(chunk.len());
                         return Some(Ok(chunk));
                     }
@@ -203,6 +212,8 @@
         self.body = next.body;
         self.connection = Some(next.connection);
         self.guard = next.guard;
+        self.events = Some(EventCounter::default());
+        self.in_flight.events = 0;
         true
     }
 
--- a/crates/dogwoodpier-gateway/tests/event_boundaries.rs
+++ b/crates/dogwoodpier-gateway/tests/event_boundaries.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+use dogwoodpier_gateway::sse::EventCounter;
 use dogwoodpier_gateway::sse::EventSplitter;
 
 // Longer than an event may be, sent in several parts.
@@ -88,3 +89,28 @@
     assert_eq!(events.push(b"\nid: 5"), "id: 4\r\ndata: a\r\n\r\n");
     assert_eq!(events.last_id().expect("an id"), "4");
 }
+
+// The splits of a stream into chunks don't change the count.
+#[test]
+fn events_are_counted() {
+    let stream = b": ping\n\nid: 1\r\ndata: a\r\n\r\n\nid: 2\ndata: b\n\n:";
+    for split in 0..stream.len() {
+        let mut events = EventCounter::default();
+        events.push(&stream[..split]);
+        events.push(&stream[split..]);
+        assert_eq!(events.complete(), 2, "split at {split}");
+        assert!(events.is_inside_event());
+    }
+}
+
+#[test]
+fn end_of_event_is_recognized() {
+    let mut events = EventCounter::default();
+    assert!(!events.is_inside_event());
+    events.push(b"data: a\n");
+    assert!(events.is_inside_event());
+    assert_eq!(events.complete(), 0);
+    events.push(b"\n");
+    assert!(!events.is_inside_event());
+    assert_eq!(events.complete(), 1);
+}
