Quarantine parts of prompts that crash upstreams

Cause: the quarantine's only key is a hash of the whole request. Requests that crash engines because of one part of their prompt never meet in it: 54 suspects of 12 crashes had 54 fingerprints with one crash each. The class: evidence over the fleet is kept by the identity of the whole, while the fault belongs to a part.

Why the fix works: crashes are counted by the shared parts of those requests whose answer had only just begun, as the part crashes an engine when it begins to write; each of the 12 crashes had one or two such suspects among up to eleven streams. Parts that were answered shortly before or since are cleared, so the parts that sound requests share aren't accused; parts that can't be told apart are refused together only. Three crashes suffice, the news takes milliseconds, and the evidence is kept in the registrations, so that it outlasts a restart of all instances. The check stands in the only function that sends as well.

An empty stream clears no part any more.

--- a/crates/dogwoodpier-core/src/quarantine/mod.rs
+++ b/crates/dogwoodpier-core/src/quarantine/mod.rs
@@ -12,15 +12,24 @@
 //! The gateway uses no exclusive runs, because the callers of its suspects wait only for fractions
 //! of a second. A request that is sent often, such as a lookup, meets ordinary crashes too, but is
 //! answered in between.
+//!
+//! A part of a prompt may crash upstreams too, whatever else the requests with it hold. Such
+//! requests have different fingerprints; [`PartTable`] finds the part.
 
 mod exclusive_runs;
 mod fingerprint;
+mod prompt_parts;
 mod suspects;
 mod updates;
 
 pub use exclusive_runs::ExclusiveRun;
 pub use exclusive_runs::ExclusiveRuns;
 pub use fingerprint::fingerprint;
+pub use prompt_parts::PartAnswer;
+pub use prompt_parts::PartCrash;
+pub use prompt_parts::PartSettings;
+pub use prompt_parts::PartTable;
+pub use prompt_parts::QuarantinedParts;
 pub use suspects::Crash;
 pub use suspects::PROBE_MS;
 pub use suspects::RunPolicy;
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -28,6 +28,7 @@
 
 use crate::dialect::PromptSize;
 use crate::headers;
+use crate::quarantine::RequestContent;
 use crate::quota;
 use crate::quota::Charge;
 use crate::quota::OverQuota;
@@ -81,7 +82,6 @@
     let limit = configuration.limits.max_body_bytes;
     let body = read_body(gateway, body, limit, deadline_ms).await?;
     let prompt = (gateway.dialect.decode_prompt_size)(&head.headers);
-    let shared_parts = (gateway.dialect.decode_shared_parts)(&head.headers).into();
     let mut forwarded = headers::to_upstream(&head.headers, names);
     if let Some(workspace) = &workspace {
         let value = HeaderValue::from_str(&workspace.name)
@@ -93,14 +93,17 @@
         .and_then(|workspace| workspace.priority)
         .unwrap_or(route.priority);
     let path_and_query = head.uri.path_and_query();
-    let fingerprint = quarantine::fingerprint(
-        workspace.as_ref().map(|workspace| &*workspace.name),
-        head.method.as_str(),
-        path_and_query.map_or_else(|| head.uri.path(), |path| path.as_str()),
-        &body,
-    );
-    if let Some(rejection) = gateway.quarantine.rejection(fingerprint) {
-        log_quarantined(gateway, &id, fingerprint);
+    let content = RequestContent {
+        fingerprint: quarantine::fingerprint(
+            workspace.as_ref().map(|workspace| &*workspace.name),
+            head.method.as_str(),
+            path_and_query.map_or_else(|| head.uri.path(), |path| path.as_str()),
+            &body,
+        ),
+        shared_parts: (gateway.dialect.decode_shared_parts)(&head.headers).into(),
+    };
+    if let Some(rejection) = gateway.quarantine.rejection(&content) {
+        log_quarantined(gateway, &id, content.fingerprint);
         return Err(rejection);
     }
     let charge = match &workspace {
@@ -117,7 +120,7 @@
     };
     let request = ClientRequest {
         id,
-        fingerprint,
+        content,
         charge,
         method: head.method,
         target: head.uri,
@@ -129,7 +132,6 @@
         workspace,
         priority,
         prompt,
-        shared_parts,
         received_ms,
         client_wait_ms,
         deadline_ms,
@@ -138,7 +140,7 @@
         "admitted",
         serde_json::json!({
             "request_id": request.id_text(),
-            "fingerprint": format!("{:016x}", request.fingerprint),
+            "fingerprint": format!("{:016x}", request.content.fingerprint),
             "route": &*request.route.name,
             "service": &*request.service.name,
             "workspace": request.workspace.as_ref().map(|workspace| &*workspace.name),
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -14,6 +14,8 @@
 pub const EVACUATED: &str = "dogwoodpier_gateway_evacuated_data_centres";
 /// Crashes of upstreams, counted for each request that was in flight there.
 pub const CRASHES_TOTAL: &str = "dogwoodpier_gateway_crashes_total";
+/// Number of parts of prompts, or sets of them, whose requests are rejected.
+pub const QUARANTINED_PARTS: &str = "dogwoodpier_gateway_quarantined_parts";
 /// New connections to upstreams.
 pub const CONNECTIONS_TOTAL: &str = "dogwoodpier_gateway_upstream_connections_total";
 /// Time in the queue for an engine.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -132,8 +132,8 @@
     failed_engine: Arc<str>,
     last_event: Option<HeaderValue>,
 ) -> Option<ResumedStream> {
-    let may_run = runs < request.route.max_attempts
-        && !gateway.quarantine.is_quarantined(request.fingerprint);
+    let may_run =
+        runs < request.route.max_attempts && !gateway.quarantine.is_quarantined(&request.content);
     if !may_run || !gateway.take_retry(request) {
         return None;
     }
@@ -232,14 +232,14 @@
         let costs_retry = progress.attempts.send_costs_retry();
         if !progress.attempts.may_retry(&request.route)
             || placements == MAX_PLACEMENTS
-            || gateway.quarantine.is_quarantined(request.fingerprint)
+            || gateway.quarantine.is_quarantined(&request.content)
             || (costs_retry && !gateway.take_retry(request))
         {
             break;
         }
     }
     if progress.attempts.runs == 0
-        && let Some(rejection) = gateway.quarantine.rejection(request.fingerprint)
+        && let Some(rejection) = gateway.quarantine.rejection(&request.content)
     {
         return Err(rejection);
     }
@@ -332,7 +332,7 @@
         None => prefill::run_prefill(gateway, request, prefill, &decode, progress).await,
     };
     // An update on suspects may have arrived during the wait for the placement or the prefill.
-    if gateway.quarantine.is_quarantined(request.fingerprint) {
+    if gateway.quarantine.is_quarantined(&request.content) {
         return None;
     }
     let names = &gateway.dialect.headers;
@@ -362,6 +362,8 @@
         SendOutcome::NotExecuted(_) | SendOutcome::Withheld => {
             decode.set_result(broker::GrantOutcome::Full)
         }
+        // The grant ends unused.
+        SendOutcome::Quarantined => {}
         SendOutcome::Cut(_) => {
             progress.attempts.runs += 1;
             quarantine::handle_cut(gateway, &request.in_flight(), &upstream).await;
@@ -414,6 +416,8 @@
         connection: Some(connection),
         guard: decode,
         deadline_ms: request.deadline_ms,
+        is_success: status.is_success(),
+        begun_ms: now,
         bytes: 0,
         last_chunk_ms: now,
         longest_gap_ms: 0,
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -36,6 +36,8 @@
     NotSent(String),
     /// Nothing was sent, as the upstream asked this instance to back off.
     Withheld,
+    /// Nothing was sent, as the request or a part of its prompt is quarantined.
+    Quarantined,
     /// The upstream rejected the request and has not run it.
     NotExecuted(StatusCode),
     /// The connection closed before a response came; the request may have run.
@@ -53,6 +55,7 @@
             Self::Answered(_) => "answered",
             Self::NotSent(_) => "not_sent",
             Self::Withheld => "withheld",
+            Self::Quarantined => "quarantined",
             Self::NotExecuted(_) => "not_executed",
             Self::Cut(_) => "cut",
             Self::Lost(_) => "lost",
@@ -64,7 +67,7 @@
     pub fn has_not_run(&self) -> bool {
         matches!(
             self,
-            Self::NotSent(_) | Self::Withheld | Self::NotExecuted(_)
+            Self::NotSent(_) | Self::Withheld | Self::Quarantined | Self::NotExecuted(_)
         )
     }
 }
@@ -126,7 +129,7 @@
         metrics::counter!(counters::LIMITED_SENDS_TOTAL, "result" => outcome.as_str()).increment(1);
     }
     match &outcome {
-        SendOutcome::Answered(_) | SendOutcome::Withheld => {}
+        SendOutcome::Answered(_) | SendOutcome::Withheld | SendOutcome::Quarantined => {}
         SendOutcome::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
             gateway.record_outcome(upstream, Outcome::Replaced);
         }
@@ -156,7 +159,10 @@
             detail.clone()
         }
         SendOutcome::NotExecuted(status) => format!("status {}", status.as_u16()),
-        SendOutcome::Answered(_) | SendOutcome::Withheld | SendOutcome::TimedOut => String::new(),
+        SendOutcome::Answered(_)
+        | SendOutcome::Withheld
+        | SendOutcome::Quarantined
+        | SendOutcome::TimedOut => String::new(),
     };
     gateway.events.write(
         "send_failed",
@@ -184,6 +190,10 @@
     if remaining_ms < MIN_SEND_MS {
         return SendOutcome::NotSent("no time left".to_owned());
     }
+    // Peers may have reported crashes after the request was admitted.
+    if gateway.quarantine.is_quarantined(&request.content) {
+        return SendOutcome::Quarantined;
+    }
     // The upstream may have asked for a pause after it was selected.
     if gateway.state().health.backoff_ms(&upstream.id, now) > 0 {
         return SendOutcome::Withheld;
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod permits;
 pub mod plain;
 mod prefill;
+pub mod prompt_parts;
 mod quarantine;
 pub mod queues;
 pub mod quota;
--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -53,6 +53,8 @@
         "incarnation": gateway.incarnation,
         "configuration_version": configuration.as_ref().map(|current| current.version),
         "evacuated": state.upstreams.evacuations.data_centres().collect::<Vec<_>>(),
+        "quarantined_requests": gateway.quarantine.len(),
+        "quarantined_parts": gateway.quarantine.parts.quarantined(),
         "members": membership.members,
         "heard": membership.reachable,
         "unmet_conditions": unmet_conditions,
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -28,6 +28,8 @@
 use crate::permits::PermitAnswer;
 use crate::permits::PermitNotice;
 use crate::permits::PermitRequest;
+use crate::prompt_parts;
+use crate::prompt_parts::PartReport;
 use crate::quarantine;
 use crate::quota;
 use crate::quota::QuotaAnswer;
@@ -78,6 +80,8 @@
     /// Rate limits of upstreams that the sender has observed. They are no part of a report, whose
     /// encoding must not change while instances of an earlier version run.
     Limits(LimitReport),
+    /// Evidence against parts of prompts that crash upstreams.
+    Parts(PartReport),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -136,6 +140,7 @@
         Message::PermitAnswer(answer) => permits::handle_answer(gateway, answer),
         Message::PermitNotice(notice) => permits::handle_notice(gateway, &notice),
         Message::Limits(report) => handle_limits(gateway, &report),
+        Message::Parts(report) => prompt_parts::handle_report(gateway, report),
     }
 }
 
@@ -212,6 +217,9 @@
             send_limits(&gateway, limits);
         }
         let brokers = broker::addresses(&gateway);
+        if is_due && let Some(report) = prompt_parts::recent_report(&gateway) {
+            prompt_parts::send_to_all(&gateway, report);
+        }
         if is_due || sent.needs_broadcast(&gateway, &report, now) {
             sent.record_broadcast(&report, now);
             let mut others = gateway.peer_addresses.all();
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -83,19 +83,20 @@
             Err(NotSelected {
                 reason,
                 retry_after_ms,
-            }) => return finish(request, progress, reason, retry_after_ms),
+            }) => return finish(gateway, request, progress, reason, retry_after_ms),
         };
         progress.attempts.sends += 1;
         progress.tried.push(guard.upstream().id.clone());
         match attempt(gateway, request, &guard, permit, &mut progress).await {
             Some(response) => return Ok(response.into_response()),
             None if may_retry(gateway, request, &progress) => {}
-            None => return finish(request, progress, Reason::NotRun, NOT_RUN_RETRY_MS),
+            None => return finish(gateway, request, progress, Reason::NotRun, NOT_RUN_RETRY_MS),
         }
     }
 }
 
 fn finish(
+    gateway: &SharedGateway,
     request: &ClientRequest,
     progress: Progress,
     not_run: Reason,
@@ -105,6 +106,11 @@
         return Ok(failure.into_response());
     }
     let now = clock::now();
+    if progress.attempts.runs == 0
+        && let Some(rejection) = gateway.quarantine.rejection(&request.content)
+    {
+        return Err(rejection);
+    }
     if progress.attempts.runs > 0 {
         let expired = progress.timed_out;
         return Err(Rejection::new(if expired {
@@ -123,7 +129,7 @@
 fn may_retry(gateway: &SharedGateway, request: &ClientRequest, progress: &Progress) -> bool {
     progress.attempts.may_retry(&request.route)
         && progress.attempts.sends < MAX_SENDS
-        && !gateway.quarantine.is_quarantined(request.fingerprint)
+        && !gateway.quarantine.is_quarantined(&request.content)
         && gateway.take_retry(request)
 }
 
@@ -296,7 +302,7 @@
         record_failure(gateway, request, upstream, "the answer isn't genuine");
         return None;
     }
-    quarantine::record_answer(gateway, request.id_text(), request.fingerprint);
+    quarantine::record_answer(gateway, &request.in_flight(), response.status.is_success());
     if response.status.is_server_error() {
         gateway.record_outcome(upstream, Outcome::Failed);
         progress.failure = Some(response);
--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -107,6 +107,7 @@
             guard.set_result(broker::GrantOutcome::Full);
             return None;
         }
+        SendOutcome::Quarantined => return None,
         SendOutcome::NotSent(_)
         | SendOutcome::Cut(_)
         | SendOutcome::Lost(_)
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -23,6 +23,8 @@
 use crate::counters;
 use crate::forwarding;
 use crate::peer_messages::Message;
+use crate::prompt_parts;
+use crate::prompt_parts::PromptParts;
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::state::Gateway;
@@ -43,6 +45,8 @@
 /// Crashes during which requests of the fleet were in flight.
 pub struct Quarantine {
     suspects: Mutex<SuspectTable>,
+    /// The same by the parts of their prompts.
+    pub parts: PromptParts,
 }
 
 impl Default for Quarantine {
@@ -57,32 +61,43 @@
         };
         Self {
             suspects: Mutex::new(SuspectTable::new(settings)),
+            parts: PromptParts::default(),
         }
     }
 }
 
-/// A request in flight at an upstream.
+/// What a request has in common with others that crash upstreams for the same reason.
 #[derive(Clone, Debug)]
-pub struct InFlight {
-    /// Id of the request, for logs.
-    pub request_id: Arc<str>,
+pub struct RequestContent {
     /// Hash by which a repeated request is recognized.
     pub fingerprint: u64,
     /// Ids of the parts of its prompt that other requests may share, in order.
     pub shared_parts: Arc<[u64]>,
+}
+
+/// A request in flight at an upstream.
+#[derive(Clone, Debug)]
+pub struct InFlight {
+    /// Id of the request, for logs.
+    pub request_id: Arc<str>,
+    /// Its content.
+    pub content: RequestContent,
     /// Number of events of the response that this upstream has sent completely.
     pub events: u64,
+    /// Whether the upstream has written so much of the answer that the parts of the prompt don't
+    /// crash it.
+    pub answer_underway: bool,
 }
 
 impl Quarantine {
     /// Returns whether a request must not be sent to any upstream.
-    pub fn is_quarantined(&self, fingerprint: u64) -> bool {
-        self.retry_after_ms(fingerprint).is_some()
+    pub fn is_quarantined(&self, content: &RequestContent) -> bool {
+        self.retry_after_ms(content).is_some()
     }
 
     /// Returns the rejection of a quarantined request, or `None` if the request is not quarantined.
-    pub fn rejection(&self, fingerprint: u64) -> Option<Rejection> {
-        self.retry_after_ms(fingerprint)
+    pub fn rejection(&self, content: &RequestContent) -> Option<Rejection> {
+        self.retry_after_ms(content)
             .map(|retry_after_ms| Rejection {
                 reason: Reason::Quarantined,
                 retry_after_ms: Some(retry_after_ms),
@@ -99,10 +114,12 @@
         self.lock().updates(clock::now())
     }
 
-    fn retry_after_ms(&self, fingerprint: u64) -> Option<u64> {
-        match self.lock().run_policy(fingerprint, clock::now()) {
+    fn retry_after_ms(&self, content: &RequestContent) -> Option<u64> {
+        match self.lock().run_policy(content.fingerprint, clock::now()) {
             RunPolicy::Quarantined { retry_after_ms } => Some(retry_after_ms),
-            RunPolicy::Unrestricted | RunPolicy::SingleCopy | RunPolicy::Exclusive => None,
+            RunPolicy::Unrestricted | RunPolicy::SingleCopy | RunPolicy::Exclusive => {
+                self.parts.retry_after_ms(&content.shared_parts)
+            }
         }
     }
 
@@ -119,7 +136,7 @@
         return;
     }
     // The process may still be closing its sockets, so it is probed again later.
-    let probe = Probe::begin(gateway, request.fingerprint, crash_id(upstream));
+    let probe = Probe::begin(gateway, request.content.fingerprint, crash_id(upstream));
     let (request, upstream) = (request.clone(), upstream.clone());
     tokio::spawn(async move {
         tokio::time::sleep(Duration::from_millis(PROBE_MS)).await;
@@ -177,10 +194,15 @@
 
 fn record_crash(gateway: &Gateway, request: &InFlight, upstream: &Upstream) {
     let now = clock::now();
+    let fingerprint = request.content.fingerprint;
+    let crash_id = crash_id(upstream);
+    if !request.answer_underway {
+        prompt_parts::record_crash(gateway, request, crash_id);
+    }
     let (update, crashes) = {
         let mut suspects = gateway.quarantine.lock();
-        let update = suspects.record_crash(request.fingerprint, crash_id(upstream), now);
-        (update, suspects.crashes_of(request.fingerprint, now))
+        let update = suspects.record_crash(fingerprint, crash_id, now);
+        (update, suspects.crashes_of(fingerprint, now))
     };
     let Some(update) = update else {
         return;
@@ -191,24 +213,29 @@
         "request_suspected",
         serde_json::json!({
             "request_id": &*request.request_id,
-            "fingerprint": format!("{:016x}", request.fingerprint),
+            "fingerprint": format!("{fingerprint:016x}"),
             "upstream": &*upstream.id,
             "crashes": crashes,
             "events": request.events,
-            "shared_parts": logged_parts(&request.shared_parts),
-            "quarantined": gateway.quarantine.is_quarantined(request.fingerprint),
+            "answer_underway": request.answer_underway,
+            "shared_parts": logged_parts(&request.content.shared_parts),
+            "quarantined": gateway.quarantine.is_quarantined(&request.content),
         }),
     );
 }
 
 // Returns the last shared parts of a prompt, in the form that requests name them.
 fn logged_parts(parts: &[u64]) -> Vec<String> {
-    let logged = &parts[parts.len().saturating_sub(MAX_LOGGED_PARTS)..];
-    logged.iter().map(|part| format!("{part:x}")).collect()
+    prompt_parts::format_parts(&parts[parts.len().saturating_sub(MAX_LOGGED_PARTS)..])
 }
 
-/// Records that an upstream responded to a request: earlier crashes were not caused by it.
-pub fn record_answer(gateway: &Gateway, request_id: &str, fingerprint: u64) {
+/// Records that an upstream responded to a request: earlier crashes were not caused by it. Nor by
+/// the parts of its prompt, if the response has an answer that was written on them.
+pub fn record_answer(gateway: &Gateway, request: &InFlight, has_answer: bool) {
+    let fingerprint = request.content.fingerprint;
+    if has_answer {
+        prompt_parts::record_answer(gateway, &request.content.shared_parts);
+    }
     let update = gateway
         .quarantine
         .lock()
@@ -220,7 +247,7 @@
     gateway.events.write(
         "request_acquitted",
         serde_json::json!({
-            "request_id": request_id,
+            "request_id": &*request.request_id,
             "fingerprint": format!("{fingerprint:016x}"),
         }),
     );
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -16,11 +16,15 @@
 use dogwoodpier_platform::wire::Object;
 use dogwoodpier_process::clock;
 
+use crate::prompt_parts;
+use crate::prompt_parts::StoredCrash;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
 // Pause between attempts to register while the store is unavailable.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+// Changes of the quarantined parts come in series; one write covers those of this time.
+const CHANGE_PAUSE: Duration = Duration::from_millis(200);
 // Time without reports after which an instance's registration is removed. An instance that is alive
 // registers again.
 const REMOVE_SILENT_AFTER_MS: u64 = 60_000;
@@ -43,6 +47,9 @@
     /// Capacity relative to other instances.
     #[serde(default = "default_capacity")]
     pub capacity: f64,
+    /// Crashes because of which parts of prompts are quarantined.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<StoredCrash>,
 }
 
 fn default_capacity() -> f64 {
@@ -91,48 +98,99 @@
     }
 }
 
-/// Registers this instance, and registers it again whenever its registration has been removed.
+/// Registers this instance, and registers it again whenever its registration has been removed or the
+/// evidence that it is to keep has changed.
 pub async fn run(gateway: SharedGateway) {
     loop {
-        while let Err(error) = register(&gateway).await {
-            gateway.events.write(
-                "registration_failed",
-                serde_json::json!({ "detail": error.to_string() }),
-            );
+        let stored = loop {
+            match register(&gateway).await {
+                Ok(stored) => break stored,
+                Err(error) => gateway.events.write(
+                    "registration_failed",
+                    serde_json::json!({ "detail": error.to_string() }),
+                ),
+            }
             tokio::time::sleep(RETRY_PAUSE).await;
+        };
+        tokio::select! {
+            () = gateway.registration_lost.notified() => {
+                // The listing may be older than the registration.
+                tokio::time::sleep(LISTING_INTERVAL).await;
+            }
+            () = evidence_differs(&gateway, &stored) => {}
+        }
+    }
+}
+
+// Waits until the registration is to keep other evidence than `stored`.
+async fn evidence_differs(gateway: &Gateway, stored: &[StoredCrash]) {
+    let mut is_same = true;
+    while is_same {
+        let changed = gateway.quarantine.parts.changed.notified();
+        // Another instance may be the owner of the quarantine by then.
+        if tokio::time::timeout(LISTING_INTERVAL, changed)
+            .await
+            .is_ok()
+        {
+            tokio::time::sleep(CHANGE_PAUSE).await;
         }
-        gateway.registration_lost.notified().await;
-        // The listing may be older than the registration.
-        tokio::time::sleep(LISTING_INTERVAL).await;
+        let current = prompt_parts::stored_evidence(gateway);
+        let mut pairs = stored.iter().zip(&current);
+        is_same =
+            stored.len() == current.len() && pairs.all(|(one, other)| one.is_same_crash(other));
     }
 }
 
-async fn register(gateway: &Gateway) -> anyhow::Result<()> {
+// Returns the evidence that the registration keeps.
+async fn register(gateway: &Gateway) -> anyhow::Result<Vec<StoredCrash>> {
     let settings = gateway.settings.load_full();
     let kind = gateway.dialect.objects.instance_kind;
-    let registration = serde_json::to_value(Registration {
-        peer_address: settings.peer_address,
-        incarnation: gateway.incarnation,
-        capacity: settings.capacity,
-    })?;
     let mut expect = Precondition::Absent;
     loop {
+        let crashes = prompt_parts::stored_evidence(gateway);
+        let registration = serde_json::to_value(Registration {
+            peer_address: settings.peer_address,
+            incarnation: gateway.incarnation,
+            capacity: settings.capacity,
+            crashes: crashes.clone(),
+        })?;
         let outcome = gateway
             .store
             .put(kind, &settings.instance, &registration, expect)
             .await?;
         match outcome {
-            PutOutcome::Written { .. } => return Ok(()),
+            PutOutcome::Written { .. } => return Ok(crashes),
             PutOutcome::Conflict { current } => match current {
                 // The answer to an earlier attempt was lost; the registration exists already.
-                Some(object) if object.value == registration => return Ok(()),
-                Some(object) => expect = Precondition::Version(object.version),
+                Some(object) if object.value == registration => return Ok(crashes),
+                Some(object) => {
+                    restore_own_evidence(gateway, &object);
+                    expect = Precondition::Version(object.version);
+                }
                 None => expect = Precondition::Absent,
             },
         }
     }
 }
 
+// Takes the evidence from the registration of the previous incarnation before it is replaced.
+fn restore_own_evidence(gateway: &Gateway, object: &Object) {
+    match parse_registration(&object.value) {
+        Ok(previous) if previous.incarnation != gateway.incarnation => {
+            prompt_parts::restore_evidence(gateway, &previous.crashes, true);
+        }
+        Ok(_) => {}
+        Err(error) => log_unreadable(gateway, object, &error),
+    }
+}
+
+fn log_unreadable(gateway: &Gateway, object: &Object, error: &serde_json::Error) {
+    gateway.events.write(
+        "unreadable_registration",
+        serde_json::json!({ "instance": &*object.name, "problem": error.to_string() }),
+    );
+}
+
 /// Reads the registrations periodically, for as long as the process lives. Membership only guides
 /// decisions, so a cheap read that may be seconds old is sufficient.
 pub async fn find_peers(gateway: SharedGateway) {
@@ -196,13 +254,11 @@
     let registration: Registration = match parse_registration(&object.value) {
         Ok(registration) => registration,
         Err(error) => {
-            gateway.events.write(
-                "unreadable_registration",
-                serde_json::json!({ "instance": &*object.name, "problem": error.to_string() }),
-            );
+            log_unreadable(gateway, object, &error);
             return false;
         }
     };
+    prompt_parts::restore_evidence(gateway, &registration.crashes, false);
     let now = clock::now();
     let is_reachable = {
         let peer_reports = &mut gateway.state().peer_reports;
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -16,6 +16,7 @@
 
 use crate::dialect::PromptSize;
 use crate::quarantine::InFlight;
+use crate::quarantine::RequestContent;
 use crate::quota::Charge;
 use crate::state::SharedGateway;
 
@@ -58,8 +59,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
-    /// Hash by which a repeated request is recognized.
-    pub fingerprint: u64,
+    /// What it has in common with other requests that may crash upstreams.
+    pub content: RequestContent,
     /// Count of the body's bytes.
     pub held: HeldBytes,
     /// Route that matches it.
@@ -72,8 +73,6 @@
     pub priority: u8,
     /// Size, if it is a generation request.
     pub prompt: Option<PromptSize>,
-    /// Ids of the parts of its prompt that other requests may share, in order.
-    pub shared_parts: Arc<[u64]>,
     /// Time at which its head was read.
     pub received_ms: TimeMs,
     /// Milliseconds that the client was willing to wait when it sent the request.
@@ -87,9 +86,9 @@
     pub fn in_flight(&self) -> InFlight {
         InFlight {
             request_id: self.id_text().into(),
-            fingerprint: self.fingerprint,
-            shared_parts: self.shared_parts.clone(),
+            content: self.content.clone(),
             events: 0,
+            answer_underway: false,
         }
     }
 
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use dogwoodpier_process::clock;
 
 use crate::engines;
+use crate::prompt_parts;
 use crate::quarantine;
 use crate::quarantine::InFlight;
 use crate::request::ClientRequest;
@@ -32,6 +33,11 @@
 #[error("response was cut: {0}")]
 pub struct StreamCut(pub &'static str);
 
+// A part of a prompt that crashes an engine does so when the engine begins to write. After so many
+// events and so much time an answer is well under way.
+const UNDERWAY_EVENTS: u64 = 3;
+const UNDERWAY_MS: u64 = 250;
+
 type Chunks = Pin<Box<dyn Stream<Item = Result<Bytes, StreamCut>> + Send>>;
 
 /// The body of an engine's response. Dropping it cancels the request at the engine.
@@ -87,6 +93,10 @@
     pub guard: LoadGuard,
     /// Time at which the response is cut.
     pub deadline_ms: TimeMs,
+    /// Whether the status is a success.
+    pub is_success: bool,
+    /// Time at which the engine that sends the response began it.
+    pub begun_ms: TimeMs,
     /// Bytes forwarded.
     pub bytes: u64,
     /// Time of the last chunk.
@@ -142,12 +152,7 @@
                     if let Some(connection) = self.connection.take() {
                         connection.return_to_pool();
                     }
-                    let InFlight {
-                        request_id,
-                        fingerprint,
-                        ..
-                    } = &self.in_flight;
-                    quarantine::record_answer(&self.gateway, request_id, *fingerprint);
+                    quarantine::record_answer(&self.gateway, &self.in_flight, self.has_answer());
                     self.log_end("complete");
                     return None;
                 }
@@ -163,10 +168,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    if let Some(events) = &mut self.events {
-                        events.push(&data);
-                        self.in_flight.events = events.complete();
-                    }
+                    self.count_events(&data);
                     if let Some(chunk) = self.forwardable(data) {
                         self.record_chunk(chunk.len());
                         return Some(Ok(chunk));
@@ -176,6 +178,29 @@
         }
     }
 
+    // Returns whether the engine has written an answer, which an error or an empty stream is not.
+    fn has_answer(&self) -> bool {
+        self.is_success
+            && self
+                .events
+                .as_ref()
+                .is_none_or(|events| events.complete() > 0)
+    }
+
+    fn count_events(&mut self, data: &[u8]) {
+        let Some(events) = &mut self.events else {
+            return;
+        };
+        events.push(data);
+        self.in_flight.events = events.complete();
+        let elapsed_ms = clock::now().since(self.begun_ms);
+        let is_underway = events.complete() >= UNDERWAY_EVENTS && elapsed_ms >= UNDERWAY_MS;
+        if is_underway && !self.in_flight.answer_underway {
+            self.in_flight.answer_underway = true;
+            prompt_parts::record_answer(&self.gateway, &self.in_flight.content.shared_parts);
+        }
+    }
+
     // Returns the part of a chunk that can be forwarded: only complete events, if the stream may be
     // resumed.
     fn forwardable(&mut self, data: Bytes) -> Option<Bytes> {
@@ -213,7 +238,9 @@
         self.connection = Some(next.connection);
         self.guard = next.guard;
         self.events = Some(EventCounter::default());
+        self.begun_ms = clock::now();
         self.in_flight.events = 0;
+        self.in_flight.answer_underway = false;
         true
     }
 
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -7,6 +7,8 @@
 use dogwoodpier_core::gateway::permits::PermitDecision;
 use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::upstream_limits::ReportedLimit;
+use dogwoodpier_core::quarantine::PartAnswer;
+use dogwoodpier_core::quarantine::PartCrash;
 use dogwoodpier_gateway::broker::PlacementAnswer;
 use dogwoodpier_gateway::broker::PlacementVerdict;
 use dogwoodpier_gateway::codec;
@@ -16,6 +18,7 @@
 use dogwoodpier_gateway::permits::PermitAnswer;
 use dogwoodpier_gateway::permits::PermitNotice;
 use dogwoodpier_gateway::permits::PermitRequest;
+use dogwoodpier_gateway::prompt_parts::PartReport;
 use dogwoodpier_gateway::quota::QuotaAnswer;
 use dogwoodpier_gateway::quota::QuotaRequest;
 
@@ -61,9 +64,27 @@
     })
 }
 
+fn parts() -> Message {
+    let crash = PartCrash {
+        crash_id: u64::MAX,
+        fingerprint: 7,
+        parts: vec![0xf1, 0xba5e],
+        ago_ms: 250,
+    };
+    let answer = PartAnswer {
+        part: 0xf1,
+        ago_ms: 0,
+    };
+    Message::Parts(PartReport {
+        crashes: vec![crash],
+        answers: vec![answer],
+    })
+}
+
 fn messages() -> Vec<Message> {
     vec![
         report(2),
+        parts(),
         limits(),
         Message::PermitAsk(PermitRequest {
             ticket: 10,
