Treat answers that end early without an error as cut

What callers saw, in our tests: half of a body with a length of its own, or a stream that stops inside an event with a regular end, when the upstream's answer has neither a length nor chunks and the upstream crashes. Streams that may go on elsewhere didn't. And the crash counted as an answer: it acquitted the request that had caused it.

Cause: the end of a body was taken for the end of the answer whatever came before (Relay::next, read_response), which holds only if the head says how the body ends. The class: the absence of an error is taken for a proof of completeness.

Why the fix works: a stream that ends inside an event is cut, framed or not, as is an unframed one without any event. Another unframed answer is incomplete if its upstream takes no connection afterwards, unless it was known to be leaving. Unframed answers acquit nothing, but for streams that were under way. Their connections don't go back to the pool.

--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -117,6 +117,8 @@
 pub struct ResumedStream {
     /// Body of the engine's response.
     pub body: Incoming,
+    /// Whether the head states how the body ends.
+    pub is_framed: bool,
     /// Returns the connection to the pool at the end.
     pub connection: ConnectionReturn,
     /// Load at the engine.
@@ -184,9 +186,11 @@
             "pause_ms": clock::now().since(now),
         }),
     );
+    let is_framed = reply.is_framed;
     let (body, connection) = reply.into_body();
     Some(ResumedStream {
         body,
+        is_framed,
         connection,
         guard: placement.decode,
     })
@@ -408,6 +412,7 @@
         // A resumed stream may be longer or shorter than the first engine's would have been.
         headers.remove(header::CONTENT_LENGTH);
     }
+    let is_framed = reply.is_framed;
     let (body, connection) = reply.into_body();
     let relay = Relay {
         gateway: gateway.clone(),
@@ -416,6 +421,7 @@
         connection: Some(connection),
         guard: decode,
         deadline_ms: request.deadline_ms,
+        is_framed,
         is_success: status.is_success(),
         begun_ms: now,
         bytes: 0,
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -50,6 +50,7 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    is_framed: bool,
 }
 
 impl BufferedResponse {
@@ -288,7 +289,7 @@
     let SendOutcome::Answered(reply) = outcome else {
         return None;
     };
-    let response = match read_response(reply, send_deadline_ms).await {
+    let response = match read_response(gateway, reply, upstream, send_deadline_ms).await {
         Ok(response) => response,
         Err(error) => {
             record_failure(gateway, request, upstream, error.as_str());
@@ -302,7 +303,10 @@
         record_failure(gateway, request, upstream, "the answer isn't genuine");
         return None;
     }
-    quarantine::record_answer(gateway, &request.in_flight(), response.status.is_success());
+    // The end of an unframed response may be that of the upstream.
+    if response.is_framed {
+        quarantine::record_answer(gateway, &request.in_flight(), response.status.is_success());
+    }
     if response.status.is_server_error() {
         gateway.record_outcome(upstream, Outcome::Failed);
         progress.failure = Some(response);
@@ -368,10 +372,13 @@
 
 // Reads a response to its end.
 async fn read_response(
+    gateway: &SharedGateway,
     reply: Reply,
+    upstream: &Upstream,
     send_deadline_ms: TimeMs,
 ) -> Result<BufferedResponse, ReadError> {
     let status = reply.status;
+    let is_framed = reply.is_framed;
     let headers = reply.headers.clone();
     let (mut body, connection) = reply.into_body();
     let limit = std::time::Duration::from_millis(send_deadline_ms.remaining(clock::now()));
@@ -390,10 +397,14 @@
     let body = tokio::time::timeout(limit, read)
         .await
         .unwrap_or(Err(ReadError::TimedOut))?;
+    if !is_framed && quarantine::has_crashed(gateway, upstream).await {
+        return Err(ReadError::Cut);
+    }
     connection.return_to_pool();
     Ok(BufferedResponse {
         status,
         headers,
         body,
+        is_framed,
     })
 }
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -178,6 +178,17 @@
     }
 }
 
+/// Returns whether an upstream whose response ended with its connection has crashed, so that the
+/// response may be incomplete. One that is leaving may have exited after its last response.
+pub async fn has_crashed(gateway: &Gateway, upstream: &Upstream) -> bool {
+    if accepts_connections(gateway, upstream).await {
+        return false;
+    }
+    let upstreams = &gateway.state().upstreams;
+    let known = upstreams.get(&upstream.id);
+    known.is_some_and(|known| known.accepts_work)
+}
+
 async fn accepts_connections(gateway: &Gateway, upstream: &Upstream) -> bool {
     metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
     dogwoodpier_http::accepts_connections(&forwarding::destination(gateway, upstream)).await
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -93,6 +93,8 @@
     pub guard: LoadGuard,
     /// Time at which the response is cut.
     pub deadline_ms: TimeMs,
+    /// Whether the head states how the body ends.
+    pub is_framed: bool,
     /// Whether the status is a success.
     pub is_success: bool,
     /// Time at which the engine that sends the response began it.
@@ -140,23 +142,8 @@
                 return Some(Err(StreamCut("the deadline passed")));
             };
             match frame {
-                None => {
-                    let remainder = self
-                        .resume
-                        .as_mut()
-                        .map(|resume| resume.events.take_remainder());
-                    if let Some(remainder) = remainder.filter(|remainder| !remainder.is_empty()) {
-                        self.record_chunk(remainder.len());
-                        return Some(Ok(remainder));
-                    }
-                    if let Some(connection) = self.connection.take() {
-                        connection.return_to_pool();
-                    }
-                    quarantine::record_answer(&self.gateway, &self.in_flight, self.has_answer());
-                    self.log_end("complete");
-                    return None;
-                }
-                Some(Err(_)) => {
+                None if !self.ends_early().await => return self.finish().map(Ok),
+                None | Some(Err(_)) => {
                     self.log_end("cut by the upstream");
                     let upstream = self.guard.upstream();
                     quarantine::handle_cut(&self.gateway, &self.in_flight, upstream).await;
@@ -178,6 +165,39 @@
         }
     }
 
+    // Returns the bytes after the last event of a complete response, or ends the response if there
+    // are none.
+    fn finish(&mut self) -> Option<Bytes> {
+        let resume = self.resume.as_mut();
+        let remainder = resume.map(|resume| resume.events.take_remainder());
+        if let Some(remainder) = remainder.filter(|remainder| !remainder.is_empty()) {
+            self.record_chunk(remainder.len());
+            return Some(remainder);
+        }
+        if let Some(connection) = self.connection.take() {
+            connection.return_to_pool();
+        }
+        // The end of an unframed response may be that of the engine.
+        if self.is_framed || self.in_flight.answer_underway {
+            quarantine::record_answer(&self.gateway, &self.in_flight, self.has_answer());
+        }
+        self.log_end("complete");
+        None
+    }
+
+    // Returns whether a response that has ended without an error is incomplete.
+    async fn ends_early(&self) -> bool {
+        let events = self.events.as_ref();
+        if events.is_some_and(EventCounter::is_inside_event) {
+            return true;
+        }
+        if self.is_framed {
+            return false;
+        }
+        events.is_some_and(|events| events.complete() == 0)
+            || quarantine::has_crashed(&self.gateway, self.guard.upstream()).await
+    }
+
     // Returns whether the engine has written an answer, which an error or an empty stream is not.
     fn has_answer(&self) -> bool {
         self.is_success
@@ -235,6 +255,7 @@
         };
         resume.runs += 1;
         self.body = next.body;
+        self.is_framed = next.is_framed;
         self.connection = Some(next.connection);
         self.guard = next.guard;
         self.events = Some(EventCounter::default());
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -26,6 +27,7 @@
 
 use crate::error::SendError;
 use crate::pool::describe;
+use crate::response;
 
 // Idle connections are no longer used this long before the upstream closes them, so that a request
 // doesn't meet a connection that is about to be closed.
@@ -74,6 +76,9 @@
     pub headers: HeaderMap,
     /// Body, read as it arrives.
     pub body: Incoming,
+    /// Whether the head states how the body ends, so that a body read without an error is known to be
+    /// complete.
+    pub is_framed: bool,
     /// Whether a new connection was established for the request.
     pub connected: bool,
     returning: ConnectionReturn,
@@ -143,15 +148,17 @@
     ) -> Reply {
         let (head, body) = response.into_parts();
         let keep_alive = keep_alive(&head.headers);
+        let is_framed = body.is_end_stream() || response::is_framed(&head.headers);
         Reply {
             status: head.status,
             headers: head.headers,
             body,
+            is_framed,
             connected,
             returning: ConnectionReturn {
                 connections: self.clone(),
                 id: to.id.clone(),
-                sender: (keep_alive > Duration::ZERO).then_some(sender),
+                sender: (is_framed && keep_alive > Duration::ZERO).then_some(sender),
                 keep_alive,
             },
         }
--- a/crates/dogwoodpier-http/src/response.rs
+++ b/crates/dogwoodpier-http/src/response.rs
@@ -45,8 +45,7 @@
     /// Returns true if the head states how the body ends, so that a body read without an error is
     /// known to be complete.
     pub fn is_framed(&self) -> bool {
-        self.headers.contains_key(header::CONTENT_LENGTH)
-            || self.headers.contains_key(header::TRANSFER_ENCODING)
+        is_framed(&self.headers)
     }
 
     /// Returns the next chunk of the body, or `None` at its end. If no data arrives for `timeout_ms`,
@@ -93,3 +92,9 @@
         Ok(body.freeze())
     }
 }
+
+/// Returns whether the headers of a response state how its body ends. Other bodies end with their
+/// connection, whether they are complete or not.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
