Log the era of the store, and configurations that are older than ours

The logs can't tell a store that came back from a copy from one that was merely away. Each answer's Store-Era is read; its rise is an event, and the state page has it. An older configuration in the store, which the gateway ignores as before, is one too. No decision reads the era yet.

--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -52,6 +52,7 @@
         "instance": &*gateway.settings.load().instance,
         "incarnation": gateway.incarnation,
         "configuration_version": configuration.as_ref().map(|current| current.version),
+        "store_era": *gateway.store.era().borrow(),
         "evacuated": state.upstreams.evacuations.data_centres().collect::<Vec<_>>(),
         "quarantined_requests": gateway.quarantine.len(),
         "quarantined_parts": gateway.quarantine.parts.quarantined(),
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -192,6 +192,7 @@
             store::follow(gateway, follower)
         });
     }
+    spawn_supervised(gateway, "store_era", store::observe_era);
     spawn_supervised(gateway, "find_peers", registry::find_peers);
     spawn_supervised(gateway, "expire_upstreams", store::expire_upstreams);
     spawn_supervised(gateway, "register", registry::run);
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -201,6 +201,20 @@
     }
 }
 
+/// Logs each return of the store from a copy, for as long as the process lives.
+pub async fn observe_era(gateway: SharedGateway) {
+    let mut eras = gateway.store.era();
+    let mut before = 0;
+    while eras.changed().await.is_ok() {
+        let era = *eras.borrow_and_update();
+        gateway.events.write(
+            "store_era",
+            serde_json::json!({ "era": era, "before": before }),
+        );
+        before = era;
+    }
+}
+
 fn log_store(gateway: &Gateway, follower: &Follower, state: &str, detail: &str) {
     gateway.events.write(
         "store",
@@ -314,6 +328,9 @@
     let current = gateway.configuration.load();
     let current = current.as_ref().map(|current| current.version);
     if current.is_some_and(|current| current >= configuration.version) {
+        if current != Some(configuration.version) {
+            log_outdated(gateway, current, configuration.version);
+        }
         return;
     }
     metrics::gauge!(counters::CONFIG_VERSION).set(configuration.version as f64);
@@ -330,6 +347,13 @@
     gateway.configuration.store(Some(Arc::new(configuration)));
 }
 
+fn log_outdated(gateway: &Gateway, current: Option<u64>, stored: u64) {
+    gateway.events.write(
+        "configuration_outdated",
+        serde_json::json!({ "version": current, "stored": stored }),
+    );
+}
+
 /// Returns the follower of the upstreams' entries.
 pub fn upstreams(gateway: &Gateway) -> Follower {
     Follower {
--- a/crates/dogwoodpier-platform/src/client.rs
+++ b/crates/dogwoodpier-platform/src/client.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http::header;
 use serde_json::Value;
+use tokio::sync::watch;
 
 use dogwoodpier_derive::plain;
 use dogwoodpier_http::Pool;
@@ -84,6 +86,8 @@
     pool: Pool,
     timeout_ms: u64,
     calls: Arc<Calls>,
+    // Highest era of the store that any response has named.
+    era: watch::Sender<u64>,
     protocol: &'static Protocol,
 }
 
@@ -109,6 +113,7 @@
             pool,
             timeout_ms: options.timeout_ms,
             calls: Arc::new(Calls::default()),
+            era: watch::Sender::new(0),
             protocol,
         }
     }
@@ -224,6 +229,12 @@
         self.counted(Operation::Instances, result)
     }
 
+    /// Returns the highest era of the store that any response has named, and its changes. Zero if none
+    /// has named one.
+    pub fn era(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     /// Drops all connections. Called if it became known by other means that they no longer work.
     pub fn reset_connections(&self) {
         self.pool.reset_connections();
@@ -258,6 +269,7 @@
             .body(body)
             .map_err(|error| Error::Protocol(error.to_string()))?;
         let mut response = self.pool.send(request, timeout_ms).await?;
+        self.record_era(&response.headers);
         let body = response
             .read_body(MAX_RESPONSE_BYTES, self.timeout_ms)
             .await?;
@@ -274,6 +286,27 @@
         }
     }
 
+    fn record_era(&self, headers: &HeaderMap) {
+        let named = self.protocol.era_header.and_then(|name| headers.get(name));
+        let Some(named) = named else {
+            return;
+        };
+        match named
+            .to_str()
+            .ok()
+            .and_then(|era| era.trim().parse::<u64>().ok())
+        {
+            Some(era) => {
+                self.era.send_if_modified(|known| {
+                    let is_newer = era > *known;
+                    *known = era.max(*known);
+                    is_newer
+                });
+            }
+            None => log::warn!("the store names an era that isn't a number: {named:?}"),
+        }
+    }
+
     fn counted<T>(&self, operation: Operation, result: Result<T>) -> Result<T> {
         self.calls.count(operation, result_index(&result));
         result
--- a/crates/dogwoodpier-platform/src/protocol.rs
+++ b/crates/dogwoodpier-platform/src/protocol.rs
@@ -41,6 +41,9 @@
 
 /// Calls of one object API, and decoders of its responses.
 pub struct Protocol {
+    /// Header of all responses with the era of the store, which rises whenever the store has been
+    /// restored from a copy and its revisions have gone back. `None` if the API has no eras.
+    pub era_header: Option<&'static str>,
     /// Reads one object: kind, name.
     pub get: fn(&str, &str) -> Call,
     /// Reads a page of a kind: kind, prefix of the names, name after which the page starts.
--- a/crates/dogwoodpier-platform/src/wire.rs
+++ b/crates/dogwoodpier-platform/src/wire.rs
@@ -41,6 +41,7 @@
 
 /// Protocol of the project's own object API.
 pub static PROTOCOL: Protocol = Protocol {
+    era_header: None,
     get: |kind, name| Call::get(object_path(kind, name, Precondition::Any)),
     list: |kind, prefix, _after| list_call(kind, prefix),
     list_stale: |kind, prefix, _after| list_call(kind, prefix),
