Order what the store holds by its era, and by revision within it

Cause: a revision was taken for a moment in time. Evacuations of a lower revision were dropped as outdated; peers' higher revisions of before the return showed every watch as silent; a watch went on from a revision that had been given out again and missed what came before it. The class: an order that holds within one incarnation of a source is used across them.

Why the fix works: a position is the era and the revision, and the later era wins. A watch ends as soon as any call shows a new era, or when its own answer does, and the kind is listed anew. Pages of a listing from two eras aren't joined. Evacuations that the copy lacks stay in force for the grace time of entries, since the operator writes them again; dropping lower revisions had hidden that.

--- a/crates/dogwoodpier-core/src/gateway/peer_reports.rs
+++ b/crates/dogwoodpier-core/src/gateway/peer_reports.rs
@@ -25,6 +25,7 @@
 
 use super::evacuations::Evacuations;
 use super::quota::Membership;
+use super::store_position::StorePosition;
 
 /// Load on one upstream, by one instance or several.
 #[wire]
@@ -99,7 +100,7 @@
     /// reported because the receiver may be cut off from the store.
     pub leaving_upstreams: BTreeMap<Arc<str>, Option<u64>>,
     /// Revision of the latest change in the store that the sender has seen, by kind of object.
-    pub seen_revisions: BTreeMap<Arc<str>, u64>,
+    pub seen_revisions: BTreeMap<Arc<str>, StorePosition>,
     /// Requests that are suspected of crashing upstreams.
     pub suspects: Vec<SuspectUpdate>,
     /// Evacuated data centres, whose upstreams receive no new requests.
--- a/crates/dogwoodpier-fakes/src/platform/store.rs
+++ b/crates/dogwoodpier-fakes/src/platform/store.rs
@@ -100,6 +100,7 @@
         Listing {
             items,
             revision: self.revision,
+            era: 0,
         }
     }
 
@@ -121,6 +122,7 @@
         Some(Changes {
             changes,
             revision: self.revision,
+            era: 0,
         })
     }
 
--- a/crates/dogwoodpier-gateway/src/evacuations.rs
+++ b/crates/dogwoodpier-gateway/src/evacuations.rs
@@ -2,6 +2,7 @@
 
 use dogwoodpier_core::gateway::evacuations;
 use dogwoodpier_core::gateway::evacuations::Evacuations;
+use dogwoodpier_core::gateway::store_position::StorePosition;
 use dogwoodpier_platform::wire::Change;
 use dogwoodpier_process::clock;
 
@@ -22,7 +23,8 @@
         kind: gateway.dialect.objects.evacuation_kind,
         replace: |gateway, listing, _| {
             let data_centres = listing.items.iter().map(|object| object.name.clone());
-            let listed = Evacuations::from_listing(listing.revision, data_centres);
+            let position = StorePosition::new(listing.era, listing.revision);
+            let listed = Evacuations::from_listing(position, data_centres);
             merge(gateway, listed, "store");
         },
         change: apply_change,
@@ -42,11 +44,11 @@
     settings.evacuations && evacuations::is_watcher(&settings.instance, peers)
 }
 
-fn apply_change(gateway: &SharedGateway, change: Change, revision: u64, _: &StoreOutage) {
+fn apply_change(gateway: &SharedGateway, change: Change, position: StorePosition, _: &StoreOutage) {
     let name = &change.object.name;
     let changed = {
         let evacuations = &mut gateway.state().upstreams.evacuations;
-        evacuations.apply_change(revision, name, !change.deleted)
+        evacuations.apply_change(position, name, !change.deleted)
     };
     if changed {
         log_evacuations(gateway, "store");
@@ -55,13 +57,19 @@
 
 /// Merges a state that was read from the store or received from a peer.
 pub fn merge(gateway: &SharedGateway, state: Evacuations, source: &str) {
-    let changed = gateway.state().upstreams.evacuations.merge(state);
+    let grace_ms = gateway.settings.load().entry_grace_ms;
+    let keep_deadline_ms = clock::now().after(grace_ms);
+    let changed = {
+        let evacuations = &mut gateway.state().upstreams.evacuations;
+        evacuations.merge(state, keep_deadline_ms)
+    };
     if changed {
         log_evacuations(gateway, source);
     }
 }
 
-fn log_evacuations(gateway: &SharedGateway, source: &str) {
+/// Logs the evacuated data centres after a change, and passes them on.
+pub fn log_evacuations(gateway: &SharedGateway, source: &str) {
     let (data_centres, available) = {
         let state = gateway.state();
         let upstreams = &state.upstreams;
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -149,8 +149,8 @@
     registry::record_reporting_peer(gateway, &report.instance, from);
     quarantine::handle_updates(gateway, &report.suspects);
     evacuations::merge(gateway, report.evacuations.clone(), &report.instance);
-    for (kind, revision) in &report.seen_revisions {
-        gateway.revisions.record_peer(kind, *revision);
+    for (kind, position) in &report.seen_revisions {
+        gateway.seen_positions.record_peer(kind, *position);
     }
     {
         let mut state = gateway.state();
@@ -335,7 +335,7 @@
         tickets: state.tickets.clone(),
         down_for_ms: state.health.unreachable(now),
         leaving_upstreams: state.upstreams.draining(),
-        seen_revisions: gateway.revisions.own(),
+        seen_revisions: gateway.seen_positions.own(),
         suspects: gateway.quarantine.pending_updates(),
         evacuations: state.upstreams.evacuations.clone(),
     }
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -171,7 +171,7 @@
         close_idle: Notify::new(),
         shutdown: Mutex::new(None),
         registration_lost: Notify::new(),
-        revisions: store::Revisions::default(),
+        seen_positions: store::SeenPositions::default(),
         peer_addresses: registry::PeerAddresses::default(),
         settings: ArcSwap::from_pointee(settings),
     }
@@ -194,7 +194,7 @@
     }
     spawn_supervised(gateway, "store_era", store::observe_era);
     spawn_supervised(gateway, "find_peers", registry::find_peers);
-    spawn_supervised(gateway, "expire_upstreams", store::expire_upstreams);
+    spawn_supervised(gateway, "expire_missing", store::expire_missing);
     spawn_supervised(gateway, "register", registry::run);
     spawn_supervised(gateway, "clean_registrations", registry::clean);
     spawn_supervised(gateway, "lines", queues::run);
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -57,7 +57,7 @@
 use crate::registry::PeerAddresses;
 use crate::request::ClientRequest;
 use crate::settings::Settings;
-use crate::store::Revisions;
+use crate::store::SeenPositions;
 
 const MS_PER_S: f64 = 1_000.0;
 
@@ -107,8 +107,8 @@
     pub shutdown: Mutex<Option<Shutdown>>,
     /// Signals that the registration of this instance was removed from the store.
     pub registration_lost: Notify,
-    /// Revisions of the store that this instance and its peers have seen.
-    pub revisions: Revisions,
+    /// Positions of the store that this instance and its peers have seen.
+    pub seen_positions: SeenPositions,
     /// Addresses of the known peers.
     pub peer_addresses: PeerAddresses,
 }
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -4,8 +4,9 @@
 //! the store is unavailable, and a configuration is never replaced by an older version.
 //!
 //! Calls to the store are expensive and a pending watch is a single call, so watches wait long.
-//! Peers' reports reveal a watch whose connection is dead: they contain the revision up to which
+//! Peers' reports reveal a watch whose connection is dead: they contain the position up to which
 //! the peer has seen changes, and an instance that stays behind lists again over a new connection.
+//! So does one that learns, from any call, that the store was restored from a copy.
 //! The watches of the fleet end at different times, so that there is always an instance that has
 //! just started one.
 
@@ -22,6 +23,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
+use dogwoodpier_core::gateway::store_position::StorePosition;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_platform::Error;
 use dogwoodpier_platform::WatchOutcome;
@@ -31,6 +33,7 @@
 use dogwoodpier_process::clock;
 
 use crate::counters;
+use crate::evacuations;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
@@ -64,8 +67,8 @@
     pub kind: &'static str,
     /// Applies a complete listing.
     pub replace: fn(&SharedGateway, Listing, &StoreOutage),
-    /// Applies one change, with the revision up to which its call reports changes.
-    pub change: fn(&SharedGateway, Change, u64, &StoreOutage),
+    /// Applies one change, with the position up to which its call reports changes.
+    pub change: fn(&SharedGateway, Change, StorePosition, &StoreOutage),
     /// Returns the pause after changes, in milliseconds by the number of instances. Further changes
     /// in this time are read with one call.
     pub batch_delay_ms: fn(u64) -> u64,
@@ -76,33 +79,33 @@
     pub reads_store: fn(&Gateway) -> bool,
 }
 
-/// Revisions of the store up to which changes of one kind have been seen.
+/// Positions of the store up to which changes of one kind have been seen.
 #[derive(Debug)]
-struct SeenRevision {
-    own: u64,
-    peers: watch::Sender<u64>,
+struct SeenPosition {
+    own: StorePosition,
+    peers: watch::Sender<StorePosition>,
 }
 
-/// Revisions of the store that this instance and its peers have seen, by kind.
+/// Positions of the store that this instance and its peers have seen, by kind.
 #[derive(Debug, Default)]
-pub struct Revisions {
-    kinds: Mutex<BTreeMap<Arc<str>, SeenRevision>>,
+pub struct SeenPositions {
+    kinds: Mutex<BTreeMap<Arc<str>, SeenPosition>>,
 }
 
-impl Revisions {
-    /// Records the revision that a peer has seen.
-    pub fn record_peer(&self, kind: &str, revision: u64) {
+impl SeenPositions {
+    /// Records the position that a peer has seen.
+    pub fn record_peer(&self, kind: &str, position: StorePosition) {
         if let Some(seen) = self.lock().get(kind) {
             seen.peers.send_if_modified(|known| {
-                let newer = revision > *known;
-                *known = revision.max(*known);
+                let newer = position > *known;
+                *known = position.max(*known);
                 newer
             });
         }
     }
 
-    /// Returns the revisions up to which this instance has seen changes, by kind.
-    pub fn own(&self) -> BTreeMap<Arc<str>, u64> {
+    /// Returns the positions up to which this instance has seen changes, by kind.
+    pub fn own(&self) -> BTreeMap<Arc<str>, StorePosition> {
         let kinds = self.lock();
         kinds
             .iter()
@@ -110,28 +113,28 @@
             .collect()
     }
 
-    fn record_own(&self, kind: &str, revision: u64) {
+    fn record_own(&self, kind: &str, position: StorePosition) {
         let mut kinds = self.lock();
-        let seen = kinds.entry(kind.into()).or_insert_with(|| SeenRevision {
-            own: 0,
-            peers: watch::Sender::new(0),
+        let seen = kinds.entry(kind.into()).or_insert_with(|| SeenPosition {
+            own: StorePosition::default(),
+            peers: watch::Sender::new(StorePosition::default()),
         });
-        seen.own = seen.own.max(revision);
+        seen.own = seen.own.max(position);
     }
 
-    // Waits until peers have been ahead of `revision` for [`PEERS_AHEAD_TIMEOUT`].
-    async fn peers_ahead(&self, kind: &str, revision: u64) {
+    // Waits until peers have been ahead of `position` for [`PEERS_AHEAD_TIMEOUT`].
+    async fn peers_ahead(&self, kind: &str, position: StorePosition) {
         let receiver = self.lock().get(kind).map(|seen| seen.peers.subscribe());
         let Some(mut receiver) = receiver else {
             return std::future::pending().await;
         };
-        if receiver.wait_for(|known| *known > revision).await.is_err() {
+        if receiver.wait_for(|known| *known > position).await.is_err() {
             return std::future::pending().await;
         }
         tokio::time::sleep(PEERS_AHEAD_TIMEOUT).await;
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, SeenRevision>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, SeenPosition>> {
         self.kinds.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -159,16 +162,16 @@
 /// Follows the objects of one kind, for as long as the process lives.
 pub async fn follow(gateway: SharedGateway, follower: Follower) {
     let outage = StoreOutage::default();
-    let mut revision = None;
+    let mut position = None;
     let mut lost = false;
     let mut pause_ms = RETRY_PAUSE_MS;
     loop {
         if !(follower.reads_store)(&gateway) {
-            revision = None;
+            position = None;
             tokio::time::sleep(READ_CHECK_INTERVAL).await;
             continue;
         }
-        let result = match revision {
+        let result = match position {
             None => list(&gateway, &follower, &outage).await,
             Some(after) => watch_once(&gateway, &follower, &outage, after).await,
         };
@@ -179,7 +182,7 @@
                     lost = false;
                     log_store(&gateway, &follower, "regained", "");
                 }
-                revision = next;
+                position = next;
             }
             Err(error) => {
                 metrics::counter!(counters::STORE_FAILURES_TOTAL, "kind" => follower.kind)
@@ -187,7 +190,7 @@
                 let grace_ms = gateway.settings.load().entry_grace_ms;
                 outage.record(clock::now().after(grace_ms));
                 // A watch that continues after an outage may miss changes made during it.
-                revision = None;
+                position = None;
                 if !lost {
                     lost = true;
                     log_store(&gateway, &follower, "lost", &error.to_string());
@@ -226,31 +229,32 @@
     gateway: &SharedGateway,
     follower: &Follower,
     outage: &StoreOutage,
-) -> Result<Option<u64>, Error> {
+) -> Result<Option<StorePosition>, Error> {
     let listing = gateway.store.list(follower.kind, "").await?;
     let newest = listing.items.iter().map(|object| object.version).max();
-    gateway
-        .revisions
-        .record_own(follower.kind, newest.unwrap_or(0));
-    let revision = listing.revision;
+    let newest = StorePosition::new(listing.era, newest.unwrap_or(0));
+    gateway.seen_positions.record_own(follower.kind, newest);
+    let position = StorePosition::new(listing.era, listing.revision);
     (follower.replace)(gateway, listing, outage);
-    Ok(Some(revision))
+    Ok(Some(position))
 }
 
 async fn watch_once(
     gateway: &SharedGateway,
     follower: &Follower,
     outage: &StoreOutage,
-    after: u64,
-) -> Result<Option<u64>, Error> {
+    after: StorePosition,
+) -> Result<Option<StorePosition>, Error> {
     let kinds = [follower.kind];
+    let wait_ms = watch_wait_ms(gateway, follower);
     let outcome = tokio::select! {
-        outcome = gateway.store.watch(&kinds, after, watch_wait_ms(gateway, follower)) => outcome?,
-        () = gateway.revisions.peers_ahead(follower.kind, after) => {
+        outcome = gateway.store.watch(&kinds, after.revision(), wait_ms) => outcome?,
+        () = gateway.seen_positions.peers_ahead(follower.kind, after) => {
             log_store(gateway, follower, "silent", "peers have seen newer changes");
             gateway.store.reset_connections();
             return Ok(None);
         }
+        () = restored_after(gateway, after) => return Ok(None),
     };
     match outcome {
         WatchOutcome::TooOld => {
@@ -258,12 +262,16 @@
             Ok(None)
         }
         WatchOutcome::Changes(changes) => {
+            let position = StorePosition::new(changes.era, changes.revision);
+            // If the revision has been given out again, changes were made before it since the store
+            // was restored.
+            if after.is_in_era_before(position) {
+                return Ok(None);
+            }
             if !changes.changes.is_empty() {
-                gateway
-                    .revisions
-                    .record_own(follower.kind, changes.revision);
+                gateway.seen_positions.record_own(follower.kind, position);
                 for change in changes.changes {
-                    (follower.change)(gateway, change, changes.revision, outage);
+                    (follower.change)(gateway, change, position, outage);
                 }
                 let members = u64::from(
                     gateway
@@ -274,11 +282,20 @@
                 );
                 tokio::time::sleep(Duration::from_millis((follower.batch_delay_ms)(members))).await;
             }
-            Ok(Some(changes.revision))
+            Ok(Some(position))
         }
     }
 }
 
+// Waits until any call shows that the store was restored from a copy after `position`.
+async fn restored_after(gateway: &Gateway, position: StorePosition) {
+    let mut eras = gateway.store.era();
+    let is_later = |era: &u64| position.is_in_era_before(StorePosition::new(*era, 0));
+    if eras.wait_for(is_later).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 fn watch_wait_ms(gateway: &Gateway, follower: &Follower) -> u64 {
     let members = gateway
         .state()
@@ -449,12 +466,17 @@
     );
 }
 
-/// Removes upstreams whose entries stayed missing, for as long as the process lives.
-pub async fn expire_upstreams(gateway: SharedGateway) {
+/// Removes upstreams and evacuations whose entries stayed missing, for as long as the process lives.
+pub async fn expire_missing(gateway: SharedGateway) {
     const INTERVAL: Duration = Duration::from_millis(250);
     loop {
         tokio::time::sleep(INTERVAL).await;
-        let expired = gateway.state().upstreams.expire(clock::now());
+        let now = clock::now();
+        let has_ended = gateway.state().upstreams.evacuations.expire(now);
+        if has_ended {
+            evacuations::log_evacuations(&gateway, "missing since the store was restored");
+        }
+        let expired = gateway.state().upstreams.expire(now);
         for id in expired {
             gateway.connections.close_idle(&id);
             gateway
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -6,6 +6,7 @@
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
 use dogwoodpier_core::gateway::permits::PermitDecision;
 use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::store_position::StorePosition;
 use dogwoodpier_core::gateway::upstream_limits::ReportedLimit;
 use dogwoodpier_core::quarantine::PartAnswer;
 use dogwoodpier_core::quarantine::PartCrash;
@@ -46,7 +47,11 @@
             .collect(),
         down_for_ms: [(engine(90), 300)].into(),
         leaving_upstreams: [(engine(91), Some(1_700_000_000_000))].into(),
-        seen_revisions: [("servers".into(), 12_345), ("config".into(), 12_300)].into(),
+        seen_revisions: [
+            ("servers".into(), StorePosition::new(1, 12_345)),
+            ("config".into(), StorePosition::new(1, 12_300)),
+        ]
+        .into(),
         suspects: Vec::new(),
         evacuations: Default::default(),
     })
--- a/crates/dogwoodpier-platform/src/client.rs
+++ b/crates/dogwoodpier-platform/src/client.rs
@@ -95,6 +95,7 @@
 struct Reply {
     status: StatusCode,
     body: Bytes,
+    era: u64,
 }
 
 impl Client {
@@ -155,14 +156,20 @@
         loop {
             let after = listing.as_ref().and_then(|listing| listing.items.last());
             let call = page_call(kind, prefix, after.map(|object| &*object.name));
-            let result = self
-                .call(call, self.timeout_ms)
-                .await
-                .and_then(|reply| (self.protocol.decode_page)(kind, reply.ok_body()?));
+            let result = self.call(call, self.timeout_ms).await.and_then(|reply| {
+                let mut page = (self.protocol.decode_page)(kind, reply.ok_body()?)?;
+                page.listing.era = reply.era;
+                Ok(page)
+            });
             let page = self.counted(Operation::List, result)?;
             let has_more = page.has_more && !page.listing.items.is_empty();
             match &mut listing {
                 None => listing = Some(page.listing),
+                // The store was restored in between, so the pages don't belong together.
+                Some(first) if first.era != page.listing.era => {
+                    listing = None;
+                    continue;
+                }
                 Some(listing) => listing.items.extend(page.listing.items),
             }
             if !has_more {
@@ -214,7 +221,9 @@
             if reply.status == StatusCode::GONE {
                 return Ok(WatchOutcome::TooOld);
             }
-            (self.protocol.decode_changes)(kinds, reply.ok_body()?).map(WatchOutcome::Changes)
+            let mut changes = (self.protocol.decode_changes)(kinds, reply.ok_body()?)?;
+            changes.era = reply.era;
+            Ok(WatchOutcome::Changes(changes))
         });
         self.counted(Operation::Watch, result)
     }
@@ -269,7 +278,7 @@
             .body(body)
             .map_err(|error| Error::Protocol(error.to_string()))?;
         let mut response = self.pool.send(request, timeout_ms).await?;
-        self.record_era(&response.headers);
+        let era = self.record_era(&response.headers);
         let body = response
             .read_body(MAX_RESPONSE_BYTES, self.timeout_ms)
             .await?;
@@ -277,6 +286,7 @@
         let reply = Reply {
             status: response.status,
             body,
+            era,
         };
         match reply.status {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
@@ -286,25 +296,27 @@
         }
     }
 
-    fn record_era(&self, headers: &HeaderMap) {
+    // Returns the era that a response names, or the highest known one if it names none.
+    fn record_era(&self, headers: &HeaderMap) -> u64 {
+        let known = *self.era.borrow();
         let named = self.protocol.era_header.and_then(|name| headers.get(name));
         let Some(named) = named else {
-            return;
+            return known;
         };
-        match named
+        let Some(era) = named
             .to_str()
             .ok()
             .and_then(|era| era.trim().parse::<u64>().ok())
-        {
-            Some(era) => {
-                self.era.send_if_modified(|known| {
-                    let is_newer = era > *known;
-                    *known = era.max(*known);
-                    is_newer
-                });
-            }
-            None => log::warn!("the store names an era that isn't a number: {named:?}"),
-        }
+        else {
+            log::warn!("the store names an era that isn't a number: {named:?}");
+            return known;
+        };
+        self.era.send_if_modified(|known| {
+            let is_newer = era > *known;
+            *known = era.max(*known);
+            is_newer
+        });
+        era
     }
 
     fn counted<T>(&self, operation: Operation, result: Result<T>) -> Result<T> {
--- a/crates/dogwoodpier-platform/src/wire.rs
+++ b/crates/dogwoodpier-platform/src/wire.rs
@@ -161,6 +161,9 @@
     pub items: Vec<Object>,
     /// Revision of the store that the listing shows, from which a watch can continue.
     pub revision: u64,
+    /// Era of the store, see [`Protocol::era_header`].
+    #[serde(skip)]
+    pub era: u64,
 }
 
 /// Changes after a revision, in order.
@@ -170,6 +173,9 @@
     pub changes: Vec<Change>,
     /// Revision from which the next watch continues.
     pub revision: u64,
+    /// Era of the store, see [`Protocol::era_header`].
+    #[serde(skip)]
+    pub era: u64,
 }
 
 /// One change of an object.
