Keep upstreams that a restored store lacks for the grace time

What callers saw, in a test: after the store came back from a copy, an upstream that had registered since the copy got no requests until it had written its entry again, at instances of which no call had failed in between.

Cause: the grace time for missing entries began with a failed call, as if only an outage could lose entries. The class: the sign of one cause is taken for the event itself. An instance that was pausing after a change, or whose connection was quiet, has no failed call.

Why the fix works: the first listing of a new era begins the grace time as well, however the instance learned of the era.

--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -139,15 +139,18 @@
     }
 }
 
-/// The most recent outage of the store.
+/// The most recent outage of the store, or its return from a copy.
 #[derive(Debug, Default)]
 pub struct StoreOutage {
     // Time of the last failed call plus the grace time for entries; 0 before the first failure.
     grace_deadline_ms: AtomicU64,
+    // Position of the last listing.
+    listed: Mutex<Option<StorePosition>>,
 }
 
 impl StoreOutage {
-    /// Returns the time until which a missing entry may be due to an outage of the store.
+    /// Returns the time until which a missing entry may be due to an outage of the store or to the
+    /// copy.
     pub fn grace_deadline_ms(&self, now: TimeMs) -> Option<TimeMs> {
         let deadline_ms = TimeMs(self.grace_deadline_ms.load(Ordering::Relaxed));
         (deadline_ms > now).then_some(deadline_ms)
@@ -157,6 +160,13 @@
         self.grace_deadline_ms
             .store(deadline_ms.0, Ordering::Relaxed);
     }
+
+    // Returns whether the store was restored from a copy since the last listing.
+    fn record_listing(&self, position: StorePosition) -> bool {
+        let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = listed.replace(position);
+        before.is_some_and(|before| before.is_in_era_before(position))
+    }
 }
 
 /// Follows the objects of one kind, for as long as the process lives.
@@ -187,8 +197,7 @@
             Err(error) => {
                 metrics::counter!(counters::STORE_FAILURES_TOTAL, "kind" => follower.kind)
                     .increment(1);
-                let grace_ms = gateway.settings.load().entry_grace_ms;
-                outage.record(clock::now().after(grace_ms));
+                outage.record(grace_deadline_ms(&gateway));
                 // A watch that continues after an outage may miss changes made during it.
                 position = None;
                 if !lost {
@@ -218,6 +227,12 @@
     }
 }
 
+// Returns the time until which entries may be missing because of what happens now.
+fn grace_deadline_ms(gateway: &Gateway) -> TimeMs {
+    let grace_ms = gateway.settings.load().entry_grace_ms;
+    clock::now().after(grace_ms)
+}
+
 fn log_store(gateway: &Gateway, follower: &Follower, state: &str, detail: &str) {
     gateway.events.write(
         "store",
@@ -235,6 +250,10 @@
     let newest = StorePosition::new(listing.era, newest.unwrap_or(0));
     gateway.seen_positions.record_own(follower.kind, newest);
     let position = StorePosition::new(listing.era, listing.revision);
+    // Entries that were written after the copy are written again.
+    if outage.record_listing(position) {
+        outage.record(grace_deadline_ms(gateway));
+    }
     (follower.replace)(gateway, listing, outage);
     Ok(Some(position))
 }
