Hold back upstreams that had left before the store was restored

What callers saw, in a test: an upstream that had left, and still served for a while, got requests again once the store had come back from a copy with its entry; so did one that had been draining in the copy's lost seconds, at a lone instance.

Cause: a listing was believed against what the instance knew itself. An entry of a copy is older than a removal that was seen before. The class: an older statement of one source replaces a newer one of the same source.

Why the fix works: the incarnations whose entries were removed are remembered (the last 500), and those in the first listing of an era get no requests until their entry changes, since a live upstream writes it again, or until 6 s have passed, as the store drops entries that aren't renewed. They aren't told to peers as draining, which is for good. A draining state that an entry showed is remembered for the incarnation as one that an answer or a peer told. Without a new era a removed entry that comes back counts at once, as before.

--- a/crates/dogwoodpier-core/src/gateway/upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -2,9 +2,11 @@
 //!
 //! Entries come from a store that may be unavailable. During an outage the last known entries stay
 //! valid. Entries may expire in the store in the meantime, so an upstream whose entry is missing
-//! just after an outage is kept for a grace period before it is removed.
+//! just after an outage is kept for a grace period before it is removed. A store that was restored
+//! from a copy may also have the entries of upstreams that have left since the copy was made.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -54,21 +56,35 @@
     upstream: Arc<Upstream>,
     // Set while the entry is missing from the store and this may be due to an outage.
     removal_deadline_ms: Option<TimeMs>,
+    // Set while the upstream is known to have left and a restored store has its entry again.
+    held_back: Option<HeldBack>,
+}
+
+// The entry of an upstream that gets no requests until its writer has confirmed it.
+#[derive(Debug)]
+struct HeldBack {
+    upstream: Upstream,
+    deadline_ms: TimeMs,
 }
 
 /// All known upstreams.
 #[derive(Debug, Default)]
 pub struct Upstreams {
     entries: BTreeMap<Arc<str>, Entry>,
-    // Upstreams known to be draining from their own answers or from a peer's report, with the start
-    // time of their incarnation. Their entries in the store may show it later or never.
+    // Upstreams known to be draining from their entries, their own answers or a peer's report, with
+    // the start time of their incarnation. Their entries may show it later or never, or no more once
+    // the store was restored from a copy.
     draining_incarnations: BTreeMap<Arc<str>, Option<u64>>,
+    // Incarnations whose entries were removed, the latest last.
+    left: VecDeque<(Arc<str>, Option<u64>)>,
     /// Evacuated data centres, whose upstreams receive no new requests.
     pub evacuations: Evacuations,
 }
 
 // Number of draining incarnations above which those without an entry are dropped.
 const MAX_DRAINING_INCARNATIONS: usize = 1_000;
+// Several times the upstreams that leave a large service within the age of a copy of the store.
+const MAX_LEFT: usize = 500;
 
 impl Upstreams {
     /// Returns the ids of the upstreams that `upstream` has replaced: those with the same address
@@ -89,6 +105,7 @@
     /// Adds or replaces an upstream. Returns whether anything changed.
     pub fn upsert(&mut self, mut upstream: Upstream) -> bool {
         let id = upstream.id.clone();
+        self.left.retain(|(left, _)| *left != id);
         match self.draining_incarnations.get(&id) {
             // An incarnation that is draining never accepts requests again, even if its entry
             // states that it does.
@@ -100,14 +117,20 @@
             }
             None => {}
         }
+        // Incarnations without a start time can't be told apart.
+        if !upstream.accepts_work && upstream.started_unix_ms.is_some() {
+            self.record_draining(&id, upstream.started_unix_ms);
+        }
         if let Some(entry) = self.entries.get_mut(&id)
             && *entry.upstream == upstream
         {
+            entry.held_back = None;
             return entry.removal_deadline_ms.take().is_some();
         }
         let entry = Entry {
             upstream: Arc::new(upstream),
             removal_deadline_ms: None,
+            held_back: None,
         };
         self.entries.insert(id, entry);
         true
@@ -128,6 +151,11 @@
             Arc::make_mut(&mut entry.upstream).accepts_work = false;
             accepts_work
         });
+        self.record_draining(id, started_unix_ms);
+        has_changed
+    }
+
+    fn record_draining(&mut self, id: &str, started_unix_ms: Option<u64>) {
         if self.draining_incarnations.len() >= MAX_DRAINING_INCARNATIONS {
             let entries = &self.entries;
             self.draining_incarnations
@@ -135,13 +163,16 @@
         }
         self.draining_incarnations
             .insert(id.into(), started_unix_ms);
-        has_changed
     }
 
     /// Returns the upstreams that accept no new requests, with the start time of their incarnation.
     pub fn draining(&self) -> BTreeMap<Arc<str>, Option<u64>> {
-        self.all()
-            .filter(|upstream| !upstream.accepts_work)
+        let entries = self.entries.values();
+        // One that is held back may turn out to be alive.
+        let draining = entries
+            .filter(|entry| !entry.upstream.accepts_work && entry.held_back.is_none())
+            .map(|entry| &entry.upstream);
+        draining
             .map(|upstream| (upstream.id.clone(), upstream.started_unix_ms))
             .collect()
     }
@@ -150,7 +181,13 @@
     /// was known.
     pub fn remove(&mut self, id: &str, removal_deadline_ms: Option<TimeMs>) -> bool {
         match removal_deadline_ms {
-            None => self.entries.remove(id).is_some(),
+            None => {
+                let entry = self.entries.remove(id);
+                if let Some(entry) = &entry {
+                    self.record_left(&entry.upstream);
+                }
+                entry.is_some()
+            }
             Some(deadline_ms) => {
                 let Some(entry) = self.entries.get_mut(id) else {
                     return false;
@@ -161,24 +198,86 @@
         }
     }
 
+    fn record_left(&mut self, upstream: &Upstream) {
+        if self.left.len() >= MAX_LEFT {
+            self.left.pop_front();
+        }
+        self.left
+            .push_back((upstream.id.clone(), upstream.started_unix_ms));
+    }
+
+    fn has_left(&self, upstream: &Upstream) -> bool {
+        let mut left = self.left.iter();
+        left.any(|(id, started_unix_ms)| {
+            *id == upstream.id && *started_unix_ms == upstream.started_unix_ms
+        })
+    }
+
     /// Replaces all entries by a listing. Entries that are missing from it are removed as by
     /// [`Self::remove`].
-    pub fn replace<L>(&mut self, listing: L, removal_deadline_ms: Option<TimeMs>)
-    where
+    ///
+    /// If the listing is the first one since the store was restored from a copy, upstreams in it
+    /// that are known to have left get no requests until their entries change or
+    /// `held_back_deadline_ms` has passed.
+    pub fn replace<L>(
+        &mut self,
+        listing: L,
+        removal_deadline_ms: Option<TimeMs>,
+        held_back_deadline_ms: Option<TimeMs>,
+    ) where
         L: IntoIterator<Item = Upstream>,
     {
         let mut missing: Vec<Arc<str>> = self.entries.keys().cloned().collect();
         for upstream in listing {
             missing.retain(|id| *id != upstream.id);
-            self.upsert(upstream);
+            let entry = self.entries.get(&upstream.id);
+            let held_back = entry.and_then(|entry| entry.held_back.as_ref());
+            if held_back.is_some_and(|held_back| held_back.upstream == upstream) {
+                continue;
+            }
+            match held_back_deadline_ms.filter(|_| self.has_left(&upstream)) {
+                Some(deadline_ms) => self.hold_back(upstream, deadline_ms),
+                None => drop(self.upsert(upstream)),
+            }
         }
         for id in missing {
             self.remove(&id, removal_deadline_ms);
         }
     }
 
+    fn hold_back(&mut self, upstream: Upstream, deadline_ms: TimeMs) {
+        let entry = Entry {
+            upstream: Arc::new(Upstream {
+                accepts_work: false,
+                ..upstream.clone()
+            }),
+            removal_deadline_ms: None,
+            held_back: Some(HeldBack {
+                upstream,
+                deadline_ms,
+            }),
+        };
+        self.entries.insert(entry.upstream.id.clone(), entry);
+    }
+
+    // Accepts the entries that were held back and are still there: a store drops those of upstreams
+    // that don't renew them.
+    fn release_held_back(&mut self, now: TimeMs) {
+        let entries = self.entries.values_mut();
+        let due = entries.filter_map(|entry| {
+            let held_back = entry
+                .held_back
+                .take_if(|held_back| held_back.deadline_ms <= now)?;
+            Some(held_back.upstream)
+        });
+        for upstream in due.collect::<Vec<_>>() {
+            self.upsert(upstream);
+        }
+    }
+
     /// Removes the upstreams whose grace period has ended, and returns their ids.
     pub fn expire(&mut self, now: TimeMs) -> Vec<Arc<str>> {
+        self.release_held_back(now);
         let expired: Vec<Arc<str>> = self
             .entries
             .iter()
@@ -190,7 +289,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.entries.remove(id);
+            self.remove(id, None);
         }
         expired
     }
--- a/crates/dogwoodpier-gateway/src/evacuations.rs
+++ b/crates/dogwoodpier-gateway/src/evacuations.rs
@@ -21,7 +21,7 @@
 pub fn follower(gateway: &Gateway) -> Follower {
     Follower {
         kind: gateway.dialect.objects.evacuation_kind,
-        replace: |gateway, listing, _| {
+        replace: |gateway, listing, _, _| {
             let data_centres = listing.items.iter().map(|object| object.name.clone());
             let position = StorePosition::new(listing.era, listing.revision);
             let listed = Evacuations::from_listing(position, data_centres);
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -58,6 +58,8 @@
 const MIN_WATCH_MS: u64 = 1_400;
 /// Longest wait of a watch. The store allows at most 30 s.
 pub const MAX_WATCH_MS: u64 = 28_000;
+// Longer than the store keeps the entry of an upstream that doesn't renew it.
+const LAPSE_MS: u64 = 6_000;
 // Time between two checks whether this instance has to read the store.
 const READ_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -65,8 +67,9 @@
 pub struct Follower {
     /// Kind of the objects.
     pub kind: &'static str,
-    /// Applies a complete listing.
-    pub replace: fn(&SharedGateway, Listing, &StoreOutage),
+    /// Applies a complete listing. The flag says whether it is the first one since the store was
+    /// restored from a copy.
+    pub replace: fn(&SharedGateway, Listing, bool, &StoreOutage),
     /// Applies one change, with the position up to which its call reports changes.
     pub change: fn(&SharedGateway, Change, StorePosition, &StoreOutage),
     /// Returns the pause after changes, in milliseconds by the number of instances. Further changes
@@ -251,10 +254,11 @@
     gateway.seen_positions.record_own(follower.kind, newest);
     let position = StorePosition::new(listing.era, listing.revision);
     // Entries that were written after the copy are written again.
-    if outage.record_listing(position) {
+    let was_restored = outage.record_listing(position);
+    if was_restored {
         outage.record(grace_deadline_ms(gateway));
     }
-    (follower.replace)(gateway, listing, outage);
+    (follower.replace)(gateway, listing, was_restored, outage);
     Ok(Some(position))
 }
 
@@ -334,7 +338,7 @@
 pub fn configuration(gateway: &Gateway) -> Follower {
     Follower {
         kind: gateway.dialect.objects.config_kind,
-        replace: |gateway, listing, _| {
+        replace: |gateway, listing, _, _| {
             for object in listing.items {
                 apply_configuration(gateway, &object);
             }
@@ -394,17 +398,19 @@
 pub fn upstreams(gateway: &Gateway) -> Follower {
     Follower {
         kind: gateway.dialect.objects.upstream_kind,
-        replace: |gateway, listing, outage| {
+        replace: |gateway, listing, was_restored, outage| {
             let listing: Vec<Upstream> = listing
                 .items
                 .iter()
                 .filter_map(|object| read_upstream(gateway, object))
                 .collect();
             let now = clock::now();
+            let held_back_deadline_ms = was_restored.then(|| now.after(LAPSE_MS));
+            let grace_deadline_ms = outage.grace_deadline_ms(now);
             let mut state = gateway.state();
             state
                 .upstreams
-                .replace(listing, outage.grace_deadline_ms(now));
+                .replace(listing, grace_deadline_ms, held_back_deadline_ms);
             state.upstreams_known = true;
         },
         change: |gateway, change, _, outage| {
