Wait for a newer configuration that peers have and a restored store lacks

What callers saw, in a test: a key that had been withdrawn worked again at an instance that had started after the store came back from a copy, until the operator had written the newest configuration again.

Cause: an instance that starts takes what the store has for the newest configuration, and counts as ready with it. Running instances keep the newer one, but nobody told. The class: what is acknowledged may be lost by its one source, while others still hold it.

Why the fix works: an instance whose configuration is newer than the one that it has read from the store says so to each peer that reports to it. One with an older configuration isn't ready and answers 503 until it has the newer one, or for ten seconds at most: after that an older configuration is better than none. While the store has the newest configuration, as usual, nothing is sent.

Not covered: all instances that had the newer configuration end before it is written again.

--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -28,6 +28,7 @@
 
 use crate::dialect::PromptSize;
 use crate::headers;
+use crate::newer_configuration;
 use crate::quarantine::RequestContent;
 use crate::quota;
 use crate::quota::Charge;
@@ -52,7 +53,9 @@
     received_ms: TimeMs,
 ) -> Result<ClientRequest, Rejection> {
     let configuration = gateway.configuration.load_full();
-    let configuration = configuration.filter(|_| readiness::knows_evacuations(gateway));
+    let configuration = configuration.filter(|_| {
+        readiness::knows_evacuations(gateway) && !newer_configuration::is_awaited(gateway)
+    });
     let Some(configuration) = configuration else {
         return Err(Rejection::with_retry_after(
             Reason::NoConfiguration,
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod evacuations;
 pub mod forwarding;
 pub mod headers;
+mod newer_configuration;
 pub mod operators;
 pub mod owners;
 pub mod peer_messages;
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -24,6 +24,7 @@
 use crate::codec;
 use crate::evacuations;
 use crate::forwarding;
+use crate::newer_configuration;
 use crate::permits;
 use crate::permits::PermitAnswer;
 use crate::permits::PermitNotice;
@@ -82,6 +83,9 @@
     Limits(LimitReport),
     /// Evidence against parts of prompts that crash upstreams.
     Parts(PartReport),
+    /// Version of the configuration that the sender has in force and that the store lacks since it
+    /// was restored from a copy.
+    UnstoredConfiguration(u64),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -141,12 +145,19 @@
         Message::PermitNotice(notice) => permits::handle_notice(gateway, &notice),
         Message::Limits(report) => handle_limits(gateway, &report),
         Message::Parts(report) => prompt_parts::handle_report(gateway, report),
+        Message::UnstoredConfiguration(version) => {
+            newer_configuration::handle_report(gateway, version);
+        }
     }
 }
 
 fn handle_report(gateway: &SharedGateway, from: SocketAddr, report: Report) {
     let now = clock::now();
     registry::record_reporting_peer(gateway, &report.instance, from);
+    // The peer may have started since the store was restored.
+    if let Some(version) = newer_configuration::unstored_version(gateway) {
+        gateway.send_message(from, &Message::UnstoredConfiguration(version));
+    }
     quarantine::handle_updates(gateway, &report.suspects);
     evacuations::merge(gateway, report.evacuations.clone(), &report.instance);
     for (kind, position) in &report.seen_revisions {
--- a/crates/dogwoodpier-gateway/src/readiness.rs
+++ b/crates/dogwoodpier-gateway/src/readiness.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::newer_configuration;
 use crate::operators;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
@@ -38,6 +39,10 @@
         ("configuration", gateway.configuration.load().is_some()),
         ("upstreams", upstreams_known),
         ("evacuations", knows_evacuations(gateway)),
+        (
+            "newer_configuration",
+            !newer_configuration::is_awaited(gateway),
+        ),
         ("not_stopping", !gateway.drain.is_draining()),
     ];
     let unmet = conditions.into_iter().filter(|(_, is_met)| !is_met);
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -37,6 +37,7 @@
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
 use crate::evacuations;
+use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::peer_messages;
 use crate::pending::PendingRequests;
@@ -140,6 +141,7 @@
         incarnation: rand::random(),
         dialect,
         configuration: ArcSwapOption::empty(),
+        newer_configuration: NewerConfiguration::default(),
         state: Mutex::new(RoutingState {
             upstreams: Upstreams::default(),
             upstreams_known: false,
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -49,6 +49,7 @@
 use crate::codec;
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
+use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::peer_messages::Message;
 use crate::pending::PendingRequests;
@@ -71,6 +72,8 @@
     pub dialect: &'static Dialect,
     /// Configuration in force; absent until the first one has been read.
     pub configuration: ArcSwapOption<Configuration>,
+    /// What is known of newer configurations that the store lacks.
+    pub newer_configuration: NewerConfiguration,
     /// State that routing decisions are made from.
     pub state: Mutex<RoutingState>,
     /// UDP socket for messages between peers.
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -365,6 +365,9 @@
             return;
         }
     };
+    gateway
+        .newer_configuration
+        .record_stored(configuration.version);
     let current = gateway.configuration.load();
     let current = current.as_ref().map(|current| current.version);
     if current.is_some_and(|current| current >= configuration.version) {
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -90,6 +90,7 @@
     vec![
         report(2),
         parts(),
+        Message::UnstoredConfiguration(u64::MAX),
         limits(),
         Message::PermitAsk(PermitRequest {
             ticket: 10,
