Test fleets: probe ports without listening on them

It was seen twice today, in restored_store and in one of 180 runs of unframed_answers in three loops at once. The second kept its output: the gateway had exited, "can't bind client_address 127.0.0.1:24338: Address already in use".

Cause: a reservation probed its port with a listener. A process that another thread started at that moment inherited the listener and kept it until it ran its program, so that the owner of the port could come first and find it taken.

Why the fix works: the probe binds a socket and doesn't listen. Such a socket fails to bind beside a listener, so it finds as much, but hinders nobody else's bind. The lock on 127.0.0.2 may be inherited too, which only makes others take another port.

That rejected_requests_cost_nothing failed for the same reason is likely, not shown: its log is gone.

--- a/crates/dogwoodpier-fakes/src/fleet/ports.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/ports.rs
@@ -5,6 +5,7 @@
 use std::net::TcpListener;
 
 use rand::Rng;
+use tokio::net::TcpSocket;
 
 /// The range ends below the ports that the system uses for outgoing connections.
 const FIRST_PORT: u16 = 12_000;
@@ -33,8 +34,8 @@
             continue;
         };
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        match TcpListener::bind(address) {
-            Ok(_) => {
+        match probe(address) {
+            Ok(()) => {
                 return Ok(ReservedAddress {
                     address,
                     _lock: lock,
@@ -45,3 +46,11 @@
     }
     Err(last_error)
 }
+
+// Checks that no process listens on an address. The socket doesn't listen itself: a child process
+// that starts at this moment inherits it, and would keep the port from its owner for a moment.
+fn probe(address: SocketAddr) -> std::io::Result<()> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)
+}
