Register again when the store was restored from a copy

What was seen, in a test: after the store came back from a copy without the instances' registrations, it had none of them for more than 3 s.

Cause: a registration counted as stored once it had been acknowledged; its loss was noticed by a listing that may be seconds old, each 5 s, and evidence that the copy lacked wasn't noticed at all.

Why the fix works: a rise of the era makes each instance register again within 2 s, spread so that a fleet of hundreds stays within the store's writes. A registration that is there and the same costs one call.

--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -25,6 +25,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 // Changes of the quarantined parts come in series; one write covers those of this time.
 const CHANGE_PAUSE: Duration = Duration::from_millis(200);
+// Time over which the instances of a fleet register again after the store was restored, so that
+// they stay within the writes a second that it takes.
+const RESTORE_SPREAD_MS: u64 = 2_000;
 // Time without reports after which an instance's registration is removed. An instance that is alive
 // registers again.
 const REMOVE_SILENT_AFTER_MS: u64 = 60_000;
@@ -98,9 +101,10 @@
     }
 }
 
-/// Registers this instance, and registers it again whenever its registration has been removed or the
-/// evidence that it is to keep has changed.
+/// Registers this instance, and registers it again whenever its registration has been removed, the
+/// store was restored from a copy, or the evidence that the registration is to keep has changed.
 pub async fn run(gateway: SharedGateway) {
+    let mut eras = gateway.store.era();
     loop {
         let stored = loop {
             match register(&gateway).await {
@@ -112,11 +116,17 @@
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         };
+        eras.mark_unchanged();
         tokio::select! {
             () = gateway.registration_lost.notified() => {
                 // The listing may be older than the registration.
                 tokio::time::sleep(LISTING_INTERVAL).await;
             }
+            Ok(()) = eras.changed() => {
+                // All instances register again.
+                let spread_ms = rand::random_range(0..RESTORE_SPREAD_MS);
+                tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+            }
             () = evidence_differs(&gateway, &stored) => {}
         }
     }
