Count events only in streams of events

Events are counted only if the content type says that there are any.

Evidence: document_on_streaming_route_is_complete fails with the gateway before this commit (Cut) and passes; the other tests of its file and crashing_parts pass.

--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -47,6 +48,7 @@
 use crate::stream::Relay;
 use crate::stream::ResumeState;
 
+const EVENT_STREAM: &str = "text/event-stream";
 // Placements of one request, including those whose engines rejected it.
 const MAX_PLACEMENTS: u32 = 4;
 // Assumed time from a free slot to the first event, used before the first measurement.
@@ -427,7 +429,7 @@
         bytes: 0,
         last_chunk_ms: now,
         longest_gap_ms: 0,
-        events: is_event_stream(request, status).then(EventCounter::default),
+        events: is_event_stream(status, &headers).then(EventCounter::default),
         resume,
     };
     let mut response = Response::new(ResponseBody::streamed(relay.into_body()));
@@ -436,9 +438,11 @@
     Some(response)
 }
 
-fn is_event_stream(request: &ClientRequest, status: StatusCode) -> bool {
-    let is_streamed = matches!(request.route.retry_policy, RetryPolicy::Stream { .. });
-    is_streamed && status.is_success()
+fn is_event_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|content_type| content_type.to_str().ok());
+    status.is_success()
+        && content_type.is_some_and(|content_type| content_type.starts_with(EVENT_STREAM))
 }
 
 fn resumable(
--- a/crates/dogwoodpier-gateway/src/prompt_parts.rs
+++ b/crates/dogwoodpier-gateway/src/prompt_parts.rs
@@ -28,8 +28,8 @@
 // Crashes of other causes may account for two.
 const MIN_CRASHES: usize = 3;
 const MIN_REQUESTS: usize = 2;
-// Ten minutes: a part that was accused wrongly is used again in bearable time, and one that does
-// crash upstreams takes a few of them each time.
+// Ten minutes: long enough that a part which crashes upstreams takes few of them, and short enough
+// for one that happened to be in flight at several crashes.
 const CRASH_MS: u64 = 600_000;
 const COMMON_CAUSE_MS: u64 = 100;
 // Parts that most requests of a route share are answered several times meanwhile.
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -240,8 +240,8 @@
     prompt_parts::format_parts(&parts[parts.len().saturating_sub(MAX_LOGGED_PARTS)..])
 }
 
-/// Records that an upstream responded to a request: earlier crashes were not caused by it. Nor by
-/// the parts of its prompt, if the response has an answer that was written on them.
+/// Records that an upstream responded to a request, which therefore did not cause the earlier
+/// crashes. The parts of its prompt didn't either if the response has an answer.
 pub fn record_answer(gateway: &Gateway, request: &InFlight, has_answer: bool) {
     let fingerprint = request.content.fingerprint;
     if has_answer {
