--- a/crates/dogwoodpier-core/src/quarantine/prompt_parts.rs
+++ b/crates/dogwoodpier-core/src/quarantine/prompt_parts.rs
@@ -146,11 +146,16 @@
     }
 }
 
+impl Suspect {
+    fn has_all(&self, parts: &[u64]) -> bool {
+        parts.iter().all(|part| self.parts.contains(part))
+    }
+}
+
 impl Crash {
     fn supports(&self, parts: &[u64]) -> bool {
-        self.suspects
-            .values()
-            .any(|suspect| parts.iter().all(|part| suspect.parts.contains(part)))
+        let mut suspects = self.suspects.values();
+        suspects.any(|suspect| suspect.has_all(parts))
     }
 
     fn clear(&mut self, part: u64) {
@@ -271,9 +276,7 @@
     pub fn has_own_evidence(&self) -> bool {
         let is_own = |crash: &Crash, parts: &[u64]| {
             let mut suspects = crash.suspects.values();
-            suspects.any(|suspect| {
-                suspect.is_own && parts.iter().all(|part| suspect.parts.contains(part))
-            })
+            suspects.any(|suspect| suspect.is_own && suspect.has_all(parts))
         };
         self.quarantined
             .iter()
@@ -285,8 +288,7 @@
         let mut reports = Vec::new();
         for crash in &self.crashes {
             let suspects = crash.suspects.iter();
-            let suspects = suspects
-                .filter(|(_, suspect)| parts.iter().all(|part| suspect.parts.contains(part)));
+            let suspects = suspects.filter(|(_, suspect)| suspect.has_all(parts));
             // Prefers requests that are not among the reports yet, as several are required.
             let fingerprint = suspects
                 .map(|(fingerprint, _)| *fingerprint)
@@ -447,14 +449,9 @@
 
     // Returns the number of crashes, of which those close to each other count as one.
     fn count_failures(&self, crashes: &BTreeSet<usize>) -> usize {
-        let mut observed_ms: Vec<TimeMs> = crashes
-            .iter()
-            .map(|index| self.crashes[*index].observed_ms)
-            .collect();
-        observed_ms.sort_unstable();
         let mut count = 0;
         let mut next_ms = TimeMs(0);
-        for observed_ms in observed_ms {
+        for observed_ms in self.observed_times(crashes) {
             if observed_ms >= next_ms {
                 count += 1;
                 next_ms = observed_ms.after(self.settings.common_cause_ms);
@@ -464,17 +461,21 @@
     }
 
     fn quarantined_until(&self, crashes: &BTreeSet<usize>) -> TimeMs {
-        let mut observed_ms: Vec<TimeMs> = crashes
-            .iter()
-            .map(|index| self.crashes[*index].observed_ms)
-            .collect();
-        observed_ms.sort_unstable_by(|one, other| other.cmp(one));
-        let last_needed = observed_ms.get(self.settings.min_crashes - 1);
+        let observed_ms = self.observed_times(crashes);
+        let last_needed = observed_ms.iter().nth_back(self.settings.min_crashes - 1);
         last_needed
             .copied()
             .unwrap_or_default()
             .after(self.settings.crash_ms)
     }
+
+    // Returns when the crashes were observed, the earliest first.
+    fn observed_times(&self, crashes: &BTreeSet<usize>) -> Vec<TimeMs> {
+        let observed_ms = crashes.iter().map(|index| self.crashes[*index].observed_ms);
+        let mut observed_ms: Vec<TimeMs> = observed_ms.collect();
+        observed_ms.sort_unstable();
+        observed_ms
+    }
 }
 
 impl Crash {
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod reject;
 mod reload;
 pub mod request;
+pub mod seen_positions;
 pub mod server;
 pub mod settings;
 pub mod sse;
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -48,6 +48,7 @@
 use crate::readiness;
 use crate::registry;
 use crate::reload;
+use crate::seen_positions::SeenPositions;
 use crate::server;
 use crate::settings::Settings;
 use crate::state::Gateway;
@@ -173,7 +174,7 @@
         close_idle: Notify::new(),
         shutdown: Mutex::new(None),
         registration_lost: Notify::new(),
-        seen_positions: store::SeenPositions::default(),
+        seen_positions: SeenPositions::default(),
         peer_addresses: registry::PeerAddresses::default(),
         settings: ArcSwap::from_pointee(settings),
     }
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -57,8 +57,8 @@
 use crate::queues::Queues;
 use crate::registry::PeerAddresses;
 use crate::request::ClientRequest;
+use crate::seen_positions::SeenPositions;
 use crate::settings::Settings;
-use crate::store::SeenPositions;
 
 const MS_PER_S: f64 = 1_000.0;
 
