Handle the end of an answer before its last stated byte is sent

What callers saw: every answer of an engine that states its length cost a new connection to the engine for the next request, its end was missing in the log (`stream_ended`), and it acquitted neither its request nor the parts of its prompt.

Cause: the relay handles the end of an answer when it reads on after the last chunk. The server for clients forwards the engine's content-length and reads a body no further than that, so for these answers the relay is dropped before it reads the end.

Why this works: a body of stated length says with its last chunk that it has ended, so the relay checks for an early end and does its bookkeeping before it forwards that chunk. Streams that may be resumed are sent in chunks and are read to their end as before.

--- a/crates/dogwoodpier-fakes/src/respond.rs
+++ b/crates/dogwoodpier-fakes/src/respond.rs
@@ -46,6 +46,12 @@
     with_body(status, "text/plain", body)
 }
 
+/// Returns a successful answer that states the length of its body.
+pub fn sized(content_type: &'static str, body: String) -> Answer {
+    let body = Full::from(body).boxed_unsync_body();
+    with_body(StatusCode::OK, content_type, body)
+}
+
 /// Returns an answer whose body is streamed from a channel.
 pub fn stream(content_type: &'static str, chunks: mpsc::Receiver<BodyChunk>) -> Answer {
     let frames = ReceiverStream::new(chunks).map(|chunk| chunk.map(Frame::data));
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -10,6 +10,7 @@
 use futures_util::Stream;
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use thiserror::Error;
@@ -87,7 +88,7 @@
     pub in_flight: InFlight,
     /// Body of the engine's response.
     pub body: Incoming,
-    /// Returns the connection to the pool at the end.
+    /// Returns the connection to the pool at the end; absent after it.
     pub connection: Option<ConnectionReturn>,
     /// Load at the engine.
     pub guard: LoadGuard,
@@ -136,6 +137,9 @@
 
     async fn next(&mut self) -> Option<Result<Bytes, StreamCut>> {
         loop {
+            if self.is_finished() {
+                return None;
+            }
             let limit = Duration::from_millis(self.deadline_ms.remaining(clock::now()));
             let Ok(frame) = tokio::time::timeout(limit, self.body.frame()).await else {
                 self.log_end("deadline");
@@ -156,8 +160,16 @@
                         continue;
                     };
                     self.count_events(&data);
+                    // The server for clients reads a body no further than its stated length.
+                    let is_last = self.resume.is_none() && self.body.is_end_stream();
+                    if is_last && self.ends_early().await {
+                        continue;
+                    }
                     if let Some(chunk) = self.forwardable(data) {
                         self.record_chunk(chunk.len());
+                        if is_last {
+                            self.finish();
+                        }
                         return Some(Ok(chunk));
                     }
                 }
@@ -185,6 +197,10 @@
         None
     }
 
+    fn is_finished(&self) -> bool {
+        self.connection.is_none()
+    }
+
     // Returns whether a response that has ended without an error is incomplete.
     async fn ends_early(&self) -> bool {
         let events = self.events.as_ref();
