Try engines that failed again with another hold

What callers saw: a request whose reservation calls had failed at all engines of its pool, each once, was refused after a second (503 no_upstream), though the engines answered again at once.

Cause: a failed reservation call is followed by a cancel, as it may have taken effect, and engines refuse a cancelled hold for good. When no engine was left, the search allowed all of them again, but with the same hold.

Evidence: the new lost_reservations loses the answer to one reservation at each of two engines; on the code before the request is refused as no_upstream. Now it is placed. engine_memory, which watches what cancels leave behind, passes.

Why this works: the hold is replaced where the engines are allowed again. Nothing is queued under the old one then, and dropping it cancels and releases what it may still keep.

--- a/crates/dogwoodpier-fakes/src/engine/api.rs
+++ b/crates/dogwoodpier-fakes/src/engine/api.rs
@@ -147,6 +147,9 @@
         state.stats.peak_sequences = state.stats.peak_sequences.max(sequences);
         let capacity = self.options.max_pieces.saturating_sub(state.held_pieces());
         state.cache.shrink(capacity as usize);
+        if take_one(&mut state.faults.lose_reserve_answers) {
+            return Err(Cut);
+        }
         respond::json(StatusCode::OK, &serde_json::json!({}))
     }
 
--- a/crates/dogwoodpier-fakes/src/engine/faults.rs
+++ b/crates/dogwoodpier-fakes/src/engine/faults.rs
@@ -26,6 +26,8 @@
     pub lose_cancels: u32,
     /// Number of next cancels that are applied; their connection is closed without an answer.
     pub lose_cancel_answers: u32,
+    /// Number of next reservations that are made; their connection is closed without an answer.
+    pub lose_reserve_answers: u32,
 }
 
 impl Default for EngineFaults {
@@ -41,6 +43,7 @@
             cut_streams: 0,
             lose_cancels: 0,
             lose_cancel_answers: 0,
+            lose_reserve_answers: 0,
         }
     }
 }
--- a/crates/dogwoodpier-node/src/pipeline/queue.rs
+++ b/crates/dogwoodpier-node/src/pipeline/queue.rs
@@ -122,7 +122,7 @@
                 if now >= no_engine_deadline_ms {
                     return Err(no_engine_refusal());
                 }
-                self.excluded.clear();
+                self.retry_excluded();
                 tokio::time::sleep(POLL_INTERVAL).await;
                 continue;
             }
@@ -148,6 +148,15 @@
         }
     }
 
+    // Allows the engines that failed to be tried again, with another hold: they refuse one that was
+    // cancelled.
+    fn retry_excluded(&mut self) {
+        if !self.excluded.is_empty() {
+            self.excluded.clear();
+            self.hold = Hold::begin(self.node);
+        }
+    }
+
     fn rank_engines(&self) -> Vec<DecodeHint> {
         let mut hints = self.node.upstreams.decode_hints(&self.request.pool);
         hints.retain(|hint| {
