Keep what is known of a request's execution when its retries end

What callers saw: an idempotent request that had run at one upstream (an answer 500) and crashed the next one was refused with execution `unknown` and reason `quarantined`, and if its turn was taken, only after it had waited for one that it couldn't use any more.

Cause: with_retries passed the quarantine again after the last attempt too, and returned that refusal in place of what the attempts had shown.

Why this works: the quarantine is passed only if another attempt follows, and a refusal there is merged with the earlier failures as two failures are: the later reason, the more certain execution.

--- a/crates/dogwoodpier-node/src/pipeline/dispatch.rs
+++ b/crates/dogwoodpier-node/src/pipeline/dispatch.rs
@@ -79,23 +79,27 @@
     permit: &mut RunPermit,
 ) -> Result<ServiceReply, Failure> {
     let mut last_failure = no_upstream(route);
-    let services = node.upstreams.services(&route.pool);
+    let mut services = node.upstreams.services(&route.pool);
+    services.truncate(MAX_ATTEMPTS);
     let count = services.len();
-    for (index, service) in services.into_iter().take(MAX_ATTEMPTS).enumerate() {
+    for (index, service) in services.into_iter().enumerate() {
+        let is_last = index + 1 == count;
         // Each attempt has its own id, which distinguishes its answer from a late one to an earlier
         // attempt.
         let id = format!("{}-{index}", request.id);
         match call(node, &service, request, route, &id, permit).await {
             Err(failure) => last_failure = merge_failures(last_failure, failure),
-            Ok(reply) if reply.status.is_server_error() && index + 1 < count.min(MAX_ATTEMPTS) => {
+            Ok(reply) if reply.status.is_server_error() && !is_last => {
                 last_failure.execution = Execution::Ran;
             }
             Ok(reply) => return Ok(reply),
         }
-        if clock::now() >= request.deadline_ms {
+        if is_last || clock::now() >= request.deadline_ms {
             break;
         }
-        readmit(node, request, permit).await?;
+        if let Err(failure) = readmit(node, request, permit).await {
+            return Err(merge_failures(last_failure, failure));
+        }
     }
     Err(last_failure)
 }
