Say `unknown` of an order whose key came with another one

What callers saw: an order that was changed on the way (a time in its body, say) and sent again with the same idempotency key was refused as claim_mismatch with execution `not-run`. docs/ORDERS.md says that `not-run` speaks of the key, and that its reader may send the order under another key; the order before the change may have run, so it would run twice.

Cause: the refusal spoke of the one request that was refused, unlike all others of orders with a key.

Evidence: order_delivery, changed_order_with_used_key_is_not_reported_as_not_run: "not-run" on the code before. order_claims knows orders that share a key now and checks that none is told the outcome of another: without the comparison of fingerprints in the table (mutation) it fails ("attempt 3 was told the outcome of another order with key 1").

Why this works: the answer is `unknown`, as for a key whose order may run, and the message says that this request was not sent.

--- a/crates/dogwoodpier-core/tests/claim_fleet/messages.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/messages.rs
@@ -7,7 +7,7 @@
 use dogwoodpier_core::claims::GroupWrite;
 use dogwoodpier_core::claims::RecordState;
 
-use super::FINGERPRINT;
+use super::FINGERPRINTS;
 use super::Fleet;
 use super::WINDOW_MS;
 use super::key;
@@ -100,7 +100,7 @@
         let order_attempt = &self.attempts[attempt];
         let claim_attempt = ClaimAttempt {
             key: key(order_attempt.key),
-            fingerprint: FINGERPRINT,
+            fingerprint: fingerprint(attempt),
             attempt_id: order_attempt.attempt.attempt_id,
         };
         let Some(tenure) = &mut self.nodes[to].tenure else {
@@ -147,6 +147,7 @@
                 never_dispatched: true,
                 ..
             } => self.check_not_run(attempt),
+            ClaimDecision::Recorded(_) => self.check_recorded(attempt),
             _ => {}
         }
     }
@@ -182,4 +183,20 @@
             "attempt {attempt} was told never_dispatched after dispatch {ran:?}"
         );
     }
+
+    // Checks that an attempt is told only the outcome of the same order.
+    pub(super) fn check_recorded(&self, attempt: usize) {
+        let key = self.attempts[attempt].key;
+        let mut dispatches = self.dispatches.iter();
+        let is_same = |other: usize| fingerprint(other) == fingerprint(attempt);
+        assert!(
+            dispatches.any(|(other_key, other, _)| *other_key == key && is_same(*other)),
+            "attempt {attempt} was told the outcome of another order with key {key}"
+        );
+    }
+}
+
+// Returns the fingerprint of an attempt's order. Some callers use a key for two orders.
+fn fingerprint(attempt: usize) -> u64 {
+    FINGERPRINTS[attempt % FINGERPRINTS.len()]
 }
--- a/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
+++ b/crates/dogwoodpier-core/tests/claim_fleet/mod.rs
@@ -25,7 +25,8 @@
 pub const NODES: usize = 3;
 /// Number of idempotency keys.
 pub const KEYS: usize = 2;
-const FINGERPRINT: u64 = 7;
+// By the number of an attempt.
+const FINGERPRINTS: [u64; 5] = [7, 7, 7, 8, 7];
 /// Length of the standby's promise.
 pub const PROMISE_MS: u64 = 3_000;
 const CALL_TIMEOUT_MS: u64 = 1_000;
--- a/crates/dogwoodpier-node/src/claims/requester.rs
+++ b/crates/dogwoodpier-node/src/claims/requester.rs
@@ -266,9 +266,10 @@
             "a request with this idempotency key is running or its outcome is unknown",
         )
         .retry_after(RETRY_AFTER_MS),
-        ClaimVerdict::Mismatch => Refusal::not_run(
+        ClaimVerdict::Mismatch => Refusal::new(
             RefusalReason::ClaimMismatch,
-            "this idempotency key came with another request before",
+            Execution::Unknown,
+            "this request was not sent, but another one with this idempotency key may have run",
         ),
         _ => Refusal::new(
             RefusalReason::ClaimUnavailable,
--- a/crates/dogwoodpier-node/tests/order_delivery.rs
+++ b/crates/dogwoodpier-node/tests/order_delivery.rs
@@ -66,8 +66,12 @@
 }
 
 async fn order(fleet: &Fleet, node: &str, number: usize) -> PlainAnswer {
+    order_with_key(fleet, node, number, number).await
+}
+
+async fn order_with_key(fleet: &Fleet, node: &str, number: usize, key: usize) -> PlainAnswer {
     let caller = TestClient::new(fleet.node(node).caller_address, Some(EXAMPLE_ORDER_KEY));
-    let key = format!("order-{number}");
+    let key = format!("order-{key}");
     let body = Bytes::from(format!("{{\"order\":{number}}}"));
     let headers = [("idempotency-key", key.as_str())];
     let answer = caller.call(Method::POST, "/orders", &headers, body).await;
@@ -171,6 +175,20 @@
     assert_each_ran_once(&fleet, 1).await;
 }
 
+// A caller that changes an order on the way and repeats it must not take it for one that hasn't run.
+#[tokio::test]
+async fn changed_order_with_used_key_is_not_reported_as_not_run() {
+    let fleet = start().await;
+    let first = order(&fleet, "node-1", 0).await;
+    assert_eq!(first.status, StatusCode::OK);
+    let changed = order_with_key(&fleet, "node-2", 1, 0).await;
+    assert_eq!(
+        (changed.status, execution(&changed)),
+        (StatusCode::UNPROCESSABLE_ENTITY, "unknown")
+    );
+    assert_each_ran_once(&fleet, 1).await;
+}
+
 #[tokio::test]
 async fn order_that_reached_no_service_can_be_repeated() {
     let mut fleet = start().await;
