Tell a version that is gone from one that can't be read

What operators saw: in a conflict, "Version 1 is not kept any more" whatever kept its changes from being shown, a version of a newer program and an outage of the platform included.

Cause: the error of the comparison was dropped (`.ok()`).

Evidence: the new conflict_messages on the code before: an unreadable version and a platform that is away were told as not kept (2 of 3 failed, the third is the case in which the message was right). All pass now, and apply_race with them.

--- a/crates/dogwoodpier-ctl/src/apply.rs
+++ b/crates/dogwoodpier-ctl/src/apply.rs
@@ -210,10 +210,8 @@
         .await?
         .map(|current| current.root);
     let changes = match &current {
-        Some(current) => changes_since(client, request.expect_version, current)
-            .await
-            .ok(),
-        None => None,
+        Some(current) => changes_since(client, request.expect_version, current).await,
+        None => Ok(Vec::new()),
     };
     Ok(Error::Conflict(Box::new(Conflict {
         expected: request.expect_version,
--- a/crates/dogwoodpier-ctl/src/error.rs
+++ b/crates/dogwoodpier-ctl/src/error.rs
@@ -82,8 +82,8 @@
     pub expected: u64,
     /// Root in force, absent if there is none.
     pub current: Option<Root>,
-    /// Changes from the version read to the one in force, absent if either can't be read.
-    pub changes: Option<Vec<Change>>,
+    /// Changes from the version read to the one in force, or why they can't be told.
+    pub changes: Result<Vec<Change>>,
     /// Whether this write was in force before another one replaced it.
     pub was_in_force: bool,
 }
@@ -104,14 +104,30 @@
             self.expected, current.generation, current.author, current.message
         )?;
         match &self.changes {
-            Some(changes) if changes.is_empty() => writeln!(formatter, "No field differs.")?,
-            Some(changes) => {
+            Ok(changes) if changes.is_empty() => writeln!(formatter, "No field differs.")?,
+            Ok(changes) => {
                 writeln!(formatter, "What changed meanwhile:")?;
                 for change in changes {
                     writeln!(formatter, "  {change}")?;
                 }
             }
-            None => writeln!(formatter, "Version {} is not kept any more.", self.expected)?,
+            Err(Error::NoVersion(version)) => {
+                writeln!(formatter, "Version {version} is not kept any more.")?;
+            }
+            Err(Error::Stored(cause @ StorageError::Missing(_))) => {
+                writeln!(
+                    formatter,
+                    "What changed meanwhile is not kept any more: {cause}"
+                )?;
+            }
+            Err(Error::Platform(cause)) => {
+                writeln!(
+                    formatter,
+                    "What changed meanwhile can't be read now: {cause}"
+                )?;
+            }
+            Err(Error::Stored(cause)) => write_unreadable(formatter, cause)?,
+            Err(cause) => write_unreadable(formatter, cause)?,
         }
         if self.was_in_force {
             return write!(
@@ -128,3 +144,10 @@
         )
     }
 }
+
+fn write_unreadable(formatter: &mut fmt::Formatter<'_>, cause: &dyn fmt::Display) -> fmt::Result {
+    writeln!(
+        formatter,
+        "What changed meanwhile is stored, but unreadable: {cause}"
+    )
+}
