Count the node's calls to the platform

What operators saw: dogwoodpier_platform_calls_total was named in the code and never written, though the client counts each call by operation and result.

Change: the page of metrics writes the client's counts. Evidence: the new platform_calls finds no such line on the code before; now it finds calls of each operation, and failed ones in an outage of the stand-in.

--- a/crates/dogwoodpier-node/src/servers/operators.rs
+++ b/crates/dogwoodpier-node/src/servers/operators.rs
@@ -20,6 +20,7 @@
 use dogwoodpier_process::recorder;
 
 use crate::clock;
+use crate::counters;
 use crate::state::Node;
 use crate::state::SharedNode;
 
@@ -103,7 +104,16 @@
 
 /// Returns all metrics.
 #[endpoint { method = GET, path = "/metrics" }]
-async fn metrics(_context: RequestContext<SharedNode>) -> Result<Response<Body>, HttpError> {
+async fn metrics(context: RequestContext<SharedNode>) -> Result<Response<Body>, HttpError> {
+    for count in context.context().platform.call_counts() {
+        let operation = count.operation.as_str();
+        ::metrics::counter!(
+            counters::PLATFORM_CALLS_TOTAL,
+            "operation" => operation,
+            "result" => count.result,
+        )
+        .absolute(count.calls);
+    }
     answer(StatusCode::OK, METRICS_TEXT, recorder::render())
 }
 
