Prompt parts: look at the table before the fleet, and copy no sets

Each answered stream copied the quarantined sets twice to see whether they had changed, and each heartbeat and each check of the registration ranked all members for the owner of the quarantine, though there is hardly ever anything to tell.

Change: the table hands out its sets as one shared slice, replaced when it changes, and the owner is looked up only if there is evidence.

--- a/crates/dogwoodpier-core/src/quarantine/prompt_parts.rs
+++ b/crates/dogwoodpier-core/src/quarantine/prompt_parts.rs
@@ -13,6 +13,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use dogwoodpier_derive::plain;
 use dogwoodpier_derive::wire;
@@ -90,7 +91,7 @@
     answered: AnsweredParts,
     // Recent own answers that have cleared parts.
     own_answers: Vec<(u64, TimeMs)>,
-    quarantined: Vec<QuarantinedParts>,
+    quarantined: Arc<[QuarantinedParts]>,
 }
 
 #[plain]
@@ -173,7 +174,7 @@
             crashes: Vec::new(),
             answered: AnsweredParts::default(),
             own_answers: Vec::new(),
-            quarantined: Vec::new(),
+            quarantined: Arc::default(),
         }
     }
 
@@ -220,7 +221,7 @@
     }
 
     /// Returns all quarantined parts.
-    pub fn quarantined(&self) -> &[QuarantinedParts] {
+    pub fn quarantined(&self) -> &Arc<[QuarantinedParts]> {
         &self.quarantined
     }
 
@@ -400,7 +401,7 @@
             unexplained.retain(|index| !self.crashes[*index].supports(&set.parts));
             quarantined.push(set);
         }
-        self.quarantined = quarantined;
+        self.quarantined = quarantined.into();
     }
 
     fn find_cause(&self, unexplained: &[usize]) -> Option<QuarantinedParts> {
--- a/crates/dogwoodpier-gateway/src/prompt_parts.rs
+++ b/crates/dogwoodpier-gateway/src/prompt_parts.rs
@@ -190,15 +190,14 @@
 /// Returns the report to send with a heartbeat, if there is anything to tell.
 pub fn recent_report(gateway: &Gateway) -> Option<PartReport> {
     let now = clock::now();
-    let repeats_evidence = owners::is_local(gateway, OWNED_NAME);
-    let (mut crashes, answers) = update(gateway, |table| {
+    let (mut crashes, answers, evidence) = update(gateway, |table| {
         table.expire(now);
-        let mut crashes = table.recent_crashes(now);
-        if repeats_evidence {
-            crashes.extend(table.evidence(now));
-        }
-        (crashes, table.recent_answers(now))
+        let crashes = table.recent_crashes(now);
+        (crashes, table.recent_answers(now), table.evidence(now))
     });
+    if !evidence.is_empty() && owners::is_local(gateway, OWNED_NAME) {
+        crashes.extend(evidence);
+    }
     if crashes.is_empty() && answers.is_empty() {
         return None;
     }
@@ -211,14 +210,16 @@
 /// Returns the evidence that this instance keeps in its registration: against parts whose crashes it
 /// has seen itself, and against all if it owns the quarantine.
 pub fn stored_evidence(gateway: &Gateway) -> Vec<StoredCrash> {
-    let is_owner = owners::is_local(gateway, OWNED_NAME);
-    let table = gateway.quarantine.parts.lock();
-    if !is_owner && !table.has_own_evidence() {
+    let (evidence, is_own) = {
+        let table = gateway.quarantine.parts.lock();
+        (table.evidence(clock::now()), table.has_own_evidence())
+    };
+    if evidence.is_empty() || (!is_own && !owners::is_local(gateway, OWNED_NAME)) {
         return Vec::new();
     }
     let unix_ms = unix_now_ms();
-    let evidence = table.evidence(clock::now()).into_iter();
     evidence
+        .into_iter()
         .map(|crash| StoredCrash {
             crash_id: format!("{:x}", crash.crash_id),
             fingerprint: format!("{:x}", crash.fingerprint),
@@ -270,9 +271,9 @@
 fn update<R>(gateway: &Gateway, change: impl FnOnce(&mut PartTable) -> R) -> R {
     let parts = &gateway.quarantine.parts;
     let mut table = parts.lock();
-    let before = table.quarantined().to_vec();
+    let before = table.quarantined().clone();
     let result = change(&mut table);
-    let after = table.quarantined().to_vec();
+    let after = table.quarantined().clone();
     drop(table);
     if before != after {
         log_changes(gateway, &before, &after);
