Turn from a broker that never decides on a request

What callers saw, in a test: no answer within their deadline. A broker that answers each message with "still waiting" kept a request of another instance for as long as its client stayed; the request's own time in the queue bounded nothing there.

Cause: the instance that asks takes any answer for a sign of life, and leaves the end of the wait to the broker alone. A decision that has failed at the broker (its task ended by an error) is told as waiting for ever.

Evidence: broker_faults, a broker that always lets requests wait: "no answer in time" after 3.5 s on the code before. Now the request is placed by its own instance once its time in the queue and 100 ms for a verdict under way are over (answered 200 in the test), and the broker is avoided for a while like one that doesn't answer. The two other tests of the file pass. Found while a test for waiting requests was written.

--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -40,6 +40,8 @@
 const MAX_UNANSWERED_BROKER_REQUESTS: u32 = 3;
 // Time between two messages while a request waits in a broker's queue.
 const QUEUED_POLL_INTERVAL: Duration = Duration::from_millis(250);
+// Time after the end of a request's wait within which the verdict of its broker arrives.
+const VERDICT_MARGIN_MS: u64 = 100;
 // Calls to brokers for one request, answered or not, before the instance places it itself.
 const MAX_BROKER_CALLS: usize = 4;
 // Time for which the verdict on a request is kept, for repeated messages.
@@ -230,7 +232,7 @@
 // How a request to a broker ended.
 enum BrokerReply {
     Decided(Result<Placement, Refusal>),
-    // The broker did not answer.
+    // The broker did not answer, or has not decided in time.
     NoAnswer,
     // This instance can't use the granted decode engine or the granted prefill engine. Holds the
     // decode engine.
@@ -253,6 +255,7 @@
         decided: false,
     };
     let instance = gateway.settings.load().instance.clone();
+    let verdict_deadline_ms = request.queue_deadline_ms.after(VERDICT_MARGIN_MS);
     let mut unanswered = 0;
     let mut timeout = ANSWER_TIMEOUT;
     while unanswered < MAX_UNANSWERED_BROKER_REQUESTS {
@@ -278,6 +281,9 @@
         };
         gateway.send_message(broker, &Message::Ask(message));
         match tokio::time::timeout(timeout, verdicts.recv()).await {
+            Ok(Some(PlacementVerdict::Waiting)) if clock::now() >= verdict_deadline_ms => {
+                return BrokerReply::NoAnswer;
+            }
             Ok(Some(PlacementVerdict::Waiting)) => {
                 unanswered = 0;
                 timeout = QUEUED_POLL_INTERVAL;
