Reject a waiting request as soon as it is quarantined

What callers saw, in a test: a request that waited for an engine when its last crash was reported waited on, to the end of its time in the queue, or until it got a slot that it could not use and that a sound request lacked meanwhile.

Cause: the quarantine was asked before and after the wait only.

Why this works: each new crash and each change of the quarantined parts notifies those who wait for a placement, a permit or a resume, and each looks whether it is meant. The registration follows the same notice; it compares before it waits now, so that a change during its own write isn't missed.

--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -153,7 +153,12 @@
         returned: true,
         ..slot_request(gateway, request, &progress)
     };
-    let placement = broker::place(gateway, slot_request).await.ok()?;
+    let placement = broker::place(gateway, slot_request);
+    let placement = gateway
+        .quarantine
+        .unless_quarantined(&request.content, placement)
+        .await?
+        .ok()?;
     let names = &gateway.dialect.headers;
     let extra_headers = last_event.map(|last| (names.last_event_id.clone(), last));
     let extra_headers = extra_headers.into_iter().collect();
@@ -221,14 +226,19 @@
         if backoff_ms > slot_request.queue_deadline_ms.remaining(started_ms) {
             return Err(reject(request, &progress, backoff_ms));
         }
-        let placement = broker::place(gateway, slot_request).await;
+        let placement = broker::place(gateway, slot_request);
+        let placement = gateway
+            .quarantine
+            .unless_quarantined(&request.content, placement)
+            .await;
         let waited_ms = clock::now().since(started_ms);
         metrics::histogram!(counters::WAIT_MS).record(waited_ms as f64);
         let placement = match placement {
-            Ok(placement) => placement,
-            Err(refusal) => {
+            Some(Ok(placement)) => placement,
+            Some(Err(refusal)) => {
                 return Err(reject(request, &progress, refusal.retry_after_ms));
             }
+            None => break,
         };
         progress.failed_engine = Some(placement.decode.upstream().id.clone());
         if let Some(response) = run(gateway, request, placement, &mut progress).await {
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -79,12 +79,20 @@
 ) -> Result<Response<ResponseBody>, Rejection> {
     let mut progress = Progress::default();
     loop {
-        let (guard, permit) = match select_permitted(gateway, request, &progress.tried).await {
-            Ok(selected) => selected,
-            Err(NotSelected {
+        let selected = gateway
+            .quarantine
+            .unless_quarantined(
+                &request.content,
+                select_permitted(gateway, request, &progress.tried),
+            )
+            .await;
+        let (guard, permit) = match selected {
+            Some(Ok(selected)) => selected,
+            Some(Err(NotSelected {
                 reason,
                 retry_after_ms,
-            }) => return finish(gateway, request, progress, reason, retry_after_ms),
+            })) => return finish(gateway, request, progress, reason, retry_after_ms),
+            None => return finish(gateway, request, progress, Reason::NotRun, NOT_RUN_RETRY_MS),
         };
         progress.attempts.sends += 1;
         progress.tried.push(guard.upstream().id.clone());
--- a/crates/dogwoodpier-gateway/src/prompt_parts.rs
+++ b/crates/dogwoodpier-gateway/src/prompt_parts.rs
@@ -9,8 +9,6 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use tokio::sync::Notify;
-
 use dogwoodpier_core::quarantine::PartAnswer;
 use dogwoodpier_core::quarantine::PartCrash;
 use dogwoodpier_core::quarantine::PartSettings;
@@ -51,8 +49,6 @@
 /// Crashes of upstreams that were beginning to answer requests, by the parts of their prompts.
 pub struct PromptParts {
     table: Mutex<PartTable>,
-    /// Signals that the quarantined parts have changed.
-    pub changed: Notify,
 }
 
 /// Evidence against parts of prompts, from one instance to another.
@@ -107,7 +103,6 @@
         };
         Self {
             table: Mutex::new(PartTable::new(settings)),
-            changed: Notify::new(),
         }
     }
 }
@@ -278,7 +273,7 @@
     if before != after {
         log_changes(gateway, &before, &after);
         metrics::gauge!(counters::QUARANTINED_PARTS).set(after.len() as f64);
-        parts.changed.notify_one();
+        gateway.quarantine.signal_change();
     }
     result
 }
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -10,6 +10,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_core::quarantine::Crash;
 use dogwoodpier_core::quarantine::PROBE_MS;
@@ -47,6 +49,7 @@
     suspects: Mutex<SuspectTable>,
     /// The same by the parts of their prompts.
     pub parts: PromptParts,
+    changes: watch::Sender<()>,
 }
 
 impl Default for Quarantine {
@@ -62,6 +65,7 @@
         Self {
             suspects: Mutex::new(SuspectTable::new(settings)),
             parts: PromptParts::default(),
+            changes: watch::Sender::default(),
         }
     }
 }
@@ -95,6 +99,34 @@
         self.retry_after_ms(content).is_some()
     }
 
+    /// Waits for `placement`, or returns `None` as soon as the request must not be sent to any
+    /// upstream.
+    pub async fn unless_quarantined<P>(
+        &self,
+        content: &RequestContent,
+        placement: P,
+    ) -> Option<P::Output>
+    where
+        P: Future,
+    {
+        let mut changes = self.changes();
+        tokio::select! {
+            placement = placement => Some(placement),
+            Ok(_) = changes.wait_for(|()| self.is_quarantined(content)) => None,
+        }
+    }
+
+    /// Returns a receiver that is notified of each new crash and each change of the quarantined parts.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    /// Notifies those who wait that other requests may be quarantined than before. Must be called without a lock on the
+    /// tables, which those who wait look at.
+    pub fn signal_change(&self) {
+        self.changes.send_replace(());
+    }
+
     /// Returns the rejection of a quarantined request, or `None` if the request is not quarantined.
     pub fn rejection(&self, content: &RequestContent) -> Option<Rejection> {
         self.retry_after_ms(content)
@@ -218,6 +250,7 @@
     let Some(update) = update else {
         return;
     };
+    gateway.quarantine.signal_change();
     metrics::counter!(counters::CRASHES_TOTAL).increment(1);
     broadcast(gateway, update);
     gateway.events.write(
@@ -270,6 +303,7 @@
     for update in updates {
         let changed = gateway.quarantine.lock().handle_update(*update, now);
         if changed {
+            gateway.quarantine.signal_change();
             log_update(gateway, *update);
         }
     }
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -134,20 +134,19 @@
 
 // Waits until the registration is to keep other evidence than `stored`.
 async fn evidence_differs(gateway: &Gateway, stored: &[StoredCrash]) {
-    let mut is_same = true;
-    while is_same {
-        let changed = gateway.quarantine.parts.changed.notified();
+    let mut changes = gateway.quarantine.changes();
+    let is_stored = |current: &[StoredCrash]| {
+        let mut pairs = stored.iter().zip(current);
+        stored.len() == current.len() && pairs.all(|(one, other)| one.is_same_crash(other))
+    };
+    while is_stored(&prompt_parts::stored_evidence(gateway)) {
         // Another instance may be the owner of the quarantine by then.
-        if tokio::time::timeout(LISTING_INTERVAL, changed)
+        if tokio::time::timeout(LISTING_INTERVAL, changes.changed())
             .await
             .is_ok()
         {
             tokio::time::sleep(CHANGE_PAUSE).await;
         }
-        let current = prompt_parts::stored_evidence(gateway);
-        let mut pairs = stored.iter().zip(&current);
-        is_same =
-            stored.len() == current.len() && pairs.all(|(one, other)| one.is_same_crash(other));
     }
 }
 
