A coordinator grants engines that only it has lost

Cause, by a trace of the search: 24 times in 500 ms the coordinator of both engines, a peer, answered that there is no engine, since its own connections had gone silent and it waited for a load report. The node that asked had reached both engines meanwhile. The class: what one machine can't reach is taken for gone.

Why this works: the coordinator denies engines that have left the platform's list or are leaving. Whether an engine can be reached is for the node that uses it, as it is already if the coordinator can't be reached.

--- a/crates/dogwoodpier-fakes/src/fleet/node.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/node.rs
@@ -81,8 +81,8 @@
              peer_address = \"{peer_address}\"\n\
              advertised_peer_address = \"{advertised_address}\"\n\
              platform_address = \"{platform_address}\"\n\
-             {extra_settings}\n",
-            plan.name, plan.data_centre,
+             {extra_settings}\n{}\n",
+            plan.name, plan.data_centre, plan.settings,
         );
         let settings_file = directory.join(format!("{}.toml", plan.name));
         std::fs::write(&settings_file, settings)?;
--- a/crates/dogwoodpier-fakes/src/fleet/plan.rs
+++ b/crates/dogwoodpier-fakes/src/fleet/plan.rs
@@ -50,6 +50,8 @@
     pub name: String,
     /// Data centre.
     pub data_centre: String,
+    /// TOML that is appended to the node's settings, after that of the fleet.
+    pub settings: String,
 }
 
 /// An upstream of a fleet.
@@ -88,6 +90,7 @@
             .map(|number| NodePlan {
                 name: format!("node-{}", number + 1),
                 data_centre: format!("dc-{}", number % data_centres.max(1) + 1),
+                settings: String::new(),
             })
             .collect();
         Self {
--- a/crates/dogwoodpier-node/src/coordinator/mod.rs
+++ b/crates/dogwoodpier-node/src/coordinator/mod.rs
@@ -83,7 +83,8 @@
         let Some(reservation) = parse_request(&request, now) else {
             return ReserveReply::default();
         };
-        if !node.upstreams.is_available(&request.engine) {
+        // An engine that this node can't reach may still be reached by the one that asks.
+        if !node.upstreams.accepts_work(&request.engine) {
             return reply(ReserveVerdict::NoEngine, 0, EngineCapacity::default());
         }
         let Some(capacity) = node.upstreams.capacity(&request.engine) else {
--- a/crates/dogwoodpier-node/src/upstreams/directory.rs
+++ b/crates/dogwoodpier-node/src/upstreams/directory.rs
@@ -129,9 +129,10 @@
         self.entries.get(name)?.engine()
     }
 
-    /// Returns whether an upstream may get new requests.
-    pub fn is_available(&self, name: &str) -> bool {
-        self.entries.get(name).is_some_and(Entry::is_available)
+    /// Returns whether an upstream accepts new requests according to the platform, whether this node
+    /// reaches it or not.
+    pub fn accepts_work(&self, name: &str) -> bool {
+        self.entries.get(name).is_some_and(Entry::accepts_work)
     }
 
     /// Returns the available services of a pool, in random order.
@@ -382,9 +383,11 @@
     }
 
     fn is_available(&self) -> bool {
-        self.healthy
-            && self.unlisted_since_ms.is_none()
-            && self.instance.state == InstanceState::Live
+        self.healthy && self.accepts_work()
+    }
+
+    fn accepts_work(&self) -> bool {
+        self.unlisted_since_ms.is_none() && self.instance.state == InstanceState::Live
     }
 
     fn capacity(&self) -> Option<EngineCapacity> {
--- a/crates/dogwoodpier-node/src/upstreams/mod.rs
+++ b/crates/dogwoodpier-node/src/upstreams/mod.rs
@@ -70,9 +70,10 @@
         self.directory().engine(name)
     }
 
-    /// Returns whether an upstream may get new requests.
-    pub fn is_available(&self, name: &str) -> bool {
-        self.directory().is_available(name)
+    /// Returns whether an upstream accepts new requests according to the platform, whether this node
+    /// reaches it or not.
+    pub fn accepts_work(&self, name: &str) -> bool {
+        self.directory().accepts_work(name)
     }
 
     /// Returns load hints of the available decode engines of a pool.
