Count the wait for an engine from the moment there is none

What callers saw: a stream whose engine stopped to answer was given up, no_upstream, as soon as the next engine's reservation call had timed out, though both answered again soon after.

Cause: the second that a search waits for an engine began with the search. A call to an engine that doesn't answer takes just that second, so no time was left for the other engines.

Evidence: the new test in lost_reservations, engines that don't answer for 1.2 s while a stream runs: failed 3 of 3 on the code before ("no engine of the model's pool can take the request"), passed 5 of 5 now.

--- a/crates/dogwoodpier-node/src/pipeline/queue.rs
+++ b/crates/dogwoodpier-node/src/pipeline/queue.rs
@@ -106,7 +106,8 @@
 
 impl Search<'_> {
     async fn run(&mut self) -> Result<Arc<str>, Refusal> {
-        let no_engine_deadline_ms = clock::now().after(NO_ENGINE_TIMEOUT_MS);
+        // Calls to engines that don't answer must not use up the time to wait for others.
+        let mut no_engine_deadline_ms = None;
         let mut shortest_wait_ms = u64::MAX;
         loop {
             let now = clock::now();
@@ -119,7 +120,9 @@
                     return Err(overloaded_refusal(shortest_wait_ms));
                 }
                 self.refuse_too_large()?;
-                if now >= no_engine_deadline_ms {
+                let no_engine_deadline_ms =
+                    no_engine_deadline_ms.get_or_insert_with(|| now.after(NO_ENGINE_TIMEOUT_MS));
+                if now >= *no_engine_deadline_ms {
                     return Err(no_engine_refusal());
                 }
                 self.retry_excluded();
--- a/crates/dogwoodpier-node/tests/lost_reservations.rs
+++ b/crates/dogwoodpier-node/tests/lost_reservations.rs
@@ -1,16 +1,67 @@
-//! Engines make reservations, but the answers are lost. A request whose reservations have all failed
+//! Reservations fail: engines make them and the answers are lost, or they don't answer. A request whose reservations have all failed
 //! is placed once an engine answers again: engines refuse a hold that was cancelled, so it needs
 //! another one.
 
 #[allow(dead_code)]
 mod models;
 
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
 use dogwoodpier_fakes::engine::EngineFaults;
+use dogwoodpier_fakes::engine::text::expected_answer;
 use dogwoodpier_fakes::fleet::Fleet;
 
 use crate::models::DECODE_ENGINES;
 use crate::models::completion;
 
+const PROGRESS_TIMEOUT: &str = "progress_timeout_ms = 500";
+const TOKENS: u64 = 200;
+// Tokens that the caller has when the engines stop to answer.
+const TOKENS_BEFORE_HANG: usize = 5;
+// More than the timeout of a call to an engine.
+const HANG_TIME: Duration = Duration::from_millis(1_200);
+
+async fn set_faults(fleet: &Fleet, faults: &EngineFaults) {
+    for engine in DECODE_ENGINES {
+        let set = fleet.set_faults(engine, faults).await;
+        set.expect("the engine answers");
+    }
+}
+
+#[tokio::test]
+async fn stream_is_resumed_after_reservations_without_answer() {
+    let mut plan = models::plan(1);
+    plan.declarations = plan
+        .declarations
+        .replace("progress_timeout_ms = 5_000", PROGRESS_TIMEOUT);
+    let fleet = Fleet::start(plan).await.expect("the fleet starts");
+    let begun = Notify::new();
+    let caller = models::caller(&fleet, 0);
+    let request = completion("tender", TOKENS);
+    let stream = caller.complete_with(&request, |tokens| {
+        if tokens == TOKENS_BEFORE_HANG {
+            begun.notify_one();
+        }
+        true
+    });
+    let hang = async {
+        begun.notified().await;
+        let hang = EngineFaults {
+            hang: true,
+            ..EngineFaults::default()
+        };
+        set_faults(&fleet, &hang).await;
+        tokio::time::sleep(HANG_TIME).await;
+        set_faults(&fleet, &EngineFaults::default()).await;
+    };
+    let (answer, ()) = tokio::join!(stream, hang);
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_eq!(answer.text(), expected_answer("tender", TOKENS));
+    models::wait_for_no_holds(&fleet).await;
+}
+
 #[tokio::test]
 async fn request_is_placed_after_lost_reservations() {
     let fleet = Fleet::start(models::plan(1))
@@ -20,12 +71,7 @@
         lose_reserve_answers: 1,
         ..EngineFaults::default()
     };
-    for engine in DECODE_ENGINES {
-        fleet
-            .set_faults(engine, &faults)
-            .await
-            .expect("the engine answers");
-    }
+    set_faults(&fleet, &faults).await;
     let caller = models::caller(&fleet, 0);
     let answer = caller.complete(&completion("tender", 10)).await;
     assert!(answer.is_complete(), "{answer:?}");
