--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -121,8 +121,8 @@
         self.changes.subscribe()
     }
 
-    /// Notifies those who wait that other requests may be quarantined than before. Must be called without a lock on the
-    /// tables, which those who wait look at.
+    /// Notifies those who wait that other requests may be quarantined than before. Must be called
+    /// without a lock on the tables, which those who wait look at.
     pub fn signal_change(&self) {
         self.changes.send_replace(());
     }
--- a/crates/dogwoodpier-node/tests/coordinator_view.rs
+++ b/crates/dogwoodpier-node/tests/coordinator_view.rs
@@ -1,5 +1,5 @@
-//! The coordinator of an engine has lost contact with it, and other nodes haven't. Requests through them
-//! are served: that one node can't reach an engine doesn't mean that the engine is gone.
+//! The coordinator of an engine has lost contact with it, and other nodes haven't. Requests through
+//! them are served: that one node can't reach an engine doesn't mean that the engine is gone.
 
 #[allow(dead_code)]
 mod models;
--- a/crates/dogwoodpier-node/tests/lost_reservations.rs
+++ b/crates/dogwoodpier-node/tests/lost_reservations.rs
@@ -1,6 +1,6 @@
-//! Reservations fail: engines make them and the answers are lost, or they don't answer. A request whose reservations have all failed
-//! is placed once an engine answers again: engines refuse a hold that was cancelled, so it needs
-//! another one.
+//! Reservations fail: engines make them and the answers are lost, or they don't answer at all. A
+//! request whose reservations have all failed is placed once an engine answers again. It needs
+//! another hold then, because engines refuse one that was cancelled.
 
 #[allow(dead_code)]
 mod models;
