Log software versions of upstreams, and what an attempt resumes

The version of an entry is decoded (an entry without one names no upstream, as with any other missing field) and is in upstream, placed, prefilled and stream_resumed; admitted names the attempt that is resumed and the last event. No decision reads either yet.

--- a/crates/dogwoodpier-core/src/gateway/upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -40,6 +40,8 @@
     pub address: SocketAddr,
     /// Data centre.
     pub data_centre: Arc<str>,
+    /// Version of its software.
+    pub software_version: Arc<str>,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/crates/dogwoodpier-core/tests/gateway_placement.rs
+++ b/crates/dogwoodpier-core/tests/gateway_placement.rs
@@ -23,6 +23,7 @@
         service: "engines".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "a".into(),
+        software_version: "v1".into(),
         slots: 12,
         accepts_work: true,
         stage: Some(Stage::Decode),
--- a/crates/dogwoodpier-core/tests/restored_entries.rs
+++ b/crates/dogwoodpier-core/tests/restored_entries.rs
@@ -15,6 +15,7 @@
         service: "desk".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         data_centre: "a".into(),
+        software_version: "v1".into(),
         slots: 8,
         accepts_work: true,
         stage: None,
--- a/crates/dogwoodpier-core/tests/upstream_limits.rs
+++ b/crates/dogwoodpier-core/tests/upstream_limits.rs
@@ -242,6 +242,7 @@
         service: "desk".into(),
         address: ([10, 0, 0, 1], 80).into(),
         data_centre: "a".into(),
+        software_version: "v1".into(),
         slots: 6,
         accepts_work: true,
         stage: None,
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -149,6 +149,8 @@
             "workspace": request.workspace.as_ref().map(|workspace| &*workspace.name),
             "configuration_version": configuration.version,
             "wait_ms": request.client_wait_ms,
+            "resumes": request.header_text(&names.resumes),
+            "last_event": request.header_text(&names.last_event_id),
         }),
     );
     Ok(request)
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -62,6 +62,8 @@
     pub cache_source: HeaderName,
     /// Last event that a client has received, after which an engine is to resume.
     pub last_event_id: HeaderName,
+    /// Names the attempt of the client that brought the first event of the stream to be resumed.
+    pub resumes: HeaderName,
     /// Headers that describe the request itself and are always forwarded to the upstream.
     pub end_to_end: Vec<HeaderName>,
     /// Headers that only the gateway may set; they are dropped from clients' requests.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -190,6 +190,7 @@
         serde_json::json!({
             "request_id": request.id_text(),
             "upstream": &*upstream.id,
+            "version": &*upstream.software_version,
             "pause_ms": clock::now().since(now),
         }),
     );
--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -131,7 +131,9 @@
         serde_json::json!({
             "request_id": request.id_text(),
             "prefill": &*engine.id,
+            "prefill_version": &*engine.software_version,
             "decode": &*decode.upstream().id,
+            "decode_version": &*decode.upstream().software_version,
             "elapsed_ms": elapsed_ms,
             "prompt_tokens": request.prompt.map(|size| size.prompt_tokens),
         }),
--- a/crates/dogwoodpier-gateway/src/queues.rs
+++ b/crates/dogwoodpier-gateway/src/queues.rs
@@ -267,6 +267,7 @@
             "request_id": &*request.request_id,
             "service": &*request.service,
             "decode": &*decode.id,
+            "decode_version": &*decode.software_version,
             "prefill": placement.prefill.as_ref().map(|prefill| &*prefill.upstream().id),
             "kv_tokens": request.kv_tokens,
             "decode_slots": decode.slots,
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
 use http::Uri;
@@ -92,6 +93,11 @@
         }
     }
 
+    /// Returns the value of a forwarded header, if it is present and text.
+    pub fn header_text(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
     /// Returns the id for logs.
     pub fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("not text")
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -377,6 +377,7 @@
     let fields = serde_json::json!({
         "upstream": &*upstream.id,
         "address": upstream.address.to_string(),
+        "version": &*upstream.software_version,
         "accepts_work": upstream.accepts_work,
     });
     let restarted = {
