Resume streams only at the software version that began them

Cause: nothing knew versions. Engines of a service were taken for equal by every choice that continues what another engine began: resuming within one answer, placing a client's next attempt, and decoding a KV cache that another engine prefilled.

Fix: each placement that continues something is limited to one version (a queue of its own, so that such requests neither block nor are overtaken; a message of its own, so that instances of an earlier build don't place them anywhere). Which version began a stream has to be known to any instance, also to one that has just started, so it is in the store: a service has a default version, and a stream that begins at another one is recorded under the id of the client's attempt before its first event goes out, while its prompt is prefilled. A stream without a record began at the default. With one version nothing is written but the default version, once. The default changes only after its engines have been gone for as long as a stream can be resumed. Without the store, streams begin where they need no record; with no engine of their version, or with no way to know it, attempts are rejected at once (503 version_gone, version_unknown; not run).

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod retries;
 pub mod routes;
 pub mod shutdown;
+pub mod software_versions;
 pub mod store_position;
 pub mod token_bucket;
 pub mod upstream_limits;
--- a/crates/dogwoodpier-core/src/gateway/routes.rs
+++ b/crates/dogwoodpier-core/src/gateway/routes.rs
@@ -228,6 +228,11 @@
         self.keys.get(key)
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- /dev/null
+++ b/crates/dogwoodpier-core/src/gateway/software_versions.rs
@@ -0,0 +1,173 @@
+//! Software versions of engines, and which of them began a stream.
+//!
+//! What two versions write doesn't fit together, so a stream that was cut goes on only at the version
+//! that began it. Any instance may be asked to resume it, also one that has just started. Each
+//! service therefore has a default version in the store, and a stream that begins at another version
+//! is recorded there before its first event goes out. A stream without a record began at the default
+//! version. While a service has one version, nothing is written.
+//!
+//! The default version changes only after it has been absent for as long as a stream can last. By
+//! then no stream that it began can be resumed any more.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dogwoodpier_derive::plain;
+use dogwoodpier_derive::wire;
+
+use crate::TimeMs;
+
+/// The version of a service's streams that have no record.
+#[wire]
+#[derive(Eq)]
+pub struct DefaultVersion {
+    /// The version.
+    pub version: Arc<str>,
+    /// Era of the store in which every stream of another version that can still be resumed has a
+    /// record. Absent if there may be streams without one, and so of unknown version.
+    pub recorded_era: Option<u64>,
+}
+
+impl DefaultVersion {
+    /// Returns the version of a stream that has no record in an era of the store, or `None` if it is
+    /// unknown.
+    pub fn of_unrecorded(&self, era: u64) -> Option<&Arc<str>> {
+        (self.recorded_era == Some(era)).then_some(&self.version)
+    }
+}
+
+/// Presence of a version among the engines of a service.
+#[plain]
+#[derive(Copy, Eq)]
+struct Presence {
+    // Start of the present time in which the version has been there all along; absent if it isn't
+    // there now.
+    present_since_ms: Option<TimeMs>,
+    last_seen_ms: TimeMs,
+}
+
+#[derive(Debug)]
+struct ServiceVersions {
+    observed_since_ms: TimeMs,
+    versions: BTreeMap<Arc<str>, Presence>,
+}
+
+/// The versions that an instance itself has seen.
+#[derive(Debug, Default)]
+pub struct SeenVersions {
+    services: BTreeMap<Arc<str>, ServiceVersions>,
+}
+
+// Versions of a service above which those that left first are dropped.
+const MAX_VERSIONS: usize = 32;
+
+impl SeenVersions {
+    /// Records which versions engines have now, as pairs of a service and a version.
+    pub fn observe<'a, E>(&mut self, engines: E, now: TimeMs)
+    where
+        E: IntoIterator<Item = (&'a Arc<str>, &'a Arc<str>)>,
+    {
+        for (service, version) in engines {
+            let seen = self
+                .services
+                .entry(service.clone())
+                .or_insert_with(|| ServiceVersions {
+                    observed_since_ms: now,
+                    versions: BTreeMap::new(),
+                });
+            let presence = seen.versions.entry(version.clone()).or_insert(Presence {
+                present_since_ms: None,
+                last_seen_ms: now,
+            });
+            presence.present_since_ms.get_or_insert(now);
+            presence.last_seen_ms = now;
+        }
+        for seen in self.services.values_mut() {
+            seen.end_absent(now);
+        }
+    }
+
+    /// Forgets what was seen, as versions may have come and gone unseen.
+    pub fn reset(&mut self) {
+        self.services.clear();
+    }
+
+    /// Returns for how long the instance has seen the versions of a service.
+    pub fn observed_ms(&self, service: &str, now: TimeMs) -> u64 {
+        let seen = self.services.get(service);
+        seen.map_or(0, |seen| now.since(seen.observed_since_ms))
+    }
+
+    /// Returns whether an engine of the service has the version.
+    pub fn is_present(&self, service: &str, version: &str) -> bool {
+        self.present_since(service, version).is_some()
+    }
+
+    /// Returns whether engines of the service have had the version all the time since `since_ms`, and
+    /// just before.
+    pub fn is_present_since(&self, service: &str, version: &str, since_ms: TimeMs) -> bool {
+        self.present_since(service, version)
+            .is_some_and(|present_since_ms| present_since_ms < since_ms)
+    }
+
+    /// Returns for how long no engine of the service has had the version, as far as the instance
+    /// has seen.
+    pub fn absent_ms(&self, service: &str, version: &str, now: TimeMs) -> u64 {
+        let Some(seen) = self.services.get(service) else {
+            return 0;
+        };
+        match seen.versions.get(version) {
+            Some(presence) if presence.present_since_ms.is_some() => 0,
+            Some(presence) => now.since(presence.last_seen_ms),
+            None => now.since(seen.observed_since_ms),
+        }
+    }
+
+    /// Returns the version that is to become the default one of a service: the one with the most
+    /// slots, once the present default has been absent for `life_ms`. `slots` are the slots of each
+    /// version.
+    pub fn next_default(
+        &self,
+        service: &str,
+        default: &str,
+        slots: &BTreeMap<Arc<str>, u32>,
+        life_ms: u64,
+        now: TimeMs,
+    ) -> Option<Arc<str>> {
+        if self.absent_ms(service, default, now) < life_ms {
+            return None;
+        }
+        largest_version(slots)
+    }
+
+    fn present_since(&self, service: &str, version: &str) -> Option<TimeMs> {
+        let seen = self.services.get(service)?;
+        seen.versions.get(version)?.present_since_ms
+    }
+}
+
+/// Returns the version with the most slots.
+pub fn largest_version(slots: &BTreeMap<Arc<str>, u32>) -> Option<Arc<str>> {
+    let largest = slots.iter().max_by_key(|(_, slots)| **slots);
+    largest.map(|(version, _)| version.clone())
+}
+
+impl ServiceVersions {
+    // Ends the presence of the versions that were not seen at `now`.
+    fn end_absent(&mut self, now: TimeMs) {
+        for presence in self.versions.values_mut() {
+            if presence.last_seen_ms != now {
+                presence.present_since_ms = None;
+            }
+        }
+        while self.versions.len() > MAX_VERSIONS {
+            let oldest = self
+                .versions
+                .iter()
+                .min_by_key(|(_, presence)| presence.last_seen_ms)
+                .map(|(version, _)| version.clone());
+            let Some(oldest) = oldest else { return };
+            self.versions.remove(&oldest);
+        }
+    }
+}
--- a/crates/dogwoodpier-core/src/gateway/upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstreams.rs
@@ -324,6 +324,23 @@
         accepting.peek().is_some() && !accepting.any(|upstream| self.is_available(upstream))
     }
 
+    /// Returns the service and the software version of each engine.
+    pub fn engine_versions(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
+        self.all()
+            .filter(|upstream| upstream.stage.is_some())
+            .map(|upstream| (&upstream.service, &upstream.software_version))
+    }
+
+    /// Returns the slots of a service's engines by software version.
+    pub fn version_slots(&self, service: &str) -> BTreeMap<Arc<str>, u32> {
+        let mut slots = BTreeMap::new();
+        let engines = self.all().filter(|upstream| upstream.stage.is_some());
+        for engine in engines.filter(|engine| *engine.service == *service) {
+            *slots.entry(engine.software_version.clone()).or_default() += engine.slots;
+        }
+        slots
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.entries.values().map(|entry| &entry.upstream)
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -19,11 +19,13 @@
 use dogwoodpier_core::gateway::placement;
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::QuotaUnit;
+use dogwoodpier_core::gateway::routes::RetryPolicy;
 use dogwoodpier_core::gateway::routes::Route;
 use dogwoodpier_core::gateway::routes::Service;
 use dogwoodpier_core::gateway::routes::Workspace;
 use dogwoodpier_core::gateway::upstreams::Stage;
 use dogwoodpier_core::quarantine;
+use dogwoodpier_core::rendezvous;
 use dogwoodpier_process::clock;
 
 use crate::dialect::PromptSize;
@@ -78,7 +80,7 @@
         header_number(&head.headers, &names.remaining_ms).unwrap_or(route.timeout_ms);
     let deadline_ms = received_ms.after(client_wait_ms.min(route.timeout_ms));
     let service = route
-        .target(rand::random())
+        .target(service_draw(gateway, &route, &head.headers, &id))
         .and_then(|name| configuration.services.get(name))
         .cloned()
         .ok_or(Rejection::new(Reason::NoUpstream))?;
@@ -178,6 +180,16 @@
         .ok_or(Rejection::new(Reason::NoRoute))
 }
 
+// Returns the number by which a route that is split between services selects one: the same for all
+// attempts that belong to one stream.
+fn service_draw(gateway: &Gateway, route: &Route, headers: &HeaderMap, id: &HeaderValue) -> u64 {
+    if route.retry_policy != (RetryPolicy::Stream { resumable: true }) {
+        return rand::random();
+    }
+    let first = headers.get(&gateway.dialect.headers.resumes).unwrap_or(id);
+    rendezvous::weight("stream", &String::from_utf8_lossy(first.as_bytes()))
+}
+
 // Returns the workspace of the request's key. Rejects a request without a known key if its route
 // requires one.
 fn find_workspace(
--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -78,6 +78,15 @@
     pub data_centre: Arc<str>,
 }
 
+/// A request for a placement on engines of one software version.
+#[wire]
+pub struct VersionPlacementRequest {
+    /// The request.
+    pub request: PlacementRequest,
+    /// The version.
+    pub version: Arc<str>,
+}
+
 /// A broker's decision on a request.
 #[wire]
 pub enum PlacementVerdict {
@@ -180,6 +189,8 @@
         };
         match query_broker(gateway, address, &request).await {
             BrokerReply::Decided(result) => return result,
+            // A broker of an earlier build does not know requests for one version.
+            BrokerReply::NoAnswer if request.version.is_some() => break,
             BrokerReply::NoAnswer => {
                 gateway
                     .owners
@@ -279,7 +290,14 @@
                 .collect(),
             data_centre: request.data_centre.clone(),
         };
-        gateway.send_message(broker, &Message::Ask(message));
+        let message = match &request.version {
+            None => Message::Ask(message),
+            Some(version) => Message::AskVersion(VersionPlacementRequest {
+                request: message,
+                version: version.clone(),
+            }),
+        };
+        gateway.send_message(broker, &message);
         match tokio::time::timeout(timeout, verdicts.recv()).await {
             Ok(Some(PlacementVerdict::Waiting)) if clock::now() >= verdict_deadline_ms => {
                 return BrokerReply::NoAnswer;
@@ -320,7 +338,11 @@
 ) -> BrokerReply {
     let known = |id: &Arc<str>| gateway.state().upstreams.get(id).cloned();
     let usable = |id: &Arc<str>| {
-        known(id).filter(|upstream| gateway.state().upstreams.is_available(upstream))
+        known(id).filter(|upstream| {
+            let version = request.version.as_ref();
+            version.is_none_or(|version| *version == upstream.software_version)
+                && gateway.state().upstreams.is_available(upstream)
+        })
     };
     let (Some(decode), None | Some(Some(_))) = (usable(decode), prefill.map(usable)) else {
         for upstream in [Some(decode), prefill].into_iter().flatten() {
@@ -382,8 +404,14 @@
     }
 }
 
-/// Handles the request of a peer: answers it now, or once it is decided.
-pub fn handle_request(gateway: &SharedGateway, from: SocketAddr, request: PlacementRequest) {
+/// Handles the request of a peer: answers it now, or once it is decided. With `version`, only engines
+/// of that version may be granted.
+pub fn handle_request(
+    gateway: &SharedGateway,
+    from: SocketAddr,
+    request: PlacementRequest,
+    version: Option<Arc<str>>,
+) {
     let key = (request.instance.clone(), request.ticket);
     let now = clock::now();
     let mut incoming = locked(&gateway.broker.incoming);
@@ -399,7 +427,7 @@
         Some(IncomingRequest::Waiting(_)) => PlacementVerdict::Waiting,
         Some(IncomingRequest::Decided { verdict, .. }) => verdict.clone(),
         None => {
-            let task = tokio::spawn(decide(gateway.clone(), from, request));
+            let task = tokio::spawn(decide(gateway.clone(), from, request, version));
             incoming.insert(key, IncomingRequest::Waiting(task.abort_handle()));
             // The task answers as soon as the request is decided, mostly at once.
             return;
@@ -409,7 +437,12 @@
     gateway.send_message(from, &Message::Answer(PlacementAnswer { ticket, verdict }));
 }
 
-async fn decide(gateway: SharedGateway, from: SocketAddr, request: PlacementRequest) {
+async fn decide(
+    gateway: SharedGateway,
+    from: SocketAddr,
+    request: PlacementRequest,
+    version: Option<Arc<str>>,
+) {
     let key = (request.instance.clone(), request.ticket);
     let holder = Holder::Peer {
         instance: request.instance.clone(),
@@ -432,6 +465,7 @@
             .map(|(upstream, pause_ms)| (upstream, now.after(pause_ms)))
             .collect(),
         data_centre: request.data_centre,
+        version,
     };
     let waiting = queues::wait(&gateway, slot_request, holder);
     tokio::pin!(waiting);
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -16,6 +16,8 @@
 pub const CRASHES_TOTAL: &str = "dogwoodpier_gateway_crashes_total";
 /// Number of parts of prompts, or sets of them, whose requests are rejected.
 pub const QUARANTINED_PARTS: &str = "dogwoodpier_gateway_quarantined_parts";
+/// Attempts that resume a stream, by how the version that began it was found.
+pub const RESUMED_STREAMS_TOTAL: &str = "dogwoodpier_gateway_resumed_streams_total";
 /// New connections to upstreams.
 pub const CONNECTIONS_TOTAL: &str = "dogwoodpier_gateway_upstream_connections_total";
 /// Time in the queue for an engine.
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -101,6 +101,10 @@
     pub upstream_kind: &'static str,
     /// Kind of the instances' own registrations.
     pub instance_kind: &'static str,
+    /// Kind of the services' default software versions, each named after its service.
+    pub version_kind: &'static str,
+    /// Kind of the records of streams, each named after the attempt that began it.
+    pub stream_kind: &'static str,
 }
 
 /// Names and formats of a deployment.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -19,6 +19,7 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::routes::RetryPolicy;
+use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_http::ConnectionReturn;
 use dogwoodpier_http::Reply;
 use dogwoodpier_process::clock;
@@ -47,6 +48,8 @@
 use crate::state::SharedGateway;
 use crate::stream::Relay;
 use crate::stream::ResumeState;
+use crate::stream_origins;
+use crate::stream_origins::Recorded;
 
 const EVENT_STREAM: &str = "text/event-stream";
 // Placements of one request, including those whose engines rejected it.
@@ -127,23 +130,27 @@
     pub guard: LoadGuard,
 }
 
-/// Resumes a stream that was cut, at an engine other than `failed_engine`, after the last event
-/// that the client has received.
+/// Resumes a stream that was cut, at another engine of the software version of `failed`, after the
+/// last event that the client has received.
 pub async fn resume(
     gateway: &SharedGateway,
     request: &ClientRequest,
     runs: u32,
-    failed_engine: Arc<str>,
+    failed: &Upstream,
     last_event: Option<HeaderValue>,
 ) -> Option<ResumedStream> {
-    let may_run =
-        runs < request.route.max_attempts && !gateway.quarantine.is_quarantined(&request.content);
+    let version = resumable_version(gateway, failed)?;
+    let service = &request.service.name;
+    let may_run = runs < request.route.max_attempts
+        && !gateway.quarantine.is_quarantined(&request.content)
+        && queues::has_decode_engine(gateway, service, Some(&version), Some(&failed.id));
     if !may_run || !gateway.take_retry(request) {
         return None;
     }
     let now = clock::now();
     let progress = Progress {
-        failed_engine: Some(failed_engine),
+        failed_engine: Some(failed.id.clone()),
+        version: Some(version),
         ..Progress::default()
     };
     let slot_request = SlotRequest {
@@ -204,26 +211,43 @@
     })
 }
 
+// Returns the software version that wrote the events of an engine. It is unknown if the engine has
+// started again with another one, as they may be those of either.
+fn resumable_version(gateway: &Gateway, engine: &Upstream) -> Option<Arc<str>> {
+    let state = gateway.state();
+    let known = state.upstreams.get(&engine.id);
+    known
+        .is_none_or(|known| known.software_version == engine.software_version)
+        .then(|| engine.software_version.clone())
+}
+
 /// Forwards a generation request and returns the response.
 pub async fn generate(
     gateway: &SharedGateway,
     request: &Arc<ClientRequest>,
 ) -> Result<Response<ResponseBody>, Rejection> {
-    if !queues::has_decode_engine(gateway, &request.service.name) {
+    let service = &request.service.name;
+    if !queues::has_decode_engine(gateway, service, None, None) {
         return Err(Rejection::with_retry_after(
-            queues::no_upstream(gateway, &request.service.name),
+            queues::no_upstream(gateway, service),
             queues::NO_ENGINE_RETRY_MS,
             request.deadline_ms.remaining(clock::now()),
         ));
     }
-    let mut progress = Progress::default();
+    let mut progress = Progress {
+        version: stream_origins::required_version(gateway, request).await?,
+        ..Progress::default()
+    };
+    if !queues::has_decode_engine(gateway, service, progress.version.as_ref(), None) {
+        return Err(Rejection::new(Reason::VersionGone));
+    }
     for placements in 1..=MAX_PLACEMENTS {
         if request.deadline_ms <= clock::now() {
             break;
         }
         let slot_request = slot_request(gateway, request, &progress);
         let started_ms = clock::now();
-        let backoff_ms = queues::backoff_ms(gateway, &request.service.name);
+        let backoff_ms = queues::backoff_ms(gateway, service, progress.version.as_ref());
         if backoff_ms > slot_request.queue_deadline_ms.remaining(started_ms) {
             return Err(reject(request, &progress, backoff_ms));
         }
@@ -245,6 +269,9 @@
         if let Some(response) = run(gateway, request, placement, &mut progress).await {
             return Ok(response);
         }
+        if progress.unrecorded {
+            break;
+        }
         // An engine that could not be reached costs no retry, as nothing was sent to it.
         let costs_retry = progress.attempts.send_costs_retry();
         if !progress.attempts.may_retry(&request.route)
@@ -266,6 +293,9 @@
 fn reject(request: &ClientRequest, progress: &Progress, retry_after_ms: u64) -> Rejection {
     let remaining_ms = request.deadline_ms.remaining(clock::now());
     match (progress.attempts.runs, progress.timed_out) {
+        (0, _) if progress.unrecorded => {
+            Rejection::with_retry_after(Reason::VersionNotRecorded, retry_after_ms, remaining_ms)
+        }
         (0, _) => Rejection::with_retry_after(Reason::Overloaded, retry_after_ms, remaining_ms),
         (_, true) => Rejection::new(Reason::ExpiredMayHaveRun),
         (_, false) => Rejection::new(Reason::AnswerLost),
@@ -309,6 +339,7 @@
         excluded_engine: progress.failed_engine.clone(),
         backoffs: gateway.state().health.backoffs(clock::now()),
         data_centre: gateway.settings.load().data_centre.clone(),
+        version: progress.version.clone(),
     }
 }
 
@@ -344,10 +375,26 @@
         decode.set_result(broker::GrantOutcome::Withheld);
         return None;
     };
-    let cache_source = match progress.take_reusable_cache(request) {
+    // The store answers during the prefill.
+    let recording = stream_origins::record(gateway, request, &upstream);
+    let cache_source = match progress.take_reusable_cache(request, &upstream) {
         Some(cache) => Some(cache),
         None => prefill::run_prefill(gateway, request, prefill, &decode, progress).await,
     };
+    match recording.finish().await {
+        Recorded::AnyVersion => {}
+        Recorded::OneVersion => progress.version = Some(upstream.software_version.clone()),
+        Recorded::Default(version) => {
+            decode.set_result(broker::GrantOutcome::Withheld);
+            progress.version = Some(version);
+            return None;
+        }
+        Recorded::Failed => {
+            decode.set_result(broker::GrantOutcome::Withheld);
+            progress.unrecorded = true;
+            return None;
+        }
+    }
     // An update on suspects may have arrived during the wait for the placement or the prefill.
     if gateway.quarantine.is_quarantined(&request.content) {
         return None;
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod state;
 pub mod store;
 pub mod stream;
+mod stream_origins;
 pub mod traffic;
 
 pub use dialect::Dialect;
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -21,6 +21,7 @@
 use crate::broker::EngineRelease;
 use crate::broker::PlacementAnswer;
 use crate::broker::PlacementRequest;
+use crate::broker::VersionPlacementRequest;
 use crate::codec;
 use crate::evacuations;
 use crate::forwarding;
@@ -86,6 +87,8 @@
     /// Version of the configuration that the sender has in force and that the store lacks since it
     /// was restored from a copy.
     UnstoredConfiguration(u64),
+    /// A request for a placement on engines of one software version.
+    AskVersion(VersionPlacementRequest),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -130,7 +133,7 @@
 fn handle_message(gateway: &SharedGateway, from: SocketAddr, message: Message) {
     match message {
         Message::Report(report) => handle_report(gateway, from, report),
-        Message::Ask(request) => broker::handle_request(gateway, from, request),
+        Message::Ask(request) => broker::handle_request(gateway, from, request, None),
         Message::Answer(answer) => broker::handle_answer(gateway, from, answer),
         Message::Release(release) => broker::handle_release(gateway, &release),
         Message::QuotaAsk(request) => quota::handle_request(gateway, from, &request),
@@ -148,6 +151,9 @@
         Message::UnstoredConfiguration(version) => {
             newer_configuration::handle_report(gateway, version);
         }
+        Message::AskVersion(VersionPlacementRequest { request, version }) => {
+            broker::handle_request(gateway, from, request, Some(version));
+        }
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -40,21 +40,34 @@
     pub failed_engine: Option<Arc<str>>,
     /// KV cache that was computed for an engine; kept in case that engine rejects the request.
     pub cache: Option<Cache>,
+    /// Software version whose engines may run the request, if only one may.
+    pub version: Option<Arc<str>>,
+    /// Whether the request was not sent because its software version could not be recorded.
+    pub unrecorded: bool,
 }
 
 impl Progress {
-    /// Takes the KV cache that the last engine rejected without using it, if it is still valid. A
-    /// cache is tried only once more.
-    pub fn take_reusable_cache(&mut self, request: &ClientRequest) -> Option<HeaderValue> {
+    /// Takes the KV cache that the last engine rejected without using it, if it is still valid for
+    /// `decode`. A cache is tried only once more.
+    pub fn take_reusable_cache(
+        &mut self,
+        request: &ClientRequest,
+        decode: &Upstream,
+    ) -> Option<HeaderValue> {
         let cache = self.cache.take()?;
         let now = clock::now();
-        (cache.use_deadline_ms > now && request.deadline_ms > now).then_some(cache.source)
+        let is_valid = cache.use_deadline_ms > now
+            && request.deadline_ms > now
+            && cache.version == decode.software_version;
+        is_valid.then_some(cache.source)
     }
 }
 
 /// A KV cache that a prefill engine holds.
 pub struct Cache {
     source: HeaderValue,
+    // Software version that computed it.
+    version: Arc<str>,
     use_deadline_ms: TimeMs,
 }
 
@@ -145,6 +158,7 @@
         .map_or(0, |spec| spec.handle_ttl_ms);
     progress.cache = Some(Cache {
         source: source.clone(),
+        version: engine.software_version.clone(),
         use_deadline_ms: now.after(ttl_ms.saturating_sub(CACHE_MARGIN_MS)),
     });
     Some(source)
--- a/crates/dogwoodpier-gateway/src/queues.rs
+++ b/crates/dogwoodpier-gateway/src/queues.rs
@@ -62,6 +62,8 @@
     pub backoffs: BTreeMap<Arc<str>, TimeMs>,
     /// Data centre of the serving instance.
     pub data_centre: Arc<str>,
+    /// Software version whose engines may run the request, if only one may.
+    pub version: Option<Arc<str>>,
 }
 
 /// Engines that were allocated to a request.
@@ -82,10 +84,27 @@
 /// The queues of all services.
 #[derive(Default)]
 pub struct Queues {
-    services: Mutex<BTreeMap<Arc<str>, ServiceQueue>>,
+    services: Mutex<BTreeMap<QueueKey, ServiceQueue>>,
     freed: Notify,
 }
 
+// Requests that only engines of one version may run have a queue of their own, as they must neither
+// block the others nor be overtaken by them.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueueKey {
+    service: Arc<str>,
+    version: Option<Arc<str>>,
+}
+
+impl QueueKey {
+    fn of(request: &SlotRequest) -> Self {
+        Self {
+            service: request.service.clone(),
+            version: request.version.clone(),
+        }
+    }
+}
+
 #[derive(Default)]
 struct ServiceQueue {
     queue: WaitQueue,
@@ -106,26 +125,31 @@
     }
 
     /// Returns the number of queued requests by service.
-    pub fn lengths(&self) -> Vec<(Arc<str>, usize)> {
-        self.lock()
-            .iter()
-            .map(|(name, service)| (name.clone(), service.queue.len()))
-            .collect()
+    pub fn lengths(&self) -> BTreeMap<Arc<str>, usize> {
+        let mut lengths = BTreeMap::new();
+        for (key, service) in self.lock().iter() {
+            *lengths.entry(key.service.clone()).or_default() += service.queue.len();
+        }
+        lengths
     }
 
     fn is_empty(&self) -> bool {
         self.lock().values().all(|service| service.queue.is_empty())
     }
 
-    fn retry_after_ms(&self, service: &str) -> u64 {
+    fn len(&self, key: &QueueKey) -> usize {
         self.lock()
-            .get(service)
-            .map_or(NO_ENGINE_RETRY_MS, |service| {
-                service.queue.retry_after_ms(rand::random())
-            })
+            .get(key)
+            .map_or(0, |service| service.queue.len())
+    }
+
+    fn retry_after_ms(&self, key: &QueueKey) -> u64 {
+        self.lock().get(key).map_or(NO_ENGINE_RETRY_MS, |service| {
+            service.queue.retry_after_ms(rand::random())
+        })
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, ServiceQueue>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<QueueKey, ServiceQueue>> {
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -146,7 +170,15 @@
 }
 
 fn serve_queues(gateway: &SharedGateway) {
-    for service in gateway.queues.lock().values_mut() {
+    // Dropped after the lock on the queues is released.
+    let mut refused = Vec::new();
+    let mut queues = gateway.queues.lock();
+    // Requests with fewer engines to choose from come first.
+    for (key, service) in queues.iter_mut().rev() {
+        let version = key.version.as_ref();
+        if version.is_some() && !has_decode_engine(gateway, &key.service, version, None) {
+            refused.append(&mut service.refuse_all());
+        }
         while let Some(ticket) = service.queue.peek(clock::now()).map(|waiter| waiter.ticket) {
             let Some(queued) = service.requests.get(&ticket) else {
                 service.queue.remove(ticket);
@@ -164,12 +196,25 @@
             }
         }
     }
+    queues.retain(|key, service| key.version.is_none() || !service.queue.is_empty());
+    drop(queues);
+}
+
+impl ServiceQueue {
+    // Empties the queue. The requests are refused when the returned entries are dropped.
+    fn refuse_all(&mut self) -> Vec<QueuedRequest> {
+        let requests = std::mem::take(&mut self.requests);
+        for ticket in requests.keys() {
+            self.queue.remove(*ticket);
+        }
+        requests.into_values().collect()
+    }
 }
 
 /// Removes a request from its queue when its client leaves.
 struct QueueEntry<'a> {
     gateway: &'a Gateway,
-    service: &'a str,
+    key: &'a QueueKey,
     ticket: u64,
 }
 
@@ -179,7 +224,7 @@
             .gateway
             .queues
             .lock()
-            .get_mut(self.service)
+            .get_mut(self.key)
             .and_then(|service| {
                 service.queue.remove(self.ticket);
                 service.requests.remove(&self.ticket)
@@ -197,10 +242,17 @@
 ) -> Result<Placement, Refusal> {
     let now = clock::now();
     let request = Arc::new(request);
+    let key = QueueKey::of(&request);
     let queue_deadline_ms = request.queue_deadline_ms;
+    if request.version.is_some() && !has_usable_engine(gateway, &request) {
+        log_refused(gateway, &request, 0, "no engine of its version");
+        return Err(Refusal {
+            retry_after_ms: NO_ENGINE_RETRY_MS,
+        });
+    }
     let (ticket, receiver) = {
         let mut services = gateway.queues.lock();
-        let service = services.entry(request.service.clone()).or_default();
+        let service = services.entry(key.clone()).or_default();
         if (service.queue.is_empty() || request.excluded_engine.is_some())
             && let Some(placement) = try_place(gateway, &request, &holder)
         {
@@ -237,21 +289,17 @@
     gateway.queues.slot_freed();
     let _entry = QueueEntry {
         gateway,
-        service: &request.service,
+        key: &key,
         ticket,
     };
     let limit = Duration::from_millis(queue_deadline_ms.remaining(now));
     match tokio::time::timeout(limit, receiver).await {
         Ok(Ok(placement)) => Ok(placement),
         _ => {
-            let length = gateway
-                .queues
-                .lock()
-                .get(&request.service)
-                .map_or(0, |service| service.queue.len());
+            let length = gateway.queues.len(&key);
             log_refused(gateway, &request, length, "no slot while it waited");
             Err(Refusal {
-                retry_after_ms: gateway.queues.retry_after_ms(&request.service),
+                retry_after_ms: gateway.queues.retry_after_ms(&key),
             })
         }
     }
@@ -299,17 +347,39 @@
             "slots": slots,
             "on_time_left_ms": request.on_time_deadline_ms.remaining(now),
             "returned": request.returned,
+            "version": request.version.as_deref(),
         }),
     );
 }
 
-/// Returns whether a service has an engine that decodes and accepts new work.
-pub fn has_decode_engine(gateway: &Gateway, service: &str) -> bool {
-    gateway
-        .state()
+/// Returns whether a service has an engine, other than `excluded`, that decodes and accepts new
+/// work. With `version`, only engines of that version count.
+pub fn has_decode_engine(
+    gateway: &Gateway,
+    service: &str,
+    version: Option<&Arc<str>>,
+    excluded: Option<&Arc<str>>,
+) -> bool {
+    let state = gateway.state();
+    let mut engines = decode_engines(&state, service, version);
+    engines.any(|engine| excluded != Some(&engine.id))
+}
+
+fn has_usable_engine(gateway: &Gateway, request: &SlotRequest) -> bool {
+    let (version, excluded) = (request.version.as_ref(), request.excluded_engine.as_ref());
+    has_decode_engine(gateway, &request.service, version, excluded)
+}
+
+fn decode_engines<'a>(
+    state: &'a RoutingState,
+    service: &'a str,
+    version: Option<&'a Arc<str>>,
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
+    state
         .upstreams
         .available(service)
-        .any(|upstream| upstream.stage != Some(Stage::Prefill))
+        .filter(|upstream| upstream.stage != Some(Stage::Prefill))
+        .filter(move |upstream| version.is_none_or(|version| *version == upstream.software_version))
 }
 
 /// Returns the reason why a service has no upstream that accepts new work.
@@ -321,13 +391,12 @@
 }
 
 /// Returns the shortest time for which an engine of a service that decodes asked this instance to
-/// back off, 0 if one accepts requests now.
-pub fn backoff_ms(gateway: &Gateway, service: &str) -> u64 {
+/// back off, 0 if one accepts requests now. With `version`, only engines of that version count.
+pub fn backoff_ms(gateway: &Gateway, service: &str, version: Option<&Arc<str>>) -> u64 {
     let now = clock::now();
     let state = gateway.state();
-    let serving = state.upstreams.available(service);
-    let decoding = serving.filter(|upstream| upstream.stage != Some(Stage::Prefill));
-    let backoffs = decoding.map(|upstream| state.health.backoff_ms(&upstream.id, now));
+    let engines = decode_engines(&state, service, version);
+    let backoffs = engines.map(|engine| state.health.backoff_ms(&engine.id, now));
     backoffs.min().unwrap_or(0)
 }
 
@@ -384,6 +453,9 @@
             deadline_ms.is_none_or(|deadline_ms| *deadline_ms <= now)
         })
         .partition(|candidate| candidate.upstream.stage == Some(Stage::Prefill));
+    if let Some(version) = &request.version {
+        decoding.retain(|candidate| candidate.upstream.software_version == *version);
+    }
     let selector = Selector {
         data_centre: &request.data_centre,
         health: &state.health,
@@ -400,6 +472,8 @@
         memory_limit.limit(spec.kv_tokens),
     )?;
     let decode = decoding.swap_remove(decode).upstream;
+    // The KV cache of one software version is not known to suit another.
+    prefilling.retain(|candidate| candidate.upstream.software_version == decode.software_version);
     let prefill = selector
         .select_prefill(&prefilling, request.prompt_tokens)
         .map(|placement| prefilling.swap_remove(placement).upstream);
--- a/crates/dogwoodpier-gateway/src/reject.rs
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -42,6 +42,12 @@
     Evacuated,
     /// No upstream of the service accepts work.
     NoUpstream,
+    /// The software version that began the stream to be resumed is unknown.
+    VersionUnknown,
+    /// No upstream has the software version that began the stream to be resumed.
+    VersionGone,
+    /// It could not be recorded which software version begins the stream.
+    VersionNotRecorded,
     /// All upstreams are full and the wait would be too long.
     Overloaded,
     /// The rate limits that upstreams have named allow no request in time.
@@ -64,6 +70,9 @@
             | Self::Quarantined
             | Self::Evacuated
             | Self::NoUpstream
+            | Self::VersionUnknown
+            | Self::VersionGone
+            | Self::VersionNotRecorded
             | Self::Overloaded
             | Self::UpstreamLimited
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -93,6 +102,9 @@
             Self::Quarantined => "quarantined",
             Self::Evacuated => "evacuated",
             Self::NoUpstream => "no_upstream",
+            Self::VersionUnknown => "version_unknown",
+            Self::VersionGone => "version_gone",
+            Self::VersionNotRecorded => "version_not_recorded",
             Self::Overloaded => "overloaded",
             Self::UpstreamLimited => "upstream_limited",
             Self::NotRun => "not_run",
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -22,6 +22,7 @@
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::shutdown::Shutdown;
+use dogwoodpier_core::gateway::software_versions::SeenVersions;
 use dogwoodpier_core::gateway::upstream_limits::UpstreamLimits;
 use dogwoodpier_core::gateway::upstreams::Upstreams;
 use dogwoodpier_http::Connections;
@@ -55,6 +56,8 @@
 use crate::state::RoutingState;
 use crate::state::SharedGateway;
 use crate::store;
+use crate::stream_origins;
+use crate::stream_origins::StreamOrigins;
 
 // Time after which a balancer that checks every second has seen twice that the instance isn't
 // ready.
@@ -145,6 +148,7 @@
         newer_configuration: NewerConfiguration::default(),
         state: Mutex::new(RoutingState {
             upstreams: Upstreams::default(),
+            versions: SeenVersions::default(),
             upstreams_known: false,
             health: UpstreamHealth::default(),
             upstream_limits: UpstreamLimits::default(),
@@ -163,6 +167,7 @@
         pending_quota_requests: PendingRequests::default(),
         pending_permit_requests: PendingRequests::default(),
         quarantine: Quarantine::default(),
+        stream_origins: StreamOrigins::default(),
         timing_stats: TimingStats::default(),
         queues: Queues::default(),
         connections: Connections::default(),
@@ -205,6 +210,7 @@
     spawn_supervised(gateway, "report", peer_messages::report);
     spawn_supervised(gateway, "quotas", quota::advance);
     spawn_supervised(gateway, "readiness", readiness::report);
+    spawn_supervised(gateway, "stream_origins", stream_origins::maintain);
 }
 
 // Spawns a task that is restarted if it panics.
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -33,6 +33,7 @@
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::Route;
 use dogwoodpier_core::gateway::shutdown::Shutdown;
+use dogwoodpier_core::gateway::software_versions::SeenVersions;
 use dogwoodpier_core::gateway::upstream_limits::UpstreamLimits;
 use dogwoodpier_core::gateway::upstreams::Stage;
 use dogwoodpier_core::gateway::upstreams::Upstream;
@@ -59,6 +60,7 @@
 use crate::request::ClientRequest;
 use crate::seen_positions::SeenPositions;
 use crate::settings::Settings;
+use crate::stream_origins::StreamOrigins;
 
 const MS_PER_S: f64 = 1_000.0;
 
@@ -88,6 +90,8 @@
     pub pending_permit_requests: PendingRequests<PermitDecision>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
+    /// Software versions that began streams.
+    pub stream_origins: StreamOrigins,
     /// Statistics on clients' waits and engines' first events.
     pub timing_stats: TimingStats,
     /// Requests that wait for a slot of an engine.
@@ -121,6 +125,8 @@
 pub struct RoutingState {
     /// Known upstreams.
     pub upstreams: Upstreams,
+    /// Software versions of engines that this instance has seen.
+    pub versions: SeenVersions,
     /// Whether the upstreams' entries have been read at least once.
     pub upstreams_known: bool,
     /// Recent outcomes of sends, by upstream.
@@ -315,6 +321,11 @@
             .map_or(0.0, |total_per_s| MS_PER_S / total_per_s)
     }
 
+    /// Records which software versions the known engines have now.
+    pub fn observe_versions(&mut self, now: TimeMs) {
+        self.versions.observe(self.upstreams.engine_versions(), now);
+    }
+
     /// Removes what is known of an incarnation of an upstream.
     pub fn forget_upstream(&mut self, id: &str) {
         self.health.forget(id);
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -347,6 +347,9 @@
             state
                 .upstreams
                 .replace(listing, grace_deadline_ms, held_back_deadline_ms);
+            // Engines may have come and gone since the last change that was seen.
+            state.versions.reset();
+            state.observe_versions(now);
             state.upstreams_known = true;
         },
         change: |gateway, change, _, outage| {
@@ -388,6 +391,7 @@
         if !state.upstreams.upsert(upstream.clone()) {
             return;
         }
+        state.observe_versions(clock::now());
         if restarted {
             state.forget_upstream(&upstream.id);
         }
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -257,13 +257,12 @@
             return false;
         }
         resume.events.discard_partial();
-        let failed_engine = self.guard.upstream().id.clone();
         let last_event = resume.events.last_id();
         let resumed = engines::resume(
             &self.gateway,
             &resume.request,
             resume.runs,
-            failed_engine,
+            self.guard.upstream(),
             last_event,
         );
         let Some(next) = resumed.await else {
--- /dev/null
+++ b/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
@@ -0,0 +1,347 @@
+//! Default software versions of services, in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::routes::Configuration;
+use dogwoodpier_core::gateway::software_versions;
+use dogwoodpier_core::gateway::software_versions::DefaultVersion;
+use dogwoodpier_platform::Error;
+use dogwoodpier_platform::Precondition;
+use dogwoodpier_platform::PutOutcome;
+use dogwoodpier_platform::wire::Object;
+use dogwoodpier_process::clock;
+
+use crate::owners;
+use crate::state::Gateway;
+use crate::state::SharedGateway;
+
+use super::RESUMABLE;
+use super::StreamRecord;
+use super::TIMEOUTS_OF_STREAM_LIFE;
+use super::log_store_failure;
+use super::log_unreadable;
+
+// Time for which a default version that has no engines any more isn't read again.
+const REREAD_MS: u64 = 2_000;
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
+const OBSERVATIONS_PER_MAINTENANCE: u32 = 4;
+// Bounds the calls to the store for the removal of records.
+const MAX_REMOVALS_PER_MAINTENANCE: usize = 20;
+
+/// A default version as this instance has read it.
+#[derive(Clone)]
+pub(super) struct KnownDefault {
+    /// The default version.
+    pub(super) default: DefaultVersion,
+    store_version: u64,
+    read_ms: TimeMs,
+    // Time since which this instance has seen that streams of the present era may lack a record.
+    unrecorded_since_ms: Option<TimeMs>,
+}
+
+// Returns for how long after its beginning a stream of a service can be resumed, `None` if none can
+// be.
+fn stream_life_ms(configuration: &Configuration, service: &str) -> Option<u64> {
+    let longest_ms = configuration
+        .routes()
+        .filter(|route| route.retry_policy == RESUMABLE)
+        .filter(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| *target.service == *service)
+        })
+        .map(|route| route.timeout_ms)
+        .max()?;
+    Some(longest_ms * TIMEOUTS_OF_STREAM_LIFE)
+}
+
+/// Returns whether a stream is known to need no record.
+pub(super) fn is_default(gateway: &Gateway, record: &StreamRecord) -> bool {
+    trusted_default(gateway, &record.service)
+        .is_some_and(|default| default.version == record.version)
+}
+
+// Returns the default version as read before, if it can't have changed since: it changes only after
+// its engines have left.
+fn trusted_default(gateway: &Gateway, service: &Arc<str>) -> Option<DefaultVersion> {
+    let known = gateway
+        .stream_origins
+        .lock()
+        .defaults
+        .get(service)
+        .cloned()?;
+    let mut state = gateway.state();
+    state.observe_versions(clock::now());
+    state
+        .versions
+        .is_present_since(service, &known.default.version, known.read_ms)
+        .then_some(known.default)
+}
+
+/// Returns the default version of a service, or `None` if the service has no engines and so no
+/// version yet. `other` is a version for which it only matters whether it is the default.
+pub(super) async fn read(
+    gateway: &SharedGateway,
+    service: &Arc<str>,
+    other: Option<&Arc<str>>,
+) -> Result<Option<DefaultVersion>, Error> {
+    let _reading = gateway.stream_origins.reading.lock().await;
+    if let Some(default) = trusted_default(gateway, service) {
+        return Ok(Some(default));
+    }
+    let known = gateway.stream_origins.known_default(service);
+    let known = known.filter(|known| clock::now().since(known.read_ms) < REREAD_MS);
+    match (known, other) {
+        (Some(known), Some(other)) if known.default.version != *other => {
+            return Ok(Some(known.default));
+        }
+        _ => {}
+    }
+    let result = read_from_store(gateway, service).await;
+    gateway.stream_origins.record_store_result(&result);
+    result
+}
+
+async fn read_from_store(
+    gateway: &SharedGateway,
+    service: &Arc<str>,
+) -> Result<Option<DefaultVersion>, Error> {
+    let kind = gateway.dialect.objects.version_kind;
+    // Engines that leave while the call is under way end the trust in its result.
+    let read_ms = clock::now();
+    let mut object = gateway.store.get(kind, service).await?;
+    if object.is_none() {
+        let Some(initial) = initial_default(gateway, service) else {
+            return Ok(None);
+        };
+        let value = to_value(&initial)?;
+        let created = gateway
+            .store
+            .put(kind, service, &value, Precondition::Absent)
+            .await?;
+        object = match created {
+            PutOutcome::Written { version } => {
+                log_default(gateway, service, &initial);
+                Some(Object {
+                    kind: kind.into(),
+                    name: service.clone(),
+                    version,
+                    value,
+                })
+            }
+            PutOutcome::Conflict { current } => current,
+        };
+    }
+    let Some(object) = object else {
+        return Ok(None);
+    };
+    let default = DefaultVersion::deserialize(&object.value).map_err(|error| {
+        log_unreadable(gateway, &object, &error);
+        Error::Protocol(format!("default version of {service}: {error}"))
+    })?;
+    store_default(gateway, service, default.clone(), object.version, read_ms);
+    Ok(Some(default))
+}
+
+fn to_value(default: &DefaultVersion) -> Result<serde_json::Value, Error> {
+    serde_json::to_value(default).map_err(|error| Error::Protocol(error.to_string()))
+}
+
+// Returns the first default version of a service. If there are several versions already, streams
+// may have begun before without a record.
+fn initial_default(gateway: &Gateway, service: &str) -> Option<DefaultVersion> {
+    let slots = gateway.state().upstreams.version_slots(service);
+    let era = *gateway.store.era().borrow();
+    Some(DefaultVersion {
+        version: software_versions::largest_version(&slots)?,
+        recorded_era: (slots.len() == 1).then_some(era),
+    })
+}
+
+fn store_default(
+    gateway: &Gateway,
+    service: &Arc<str>,
+    default: DefaultVersion,
+    store_version: u64,
+    read_ms: TimeMs,
+) {
+    let era = *gateway.store.era().borrow();
+    let is_recorded = default.of_unrecorded(era).is_some();
+    let defaults = &mut gateway.stream_origins.lock().defaults;
+    let before = defaults.get(service);
+    let unrecorded_since_ms = before.and_then(|before| before.unrecorded_since_ms);
+    let known = KnownDefault {
+        default,
+        store_version,
+        read_ms,
+        unrecorded_since_ms: (!is_recorded).then(|| unrecorded_since_ms.unwrap_or(read_ms)),
+    };
+    defaults.insert(service.clone(), known);
+}
+
+fn log_default(gateway: &Gateway, service: &str, default: &DefaultVersion) {
+    gateway.events.write(
+        "default_version",
+        serde_json::json!({
+            "service": service,
+            "version": &*default.version,
+            "recorded_era": default.recorded_era,
+        }),
+    );
+}
+
+/// Observes the versions of engines, changes default versions and removes records, for as long as
+/// the process lives.
+pub async fn maintain(gateway: SharedGateway) {
+    let mut observations = 0;
+    loop {
+        tokio::time::sleep(OBSERVATION_INTERVAL).await;
+        gateway.state().observe_versions(clock::now());
+        observations += 1;
+        if observations % OBSERVATIONS_PER_MAINTENANCE != 0 {
+            continue;
+        }
+        if let Err(error) = maintain_store(&gateway).await {
+            log_store_failure(&gateway, "", &error);
+        }
+    }
+}
+
+async fn maintain_store(gateway: &SharedGateway) -> Result<(), Error> {
+    for _ in 0..MAX_REMOVALS_PER_MAINTENANCE {
+        let Some(id) = take_expired(gateway) else {
+            break;
+        };
+        remove_record(gateway, &id).await?;
+    }
+    let configuration = gateway.configuration.load_full();
+    let Some(configuration) = configuration else {
+        return Ok(());
+    };
+    for service in configuration.services.values() {
+        let life_ms = stream_life_ms(&configuration, &service.name);
+        let (Some(life_ms), Some(_)) = (life_ms, &service.engine) else {
+            continue;
+        };
+        if owners::is_local(gateway, &service.name) {
+            maintain_default(gateway, &service.name, life_ms).await?;
+        }
+    }
+    Ok(())
+}
+
+fn take_expired(gateway: &Gateway) -> Option<Arc<str>> {
+    let recorded = &mut gateway.stream_origins.lock().recorded;
+    let (deadline_ms, _) = recorded.front()?;
+    if *deadline_ms > clock::now() {
+        return None;
+    }
+    recorded.pop_front().map(|(_, id)| id)
+}
+
+async fn remove_record(gateway: &Gateway, id: &str) -> Result<(), Error> {
+    let kind = gateway.dialect.objects.stream_kind;
+    let removed = gateway.store.delete(kind, id, Precondition::Any).await;
+    gateway.stream_origins.record_store_result(&removed);
+    removed.map(drop)
+}
+
+// Changes the default version of a service once its engines have been gone for `life_ms`, and states
+// that all streams are recorded once those that may not be have ended.
+async fn maintain_default(
+    gateway: &SharedGateway,
+    service: &Arc<str>,
+    life_ms: u64,
+) -> Result<(), Error> {
+    let now = clock::now();
+    let known = gateway.stream_origins.known_default(service);
+    let Some(known) = known else {
+        // Read once this instance could change it.
+        let observed_ms = gateway.state().versions.observed_ms(service, now);
+        if observed_ms >= life_ms {
+            read(gateway, service, None).await?;
+        }
+        return Ok(());
+    };
+    let era = *gateway.store.era().borrow();
+    let is_recorded = known.default.of_unrecorded(era).is_some();
+    if !is_recorded && known.unrecorded_since_ms.is_none() {
+        let defaults = &mut gateway.stream_origins.lock().defaults;
+        if let Some(known) = defaults.get_mut(service) {
+            known.unrecorded_since_ms = Some(now);
+        }
+        return Ok(());
+    }
+    let next = match next_default(gateway, service, &known.default.version, life_ms) {
+        Some(next) if has_left(gateway, service, &known.default.version).await? => Some(next),
+        _ => None,
+    };
+    let unrecorded_since_ms = known.unrecorded_since_ms;
+    let are_old_ended = unrecorded_since_ms.is_none_or(|since_ms| now.since(since_ms) >= life_ms);
+    let changed = DefaultVersion {
+        version: next.unwrap_or_else(|| known.default.version.clone()),
+        recorded_era: match is_recorded || are_old_ended {
+            true => Some(era),
+            false => known.default.recorded_era,
+        },
+    };
+    if changed == known.default {
+        return Ok(());
+    }
+    let kind = gateway.dialect.objects.version_kind;
+    let precondition = Precondition::Version(known.store_version);
+    let value = to_value(&changed)?;
+    let outcome = gateway.store.put(kind, service, &value, precondition).await;
+    gateway.stream_origins.record_store_result(&outcome);
+    match outcome? {
+        PutOutcome::Written { version } => {
+            log_default(gateway, service, &changed);
+            store_default(gateway, service, changed.clone(), version, now);
+            remove_records_of(gateway, service, &changed.version).await
+        }
+        PutOutcome::Conflict { .. } => {
+            read_from_store(gateway, service).await?;
+            Ok(())
+        }
+    }
+}
+
+fn next_default(gateway: &Gateway, service: &str, default: &str, life_ms: u64) -> Option<Arc<str>> {
+    let state = gateway.state();
+    let slots = state.upstreams.version_slots(service);
+    let now = clock::now();
+    state
+        .versions
+        .next_default(service, default, &slots, life_ms, now)
+}
+
+// Returns whether no engine of a service has the version now, by the entries themselves: what this
+// instance knows of them may be old.
+async fn has_left(gateway: &Gateway, service: &str, version: &str) -> Result<bool, Error> {
+    let kind = gateway.dialect.objects.upstream_kind;
+    let listing = gateway.store.list(kind, "").await?;
+    let entries = listing.items.iter();
+    let mut upstreams = entries
+        .filter_map(|object| (gateway.dialect.decode_upstream)(&object.name, &object.value).ok());
+    Ok(!upstreams
+        .any(|upstream| *upstream.service == *service && *upstream.software_version == *version))
+}
+
+// Removes the records that the new default version makes needless, also those of instances that have
+// ended in the meantime.
+async fn remove_records_of(gateway: &Gateway, service: &str, version: &str) -> Result<(), Error> {
+    let kind = gateway.dialect.objects.stream_kind;
+    let listing = gateway.store.list_stale(kind, "").await?;
+    for object in listing.items {
+        let record = StreamRecord::deserialize(&object.value);
+        let is_needless =
+            record.is_ok_and(|record| *record.service == *service && *record.version == *version);
+        if is_needless {
+            remove_record(gateway, &object.name).await?;
+        }
+    }
+    Ok(())
+}
