Reach upstreams through peers while an instance's own links are lost

Cause: an instance knew no way to an upstream but its own link, and took what it couldn't connect to for down. Evidence: for 12 s all sends fail for all upstreams, 150 ms each, while the peers are served by the same upstreams. A second harm of the same cause: has_crashed asked the own link, so a cut that resets connections passed for crashes (cut_requests_are_not_quarantined).

Fix: after a failure to connect, or 400 ms without any response, an instance connects to some other upstreams at once. If none accepts, the links are lost, and connections to upstreams lead through peers until one of its own works again: CONNECT with the id of the upstream, on the TCP port of the peers' address. The peer only carries bytes, to registered upstreams, 256 at most, refuses while it has lost its links itself or is stopping, and passes resets on. All decisions stay where they were: at most once, retries, quotas, permits, cancellation and resuming see only another connection. What the instance couldn't reach is forgotten and no longer reported, and is no crash.

Weighed: to forward whole requests to a peer would split those decisions over two instances; to be not ready doesn't help clients whose connections are open, nor a data centre that is cut off.

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod evacuations;
 pub mod memory_limit;
 pub mod owners;
+pub mod partition;
 pub mod peer_reports;
 pub mod permits;
 pub mod placement;
--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -258,6 +258,14 @@
             .is_some_and(|record| record.peers_unreachable_deadline_ms > now)
     }
 
+    /// Forgets which upstreams this instance could not reach, as the cause was its own links.
+    pub fn forget_unreachable(&mut self) {
+        for record in self.records.values_mut() {
+            record.unreachable_deadline_ms = TimeMs::default();
+            record.unreachable_since_success = 0;
+        }
+    }
+
     /// Returns the upstreams that this instance itself cannot reach or that were replaced, with the
     /// remaining time for which it avoids them.
     pub fn unreachable(&self, now: TimeMs) -> BTreeMap<Arc<str>, u64> {
--- a/crates/dogwoodpier-fakes/src/caller.rs
+++ b/crates/dogwoodpier-fakes/src/caller.rs
@@ -55,7 +55,10 @@
 impl CallError {
     /// Returns true if no connection to the node was made, so that nothing was sent.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::Send(SendError::NotSent(_)))
+        matches!(
+            self,
+            Self::Send(SendError::NotSent(_) | SendError::NotConnected(_))
+        )
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -18,6 +18,8 @@
 pub const QUARANTINED_PARTS: &str = "dogwoodpier_gateway_quarantined_parts";
 /// Attempts that resume a stream, by how the version that began it was found.
 pub const RESUMED_STREAMS_TOTAL: &str = "dogwoodpier_gateway_resumed_streams_total";
+/// 1 if this instance reaches upstreams over its own links, 0 if it has lost all of them.
+pub const UPSTREAMS_REACHABLE: &str = "dogwoodpier_gateway_upstreams_reachable";
 /// New connections to upstreams.
 pub const CONNECTIONS_TOTAL: &str = "dogwoodpier_gateway_upstream_connections_total";
 /// Time in the queue for an engine.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -22,6 +22,7 @@
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_http::ConnectionReturn;
 use dogwoodpier_http::Reply;
+use dogwoodpier_http::SendError;
 use dogwoodpier_process::clock;
 
 use crate::body::ResponseBody;
@@ -356,8 +357,14 @@
     } = placement;
     let slot_granted_ms = clock::now();
     if let Err(error) = forwarding::ensure_connected(gateway, decode.upstream()).await {
-        decode.set_result(broker::GrantOutcome::Unreachable);
-        gateway.record_outcome(decode.upstream(), Outcome::Unreachable);
+        decode.set_result(match error {
+            // Nothing is known of the upstream.
+            SendError::NotSent(_) => broker::GrantOutcome::Withheld,
+            _ => broker::GrantOutcome::Unreachable,
+        });
+        if !matches!(error, SendError::NotSent(_)) {
+            gateway.record_outcome(decode.upstream(), Outcome::Unreachable);
+        }
         gateway.events.write(
             "engine_unreachable",
             serde_json::json!({
@@ -426,6 +433,7 @@
         SendOutcome::NotExecuted(_) | SendOutcome::Withheld => {
             decode.set_result(broker::GrantOutcome::Full)
         }
+        SendOutcome::NoPath(_) => decode.set_result(broker::GrantOutcome::Withheld),
         // The grant ends unused.
         SendOutcome::Quarantined => {}
         SendOutcome::Cut(_) => {
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -1,5 +1,6 @@
 //! A single send of a request to an upstream, and whether the request may have run there.
 
+use std::convert::Infallible;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,15 +15,16 @@
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::upstreams::Upstream;
-use dogwoodpier_http::Destination;
 use dogwoodpier_http::Reply;
 use dogwoodpier_http::SendError;
 use dogwoodpier_process::clock;
 
 use crate::counters;
+use crate::paths;
 use crate::permits::SendPermit;
 use crate::request::ClientRequest;
 use crate::state::Gateway;
+use crate::state::SharedGateway;
 
 // Least time left for a send: with less, the upstream would give up before it began.
 const MIN_SEND_MS: u64 = 5;
@@ -34,6 +36,8 @@
     Answered(Reply),
     /// Nothing of the request reached the upstream.
     NotSent(String),
+    /// Nothing was sent, as this instance has no path to any upstream.
+    NoPath(String),
     /// Nothing was sent, as the upstream asked this instance to back off.
     Withheld,
     /// Nothing was sent, as the request or a part of its prompt is quarantined.
@@ -54,6 +58,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::NotSent(_) => "not_sent",
+            Self::NoPath(_) => "no_path",
             Self::Withheld => "withheld",
             Self::Quarantined => "quarantined",
             Self::NotExecuted(_) => "not_executed",
@@ -67,7 +72,11 @@
     pub fn has_not_run(&self) -> bool {
         matches!(
             self,
-            Self::NotSent(_) | Self::Withheld | Self::Quarantined | Self::NotExecuted(_)
+            Self::NotSent(_)
+                | Self::NoPath(_)
+                | Self::Withheld
+                | Self::Quarantined
+                | Self::NotExecuted(_)
         )
     }
 }
@@ -78,7 +87,7 @@
 /// Sends a request to an upstream that is to run it, and waits until `send_deadline_ms` for the head of the
 /// response. Counts the run against the request's quota charge.
 pub async fn send(
-    gateway: &Gateway,
+    gateway: &SharedGateway,
     request: &ClientRequest,
     upstream: &Upstream,
     permit: SendPermit,
@@ -107,7 +116,7 @@
 
 /// Like [`send`], for a call that does not run the request and so does not use up its charge.
 pub async fn send_uncharged(
-    gateway: &Gateway,
+    gateway: &SharedGateway,
     request: &ClientRequest,
     upstream: &Upstream,
     // Used up by this send.
@@ -129,7 +138,12 @@
         metrics::counter!(counters::LIMITED_SENDS_TOTAL, "result" => outcome.as_str()).increment(1);
     }
     match &outcome {
-        SendOutcome::Answered(_) | SendOutcome::Withheld | SendOutcome::Quarantined => {}
+        SendOutcome::Answered(_)
+        | SendOutcome::NoPath(_)
+        | SendOutcome::Withheld
+        | SendOutcome::Quarantined => {}
+        // The upstream may have answered on a path that is lost.
+        SendOutcome::TimedOut if gateway.state().partition.is_partitioned() => {}
         SendOutcome::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
             gateway.record_outcome(upstream, Outcome::Replaced);
         }
@@ -155,9 +169,10 @@
     elapsed_ms: u64,
 ) {
     let detail = match outcome {
-        SendOutcome::NotSent(detail) | SendOutcome::Cut(detail) | SendOutcome::Lost(detail) => {
-            detail.clone()
-        }
+        SendOutcome::NotSent(detail)
+        | SendOutcome::NoPath(detail)
+        | SendOutcome::Cut(detail)
+        | SendOutcome::Lost(detail) => detail.clone(),
         SendOutcome::NotExecuted(status) => format!("status {}", status.as_u16()),
         SendOutcome::Answered(_)
         | SendOutcome::Withheld
@@ -178,7 +193,7 @@
 }
 
 async fn try_send(
-    gateway: &Gateway,
+    gateway: &SharedGateway,
     request: &ClientRequest,
     upstream: &Upstream,
     extra_headers: ExtraHeaders,
@@ -186,7 +201,6 @@
 ) -> SendOutcome {
     let now = clock::now();
     let remaining_ms = request.deadline_ms.remaining(now);
-    let limit = Duration::from_millis(send_deadline_ms.remaining(now));
     if remaining_ms < MIN_SEND_MS {
         return SendOutcome::NotSent("no time left".to_owned());
     }
@@ -198,21 +212,74 @@
     if gateway.state().health.backoff_ms(&upstream.id, now) > 0 {
         return SendOutcome::Withheld;
     }
-    let outgoing = match build(gateway, request, upstream, extra_headers, remaining_ms) {
-        Ok(outgoing) => outgoing,
-        Err(error) => return SendOutcome::NotSent(error.to_string()),
+    let build = || build(gateway, request, upstream, &extra_headers);
+    let result = match send_by(gateway, upstream, send_deadline_ms, build).await {
+        Err(SendFailure::NoConnection {
+            by_relay: false, ..
+        }) if paths::check(gateway, upstream).await => {
+            send_by(gateway, upstream, send_deadline_ms, build).await
+        }
+        result => result,
     };
-    let to = destination(gateway, upstream);
-    match tokio::time::timeout(limit, gateway.connections.send(&to, outgoing)).await {
-        Err(_) => SendOutcome::TimedOut,
-        Ok(Err(SendError::NotSent(detail))) => SendOutcome::NotSent(detail),
-        Ok(Err(SendError::Cut(detail))) => SendOutcome::Cut(detail),
-        Ok(Err(error)) => SendOutcome::Lost(error.to_string()),
-        Ok(Ok(reply)) => {
+    match result {
+        Ok(reply) => {
+            gateway.state().partition.record_response(clock::now());
             apply_response_hints(gateway, upstream, &reply);
             record_limit(gateway, upstream, &reply, now);
             classify(gateway, request, reply)
         }
+        Err(SendFailure::Invalid(error)) => SendOutcome::NotSent(error.to_string()),
+        Err(SendFailure::NoConnection { detail, .. }) => SendOutcome::NotSent(detail),
+        Err(SendFailure::TimedOut) => SendOutcome::TimedOut,
+        Err(SendFailure::Failed(SendError::NotSent(detail))) => SendOutcome::NoPath(detail),
+        Err(SendFailure::Failed(SendError::Cut(detail))) => SendOutcome::Cut(detail),
+        Err(SendFailure::Failed(error)) => SendOutcome::Lost(error.to_string()),
+    }
+}
+
+// Why a request got no response.
+enum SendFailure {
+    // The request can't be built.
+    Invalid(http::Error),
+    // No connection to the upstream could be established.
+    NoConnection { detail: String, by_relay: bool },
+    TimedOut,
+    Failed(SendError),
+}
+
+// Sends a request by the path that is in use, and waits for the head of the response.
+async fn send_by<B>(
+    gateway: &SharedGateway,
+    upstream: &Upstream,
+    send_deadline_ms: TimeMs,
+    build: B,
+) -> Result<Reply, SendFailure>
+where
+    B: Fn() -> http::Result<Request<Full<Bytes>>>,
+{
+    let outgoing = build().map_err(SendFailure::Invalid)?;
+    let to = paths::destination(gateway, upstream);
+    let limit = Duration::from_millis(send_deadline_ms.remaining(clock::now()));
+    let sent = tokio::time::timeout(limit, gateway.connections.send(&to, outgoing));
+    let result = tokio::select! {
+        biased;
+        result = sent => result,
+        never = check_silence(gateway, upstream) => match never {},
+    };
+    match result {
+        Err(_) => Err(SendFailure::TimedOut),
+        Ok(Err(SendError::NotConnected(detail))) => Err(SendFailure::NoConnection {
+            detail,
+            by_relay: !to.relays.is_empty(),
+        }),
+        Ok(Err(error)) => Err(SendFailure::Failed(error)),
+        Ok(Ok(reply)) => {
+            if reply.connected {
+                metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
+                paths::record_connected(gateway, &to);
+            }
+            Ok(reply)
+        }
     }
 }
 
@@ -305,32 +372,45 @@
     (number.is_finite() && number >= 0.0).then_some(number)
 }
 
-/// Returns the destination of requests to an upstream.
-pub fn destination(gateway: &Gateway, upstream: &Upstream) -> Destination {
-    Destination {
-        id: upstream.id.clone(),
-        address: upstream.address,
-        connect_timeout_ms: gateway.settings.load().timing.connect_timeout_ms,
-    }
-}
-
 /// Opens a connection to an upstream if there is none, before work is done that would be lost
 /// without one.
-pub async fn ensure_connected(gateway: &Gateway, upstream: &Upstream) -> Result<(), SendError> {
-    let to = destination(gateway, upstream);
-    if gateway.connections.prepare(&to).await? {
+pub async fn ensure_connected(
+    gateway: &SharedGateway,
+    upstream: &Upstream,
+) -> Result<(), SendError> {
+    let to = paths::destination(gateway, upstream);
+    let result = match gateway.connections.prepare(&to).await {
+        Err(SendError::NotConnected(_))
+            if to.relays.is_empty() && paths::check(gateway, upstream).await =>
+        {
+            let to = paths::destination(gateway, upstream);
+            gateway.connections.prepare(&to).await
+        }
+        Ok(true) => {
+            paths::record_connected(gateway, &to);
+            Ok(true)
+        }
+        result => result,
+    };
+    if result? {
         metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
     }
     Ok(())
 }
 
+// Has the links checked if the response is late and no other comes.
+async fn check_silence(gateway: &SharedGateway, upstream: &Upstream) -> Infallible {
+    paths::check_if_silent(gateway, upstream).await;
+    std::future::pending().await
+}
+
 fn build(
     gateway: &Gateway,
     request: &ClientRequest,
     upstream: &Upstream,
-    extra_headers: ExtraHeaders,
-    remaining_ms: u64,
+    extra_headers: &ExtraHeaders,
 ) -> http::Result<Request<Full<Bytes>>> {
+    let remaining_ms = request.deadline_ms.remaining(clock::now());
     let names = &gateway.dialect.headers;
     let mut outgoing = Request::builder()
         .method(request.method.clone())
@@ -344,7 +424,7 @@
         HeaderValue::from_str(&upstream.id)?,
     );
     for (name, value) in extra_headers {
-        headers.insert(name, value);
+        headers.insert(name, value.clone());
     }
     Ok(outgoing)
 }
@@ -355,9 +435,6 @@
 
 fn classify(gateway: &Gateway, request: &ClientRequest, reply: Reply) -> SendOutcome {
     let names = &gateway.dialect.headers;
-    if reply.connected {
-        metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
-    }
     let not_executed = reply.headers.contains_key(&names.not_executed)
         || reply.status == StatusCode::MISDIRECTED_REQUEST;
     if not_executed {
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod newer_configuration;
 pub mod operators;
 pub mod owners;
+mod paths;
 pub mod peer_messages;
 pub mod pending;
 pub mod permits;
--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -59,6 +59,7 @@
         "members": membership.members,
         "heard": membership.reachable,
         "unmet_conditions": unmet_conditions,
+        "upstreams_reachable": !state.partition.is_partitioned(),
         "in_flight": gateway.drain.in_flight(),
         "draining": gateway.drain.is_draining(),
         "upstreams": upstreams,
--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -121,6 +121,10 @@
             return None;
         }
         SendOutcome::Quarantined => return None,
+        SendOutcome::NoPath(_) => {
+            guard.set_result(broker::GrantOutcome::Withheld);
+            return None;
+        }
         SendOutcome::NotSent(_)
         | SendOutcome::Cut(_)
         | SendOutcome::Lost(_)
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -23,7 +23,7 @@
 use dogwoodpier_process::clock;
 
 use crate::counters;
-use crate::forwarding;
+use crate::paths;
 use crate::peer_messages::Message;
 use crate::prompt_parts;
 use crate::prompt_parts::PromptParts;
@@ -212,7 +212,7 @@
 
 /// Returns whether an upstream whose response ended with its connection has crashed, so that the
 /// response may be incomplete. One that is leaving may have exited after its last response.
-pub async fn has_crashed(gateway: &Gateway, upstream: &Upstream) -> bool {
+pub async fn has_crashed(gateway: &SharedGateway, upstream: &Arc<Upstream>) -> bool {
     if accepts_connections(gateway, upstream).await {
         return false;
     }
@@ -221,9 +221,12 @@
     known.is_some_and(|known| known.accepts_work)
 }
 
-async fn accepts_connections(gateway: &Gateway, upstream: &Upstream) -> bool {
+// Returns whether an upstream accepts connections, true if that can't be found out.
+async fn accepts_connections(gateway: &SharedGateway, upstream: &Arc<Upstream>) -> bool {
     metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
-    dogwoodpier_http::accepts_connections(&forwarding::destination(gateway, upstream)).await
+    paths::accepts_connections(gateway, upstream)
+        .await
+        .unwrap_or(true)
 }
 
 // Returns the id of a crash: an incarnation of an upstream crashes only once.
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::partition::PartitionDetector;
 use dogwoodpier_core::gateway::peer_reports::PeerReports;
 use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
@@ -40,6 +41,7 @@
 use crate::evacuations;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
+use crate::paths;
 use crate::peer_messages;
 use crate::pending::PendingRequests;
 use crate::quarantine::Quarantine;
@@ -95,6 +97,7 @@
         readiness::operator_page,
     )
     .await?;
+    paths::start_relay(gateway.clone()).await?;
     server::start(gateway.clone()).await?;
     gateway.events.write(
         "started",
@@ -148,6 +151,7 @@
         newer_configuration: NewerConfiguration::default(),
         state: Mutex::new(RoutingState {
             upstreams: Upstreams::default(),
+            partition: PartitionDetector::default(),
             versions: SeenVersions::default(),
             upstreams_known: false,
             health: UpstreamHealth::default(),
@@ -171,6 +175,7 @@
         timing_stats: TimingStats::default(),
         queues: Queues::default(),
         connections: Connections::default(),
+        checking_links: tokio::sync::Mutex::default(),
         store,
         drain: Arc::default(),
         events,
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -16,6 +16,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::memory_limit::MemoryLimit;
+use dogwoodpier_core::gateway::partition::PartitionDetector;
 use dogwoodpier_core::gateway::peer_reports::Grant;
 use dogwoodpier_core::gateway::peer_reports::PeerReports;
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
@@ -98,6 +99,8 @@
     pub queues: Queues,
     /// Connections to upstreams.
     pub connections: Connections,
+    /// Held while the links to upstreams are checked.
+    pub checking_links: tokio::sync::Mutex<()>,
     /// Client of the object store.
     pub store: Client,
     /// Requests in flight, and whether new ones are accepted.
@@ -125,6 +128,8 @@
 pub struct RoutingState {
     /// Known upstreams.
     pub upstreams: Upstreams,
+    /// What is known of this instance's links to upstreams.
+    pub partition: PartitionDetector,
     /// Software versions of engines that this instance has seen.
     pub versions: SeenVersions,
     /// Whether the upstreams' entries have been read at least once.
--- a/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
@@ -30,10 +30,10 @@
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
-use defaults::KnownDefault;
-pub use defaults::maintain;
-pub use recording::Recorded;
-pub use recording::record;
+use self::defaults::KnownDefault;
+pub use self::defaults::maintain;
+pub use self::recording::Recorded;
+pub use self::recording::record;
 
 const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
 // A client that resumes a stream within the timeout of its route began it at most this many
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -2,6 +2,7 @@
 //!
 //! Unlike [`crate::Pool`], this passes on the head and body of a response as they arrive, and
 //! resends a request over another connection if its connection was closed before any byte was sent.
+//! A connection may lead through a relay, see [`crate::relay`].
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,12 +22,16 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::rt::Read;
+use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::error::SendError;
 use crate::pool::describe;
+use crate::relay;
+use crate::relay::RelayFailures;
 use crate::response;
 
 // Idle connections are no longer used this long before the upstream closes them, so that a request
@@ -49,6 +54,7 @@
 #[derive(Default)]
 struct Shared {
     idle: Mutex<BTreeMap<Arc<str>, Vec<Idle>>>,
+    relay_failures: RelayFailures,
 }
 
 /// Connections to upstreams, pooled by the upstream's id. Clones share them.
@@ -66,6 +72,8 @@
     pub address: SocketAddr,
     /// Maximum time to establish a connection.
     pub connect_timeout_ms: u64,
+    /// Relays to connect through, in order of preference. If empty, connects directly.
+    pub relays: Vec<SocketAddr>,
 }
 
 /// A response whose head has been read. Dropping it before the end of its body closes the connection.
@@ -114,7 +122,7 @@
                 });
             };
             if connected {
-                return Err(SendError::NotSent(describe(error.error())));
+                return Err(SendError::NotConnected(describe(error.error())));
             }
             request = unsent;
         }
@@ -133,6 +141,22 @@
         Ok(connected)
     }
 
+    /// Establishes a new connection to an upstream and closes it at once, as it may occupy one of the
+    /// upstream's slots. Idle connections may belong to a process that has ended.
+    pub async fn probe(&self, to: &Destination) -> Result<(), SendError> {
+        match to.relays.is_empty() {
+            true => open(to.address, to.connect_timeout_ms).await.map(drop),
+            false => relay::connect(to, &self.shared.relay_failures)
+                .await
+                .map(drop),
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle().clear();
+    }
+
     /// Closes the idle connections to an upstream. Called after one of them stopped responding, or
     /// once the upstream is gone.
     pub fn close_idle(&self, id: &str) {
@@ -168,10 +192,18 @@
     async fn take_or_connect(&self, to: &Destination) -> Result<(Sender, bool), SendError> {
         match self.take_idle(&to.id) {
             Some(sender) => Ok((sender, false)),
-            None => Ok((connect(to).await?, true)),
+            None => Ok((self.connect(to).await?, true)),
         }
     }
 
+    async fn connect(&self, to: &Destination) -> Result<Sender, SendError> {
+        if to.relays.is_empty() {
+            let stream = open(to.address, to.connect_timeout_ms).await?;
+            return handshake(TokioIo::new(stream)).await;
+        }
+        handshake(relay::connect(to, &self.shared.relay_failures).await?).await
+    }
+
     fn take_idle(&self, id: &str) -> Option<Sender> {
         let now = Instant::now();
         let mut connections = self.idle();
@@ -216,29 +248,25 @@
     }
 }
 
-/// Returns whether an upstream accepts connections. Always establishes a new connection, since idle
-/// ones may belong to a process that has ended. Closes it at once, as it may occupy one of the
-/// upstream's slots.
-pub async fn accepts_connections(to: &Destination) -> bool {
-    open(to).await.is_ok()
-}
-
-async fn open(to: &Destination) -> Result<TcpStream, SendError> {
-    let limit = Duration::from_millis(to.connect_timeout_ms);
-    tokio::time::timeout(limit, TcpStream::connect(to.address))
+/// Opens a TCP connection.
+pub(crate) async fn open(address: SocketAddr, timeout_ms: u64) -> Result<TcpStream, SendError> {
+    let limit = Duration::from_millis(timeout_ms);
+    tokio::time::timeout(limit, TcpStream::connect(address))
         .await
-        .map_err(|_| SendError::NotSent("connect timed out".to_owned()))?
+        .map_err(|_| SendError::NotConnected("connect timed out".to_owned()))?
         .and_then(|stream| stream.set_nodelay(true).map(|()| stream))
-        .map_err(|error| SendError::NotSent(error.to_string()))
+        .map_err(|error| SendError::NotConnected(error.to_string()))
 }
 
-async fn connect(to: &Destination) -> Result<Sender, SendError> {
-    let stream = open(to).await?;
+async fn handshake<T>(io: T) -> Result<Sender, SendError>
+where
+    T: Read + Write + Unpin + Send + 'static,
+{
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(io)
         .await
-        .map_err(|error| SendError::NotSent(error.to_string()))?;
+        .map_err(|error| SendError::NotConnected(error.to_string()))?;
     // Errors of the connection are reported by the request in progress.
     tokio::spawn(async move { connection.await.ok() });
     Ok(sender)
--- a/crates/dogwoodpier-http/src/error.rs
+++ b/crates/dogwoodpier-http/src/error.rs
@@ -8,6 +8,9 @@
     /// No connection was established, so no byte of the request was sent.
     #[error("no connection, nothing was sent: {0}")]
     NotSent(String),
+    /// The server couldn't be connected to, so no byte of the request was sent.
+    #[error("no connection: {0}")]
+    NotConnected(String),
     /// No response arrived in time; the request may have run.
     #[error("no answer within {timeout_ms} ms")]
     Timeout {
--- a/crates/dogwoodpier-http/src/lib.rs
+++ b/crates/dogwoodpier-http/src/lib.rs
@@ -10,13 +10,13 @@
 pub mod connections;
 pub mod error;
 pub mod pool;
+pub mod relay;
 pub mod response;
 
 pub use connections::ConnectionReturn;
 pub use connections::Connections;
 pub use connections::Destination;
 pub use connections::Reply;
-pub use connections::accepts_connections;
 pub use error::BodyError;
 pub use error::SendError;
 pub use pool::Pool;
--- a/crates/dogwoodpier-platform/src/error.rs
+++ b/crates/dogwoodpier-platform/src/error.rs
@@ -25,7 +25,7 @@
 impl From<SendError> for Error {
     fn from(error: SendError) -> Self {
         match error {
-            SendError::NotSent(_) => Self::NotDone(error.to_string()),
+            SendError::NotSent(_) | SendError::NotConnected(_) => Self::NotDone(error.to_string()),
             SendError::Timeout { .. } | SendError::Cut(_) | SendError::Unreadable(_) => {
                 Self::Unknown(error.to_string())
             }
--- a/crates/dogwoodpier-upstream/src/engine/error.rs
+++ b/crates/dogwoodpier-upstream/src/engine/error.rs
@@ -58,7 +58,7 @@
 impl From<SendError> for EngineError {
     fn from(error: SendError) -> Self {
         match error {
-            SendError::NotSent(cause) => Self::NotSent(cause),
+            SendError::NotSent(cause) | SendError::NotConnected(cause) => Self::NotSent(cause),
             SendError::Timeout { timeout_ms } => Self::Timeout { timeout_ms },
             SendError::Cut(cause) => Self::Cut(cause),
             SendError::Unreadable(cause) => Self::Protocol(cause),
--- a/crates/dogwoodpier-upstream/src/service.rs
+++ b/crates/dogwoodpier-upstream/src/service.rs
@@ -84,7 +84,7 @@
 impl From<SendError> for ServiceError {
     fn from(error: SendError) -> Self {
         match error {
-            SendError::NotSent(cause) => Self::NotSent(cause),
+            SendError::NotSent(cause) | SendError::NotConnected(cause) => Self::NotSent(cause),
             SendError::Timeout { .. } | SendError::Cut(_) | SendError::Unreadable(_) => {
                 Self::NoAnswer(error)
             }
