--- a/crates/dogwoodpier-platform/src/wire.rs
+++ b/crates/dogwoodpier-platform/src/wire.rs
@@ -19,8 +19,8 @@
 use percent_encoding::AsciiSet;
 use percent_encoding::NON_ALPHANUMERIC;
 use percent_encoding::utf8_percent_encode;
+use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use dogwoodpier_derive::wire;
@@ -84,9 +84,9 @@
 }
 
 /// Decodes a JSON body.
-pub fn decode<T>(body: &[u8]) -> Result<T>
+pub fn decode<'a, T>(body: &'a [u8]) -> Result<T>
 where
-    T: DeserializeOwned,
+    T: Deserialize<'a>,
 {
     serde_json::from_slice(body).map_err(|error| Error::Protocol(error.to_string()))
 }
