Believe a refusal only if it is the response to the request

What operators of similar systems saw: a faulty runner wrote an earlier refusal once more on a kept connection. Clients were told 'not run' of requests that had run or were running, or such a request ran at a second runner (REFUSED, TWICE). It can happen here: classify looked at the not-executed header and at 421 before it compared the request's id, and the pause and the rate limit in such a response were applied before either.

Fix: the id decides first, for refusals as for any other response. With the id of another request the connection is closed, the fate of the request is unknown, and hints in the response count for nothing. A refusal without an id is believed only over a connection that no request used before, where nothing else can be pending; a connection that was opened ahead counts as unused.

--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -224,9 +224,12 @@
     match result {
         Ok(reply) => {
             gateway.state().partition.record_response(clock::now());
+            if !answers(gateway, request, &reply) {
+                return SendOutcome::Lost("the answer belongs to another request".to_owned());
+            }
             apply_response_hints(gateway, upstream, &reply);
             record_limit(gateway, upstream, &reply, now);
-            classify(gateway, request, reply)
+            classify(gateway, reply)
         }
         Err(SendFailure::Invalid(error)) => SendOutcome::NotSent(error.to_string()),
         Err(SendFailure::NoConnection { detail, .. }) => SendOutcome::NotSent(detail),
@@ -433,17 +436,28 @@
     target.path_and_query().map_or("/", |path| path.as_str())
 }
 
-fn classify(gateway: &Gateway, request: &ClientRequest, reply: Reply) -> SendOutcome {
-    let names = &gateway.dialect.headers;
-    let not_executed = reply.headers.contains_key(&names.not_executed)
-        || reply.status == StatusCode::MISDIRECTED_REQUEST;
-    if not_executed {
-        return SendOutcome::NotExecuted(reply.status);
+// Returns whether a response is that to a request. A faulty upstream may send an earlier response
+// once more, a refusal as well as any other.
+fn answers(gateway: &Gateway, request: &ClientRequest, reply: &Reply) -> bool {
+    match reply.headers.get(&gateway.dialect.headers.request_id) {
+        Some(id) => *id == request.id,
+        // Over a connection without an earlier request, it can only be the response to this one.
+        None => is_refusal(gateway, reply) && !reply.was_used,
     }
-    if reply.headers.get(&names.request_id) != Some(&request.id) {
-        return SendOutcome::Lost("the answer belongs to another request".to_owned());
+}
+
+fn is_refusal(gateway: &Gateway, reply: &Reply) -> bool {
+    reply
+        .headers
+        .contains_key(&gateway.dialect.headers.not_executed)
+        || reply.status == StatusCode::MISDIRECTED_REQUEST
+}
+
+fn classify(gateway: &Gateway, reply: Reply) -> SendOutcome {
+    match is_refusal(gateway, &reply) {
+        true => SendOutcome::NotExecuted(reply.status),
+        false => SendOutcome::Answered(reply),
     }
-    SendOutcome::Answered(reply)
 }
 
 /// Returns whether a response may be passed on to a client: it bears its upstream's signature, and
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -49,6 +49,15 @@
 struct Idle {
     sender: Sender,
     deadline: Instant,
+    was_used: bool,
+}
+
+// A connection that was taken for a request.
+struct Taken {
+    sender: Sender,
+    is_new: bool,
+    // Whether a request was sent over it before.
+    was_used: bool,
 }
 
 #[derive(Default)]
@@ -89,6 +98,8 @@
     pub is_framed: bool,
     /// Whether a new connection was established for the request.
     pub connected: bool,
+    /// Whether another request was sent over the connection before.
+    pub was_used: bool,
     returning: ConnectionReturn,
 }
 
@@ -98,6 +109,7 @@
     id: Arc<str>,
     sender: Option<Sender>,
     keep_alive: Duration,
+    was_used: bool,
 }
 
 impl Connections {
@@ -109,9 +121,9 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<Reply, SendError> {
         loop {
-            let (mut sender, connected) = self.take_or_connect(to).await?;
-            let mut error = match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.reply(to, sender, response, connected)),
+            let mut taken = self.take_or_connect(to).await?;
+            let mut error = match taken.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.reply(to, taken, response)),
                 Err(error) => error,
             };
             let Some(unsent) = error.take_message() else {
@@ -121,7 +133,7 @@
                     false => SendError::Cut(detail),
                 });
             };
-            if connected {
+            if taken.is_new {
                 return Err(SendError::NotConnected(describe(error.error())));
             }
             request = unsent;
@@ -130,15 +142,16 @@
 
     /// Establishes a connection if none is idle. Returns whether one was established.
     pub async fn prepare(&self, to: &Destination) -> Result<bool, SendError> {
-        let (sender, connected) = self.take_or_connect(to).await?;
+        let taken = self.take_or_connect(to).await?;
         let returning = ConnectionReturn {
             connections: self.clone(),
             id: to.id.clone(),
-            sender: Some(sender),
+            sender: Some(taken.sender),
             keep_alive: DEFAULT_KEEP_ALIVE,
+            was_used: taken.was_used,
         };
         returning.return_to_pool();
-        Ok(connected)
+        Ok(taken.is_new)
     }
 
     /// Establishes a new connection to an upstream and closes it at once, as it may occupy one of the
@@ -163,13 +176,7 @@
         self.idle().remove(id);
     }
 
-    fn reply(
-        &self,
-        to: &Destination,
-        sender: Sender,
-        response: http::Response<Incoming>,
-        connected: bool,
-    ) -> Reply {
+    fn reply(&self, to: &Destination, taken: Taken, response: http::Response<Incoming>) -> Reply {
         let (head, body) = response.into_parts();
         let keep_alive = keep_alive(&head.headers);
         let is_framed = body.is_end_stream() || response::is_framed(&head.headers);
@@ -178,22 +185,31 @@
             headers: head.headers,
             body,
             is_framed,
-            connected,
+            connected: taken.is_new,
+            was_used: taken.was_used,
             returning: ConnectionReturn {
                 connections: self.clone(),
                 id: to.id.clone(),
-                sender: (is_framed && keep_alive > Duration::ZERO).then_some(sender),
+                sender: (is_framed && keep_alive > Duration::ZERO).then_some(taken.sender),
                 keep_alive,
+                was_used: true,
             },
         }
     }
 
-    // Returns a connection and whether it is a new one.
-    async fn take_or_connect(&self, to: &Destination) -> Result<(Sender, bool), SendError> {
-        match self.take_idle(&to.id) {
-            Some(sender) => Ok((sender, false)),
-            None => Ok((self.connect(to).await?, true)),
+    async fn take_or_connect(&self, to: &Destination) -> Result<Taken, SendError> {
+        if let Some(idle) = self.take_idle(&to.id) {
+            return Ok(Taken {
+                sender: idle.sender,
+                is_new: false,
+                was_used: idle.was_used,
+            });
         }
+        Ok(Taken {
+            sender: self.connect(to).await?,
+            is_new: true,
+            was_used: false,
+        })
     }
 
     async fn connect(&self, to: &Destination) -> Result<Sender, SendError> {
@@ -204,13 +220,13 @@
         handshake(relay::connect(to, &self.shared.relay_failures).await?).await
     }
 
-    fn take_idle(&self, id: &str) -> Option<Sender> {
+    fn take_idle(&self, id: &str) -> Option<Idle> {
         let now = Instant::now();
         let mut connections = self.idle();
         let idle = connections.get_mut(id)?;
         idle.retain(|entry| !entry.sender.is_closed() && entry.deadline > now);
         let index = idle.iter().rposition(|entry| entry.sender.is_ready())?;
-        Some(idle.remove(index).sender)
+        Some(idle.remove(index))
     }
 
     fn idle(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, Vec<Idle>>> {
@@ -239,6 +255,7 @@
         let entry = Idle {
             sender,
             deadline: Instant::now() + self.keep_alive,
+            was_used: self.was_used,
         };
         self.connections
             .idle()
