Begin streams without the store while their service has one version

What callers would have seen: at an instance that is cut off from the store before its first resumable stream, each such stream waited half a second for the default version, its prefilled cache expired meanwhile, and after four placements it was refused as overloaded.

Cause: a stream waited for its record whatever followed from it. Fix: it waits only if it could be resumed at a wrong version. While all engines have one version, or none has the default one, the record is written in the background, after 100 ms at most. The wait for a record counts from the placement and ends before a prefilled cache expires, and a timeout counts as a failure of the store, so that the next streams begin at the default version at once. The default version is read ahead, first by the owner of the service, which creates it.

Also: unreadable records are logged and counted by the function that all other objects use.

--- a/crates/dogwoodpier-core/src/gateway/software_versions.rs
+++ b/crates/dogwoodpier-core/src/gateway/software_versions.rs
@@ -92,12 +92,6 @@
         self.services.clear();
     }
 
-    /// Returns for how long the instance has seen the versions of a service.
-    pub fn observed_ms(&self, service: &str, now: TimeMs) -> u64 {
-        let seen = self.services.get(service);
-        seen.map_or(0, |seen| now.since(seen.observed_since_ms))
-    }
-
     /// Returns whether an engine of the service has the version.
     pub fn is_present(&self, service: &str, version: &str) -> bool {
         self.present_since(service, version).is_some()
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -452,7 +452,8 @@
     }
 }
 
-fn log_unreadable(gateway: &Gateway, object: &Object, problem: &str) {
+/// Logs and counts an object that can't be decoded.
+pub fn log_unreadable(gateway: &Gateway, object: &Object, problem: &str) {
     metrics::counter!(counters::UNREADABLE_TOTAL, "kind" => object.kind.to_string()).increment(1);
     gateway.events.write(
         "unreadable_entry",
--- a/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
@@ -18,17 +18,18 @@
 use crate::owners;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
+use crate::store;
 
 use super::RESUMABLE;
 use super::StreamRecord;
 use super::TIMEOUTS_OF_STREAM_LIFE;
 use super::log_store_failure;
-use super::log_unreadable;
 
 // Time for which a default version that has no engines any more isn't read again.
 const REREAD_MS: u64 = 2_000;
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
 const OBSERVATIONS_PER_MAINTENANCE: u32 = 4;
+const OBSERVATIONS_BEFORE_READING: u32 = 20;
 // Bounds the calls to the store for the removal of records.
 const MAX_REMOVALS_PER_MAINTENANCE: usize = 20;
 
@@ -139,7 +140,7 @@
         return Ok(None);
     };
     let default = DefaultVersion::deserialize(&object.value).map_err(|error| {
-        log_unreadable(gateway, &object, &error);
+        store::log_unreadable(gateway, &object, &error.to_string());
         Error::Protocol(format!("default version of {service}: {error}"))
     })?;
     store_default(gateway, service, default.clone(), object.version, read_ms);
@@ -196,21 +197,24 @@
 /// Observes the versions of engines, changes default versions and removes records, for as long as
 /// the process lives.
 pub async fn maintain(gateway: SharedGateway) {
-    let mut observations = 0;
+    let mut observations: u32 = 0;
     loop {
         tokio::time::sleep(OBSERVATION_INTERVAL).await;
         gateway.state().observe_versions(clock::now());
-        observations += 1;
-        if observations % OBSERVATIONS_PER_MAINTENANCE != 0 {
+        observations = observations.saturating_add(1);
+        if !observations.is_multiple_of(OBSERVATIONS_PER_MAINTENANCE) {
             continue;
         }
-        if let Err(error) = maintain_store(&gateway).await {
+        let has_owner_had_time = observations >= OBSERVATIONS_BEFORE_READING;
+        if let Err(error) = maintain_store(&gateway, has_owner_had_time).await {
             log_store_failure(&gateway, "", &error);
         }
     }
 }
 
-async fn maintain_store(gateway: &SharedGateway) -> Result<(), Error> {
+// `has_owner_had_time` states whether the owner of a service has had time to create its default
+// version, so that not all instances try at the start of a fleet.
+async fn maintain_store(gateway: &SharedGateway, has_owner_had_time: bool) -> Result<(), Error> {
     for _ in 0..MAX_REMOVALS_PER_MAINTENANCE {
         let Some(id) = take_expired(gateway) else {
             break;
@@ -226,13 +230,27 @@
         let (Some(life_ms), Some(_)) = (life_ms, &service.engine) else {
             continue;
         };
-        if owners::is_local(gateway, &service.name) {
+        let is_owner = owners::is_local(gateway, &service.name);
+        if is_owner || has_owner_had_time {
+            read_ahead(gateway, &service.name).await?;
+        }
+        if is_owner {
             maintain_default(gateway, &service.name, life_ms).await?;
         }
     }
     Ok(())
 }
 
+// Reads the default version of a service with engines, so that the first stream doesn't wait for it.
+async fn read_ahead(gateway: &SharedGateway, service: &Arc<str>) -> Result<(), Error> {
+    let is_known = gateway.stream_origins.known_default(service).is_some();
+    let has_engines = !gateway.state().upstreams.version_slots(service).is_empty();
+    if !is_known && has_engines {
+        read(gateway, service, None).await?;
+    }
+    Ok(())
+}
+
 fn take_expired(gateway: &Gateway) -> Option<Arc<str>> {
     let recorded = &mut gateway.stream_origins.lock().recorded;
     let (deadline_ms, _) = recorded.front()?;
@@ -259,11 +277,6 @@
     let now = clock::now();
     let known = gateway.stream_origins.known_default(service);
     let Some(known) = known else {
-        // Read once this instance could change it.
-        let observed_ms = gateway.state().versions.observed_ms(service, now);
-        if observed_ms >= life_ms {
-            read(gateway, service, None).await?;
-        }
         return Ok(());
     };
     let era = *gateway.store.era().borrow();
--- a/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
@@ -19,7 +19,6 @@
 use dogwoodpier_core::gateway::routes::RetryPolicy;
 use dogwoodpier_derive::wire;
 use dogwoodpier_platform::Error;
-use dogwoodpier_platform::wire::Object;
 use dogwoodpier_process::clock;
 
 use crate::counters;
@@ -29,6 +28,7 @@
 use crate::request::ClientRequest;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
+use crate::store;
 
 use self::defaults::KnownDefault;
 pub use self::defaults::maintain;
@@ -126,6 +126,10 @@
     fn record_store_result<T>(&self, result: &Result<T, Error>) {
         self.lock().store_failed_ms = result.is_err().then(clock::now);
     }
+
+    fn record_store_failure(&self) {
+        self.lock().store_failed_ms = Some(clock::now());
+    }
 }
 
 fn request_life_ms(request: &ClientRequest) -> u64 {
@@ -221,7 +225,7 @@
     if let Some(object) = object.map_err(unavailable)? {
         let record = StreamRecord::deserialize(&object.value);
         return record.map(|record| (record, "record")).map_err(|error| {
-            log_unreadable(gateway, &object, &error);
+            store::log_unreadable(gateway, &object, &error.to_string());
             unknown
         });
     }
@@ -242,15 +246,3 @@
         serde_json::json!({ "request_id": id, "detail": error.to_string() }),
     );
 }
-
-fn log_unreadable(gateway: &Gateway, object: &Object, error: &serde_json::Error) {
-    gateway.events.write(
-        "unreadable_entry",
-        serde_json::json!({
-            "kind": &*object.kind,
-            "name": &*object.name,
-            "store_version": object.version,
-            "problem": error.to_string(),
-        }),
-    );
-}
--- a/crates/dogwoodpier-gateway/src/stream_origins/recording.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/recording.rs
@@ -23,8 +23,11 @@
 use super::request_life_ms;
 use super::resumes;
 
-// Time that a request waits for its record. Most of it passes during the prefill.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+// Time from a placement within which its stream has to be recorded. Most of it passes during the
+// prefill, whose cache expires soon after.
+const RECORD_TIMEOUT_MS: u64 = 400;
+// Time to wait for the store if the stream can begin without it.
+const READ_TIMEOUT_MS: u64 = 100;
 const RECORD_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// What became of the recording of a stream.
@@ -45,6 +48,7 @@
     gateway: SharedGateway,
     stream: Option<UnrecordedStream>,
     task: Option<JoinHandle<Written>>,
+    started_ms: TimeMs,
 }
 
 // A stream that needs a record.
@@ -75,22 +79,31 @@
         let (Some(mut task), Some(stream)) = (self.task.take(), self.stream.take()) else {
             return Recorded::AnyVersion;
         };
-        let written = tokio::time::timeout(RECORD_TIMEOUT, &mut task).await;
-        let default = passing_version(&self.gateway, &stream.record.service);
+        let service = &stream.record.service;
+        let timeout_ms = match passing_version(&self.gateway, service) {
+            PassingVersion::Absent => 0,
+            PassingVersion::Sole => READ_TIMEOUT_MS,
+            PassingVersion::Present(_) | PassingVersion::Unknown => RECORD_TIMEOUT_MS,
+        };
+        let remaining_ms = self.started_ms.after(timeout_ms).remaining(clock::now());
+        let limit = Duration::from_millis(remaining_ms);
+        let written = tokio::time::timeout(limit, &mut task).await;
+        let default = passing_version(&self.gateway, service);
         match (written, default) {
             (Ok(Ok(Written::Needless)), _) => Recorded::AnyVersion,
             (Ok(Ok(Written::Done)), _) => Recorded::OneVersion,
             (Ok(Ok(Written::Nothing)), PassingVersion::Present(default)) => {
                 Recorded::Default(default)
             }
-            (Ok(Ok(Written::Nothing)), PassingVersion::Absent) => {
+            (Ok(Ok(Written::Nothing)), PassingVersion::Absent | PassingVersion::Sole) => {
                 let gateway = self.gateway.clone();
                 tokio::spawn(async move { record_later(&gateway, &stream).await });
                 Recorded::OneVersion
             }
             // The task goes on.
-            (Err(_), PassingVersion::Absent) => Recorded::OneVersion,
+            (Err(_), PassingVersion::Absent | PassingVersion::Sole) => Recorded::OneVersion,
             (Err(_), _) => {
+                self.gateway.stream_origins.record_store_failure();
                 task.abort();
                 Recorded::Failed
             }
@@ -113,6 +126,9 @@
     Present(Arc<str>),
     // No engine has it, so nobody resumes the stream at a wrong version.
     Absent,
+    // It is unknown, and all engines have one version.
+    Sole,
+    // It is unknown, and engines have several versions.
     Unknown,
 }
 
@@ -121,7 +137,7 @@
     let mut state = gateway.state();
     let Some(known) = known else {
         return match state.upstreams.version_slots(service).len() {
-            0 | 1 => PassingVersion::Absent,
+            0 | 1 => PassingVersion::Sole,
             _ => PassingVersion::Unknown,
         };
     };
@@ -139,6 +155,7 @@
         gateway: gateway.clone(),
         stream: None,
         task: None,
+        started_ms: clock::now(),
     };
     if !is_resumable(request) || resumes(gateway, request) {
         return recording;
