Count crashes while all upstreams are down

What callers would have seen: a request that crashes upstreams could end the last ones of a fleet without its crashes being counted. When all upstreams are down, each instance takes its own links for lost, no peer relays, and what nobody could tell counted as no crash.

Fix: if no peer has links either, the upstreams are taken for down, as before. An instance that is cut off alone still gets an answer from its peers.

--- a/crates/dogwoodpier-gateway/src/paths.rs
+++ b/crates/dogwoodpier-gateway/src/paths.rs
@@ -14,7 +14,6 @@
 use dogwoodpier_core::gateway::partition::Check;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_http::Destination;
-use dogwoodpier_http::SendError;
 use dogwoodpier_http::relay;
 use dogwoodpier_process::clock;
 use dogwoodpier_process::drain::InFlight;
@@ -72,35 +71,20 @@
     addresses
 }
 
-/// Returns whether an upstream accepts connections, or `None` if this instance can't tell because it
-/// has lost its links and no peer can be asked.
-pub async fn accepts_connections(
-    gateway: &SharedGateway,
-    upstream: &Arc<Upstream>,
-) -> Option<bool> {
+/// Returns whether an upstream accepts connections, from peers if this instance has lost its links. If
+/// no peer has links either, the upstreams are more likely down than all instances cut off.
+pub async fn accepts_connections(gateway: &SharedGateway, upstream: &Upstream) -> bool {
     let to = destination(gateway, upstream);
-    let result = gateway.connections.probe(&to).await;
-    match result {
-        Ok(()) => {
-            record_connected(gateway, &to);
-            Some(true)
-        }
-        Err(SendError::NotConnected(_))
-            if to.relays.is_empty() && check(gateway, upstream).await =>
-        {
-            let to = destination(gateway, upstream);
-            by_result(gateway.connections.probe(&to).await)
-        }
-        result => by_result(result),
+    let is_connected = gateway.connections.probe(&to).await.is_ok();
+    if is_connected {
+        record_connected(gateway, &to);
+        return true;
     }
-}
-
-fn by_result(result: Result<(), SendError>) -> Option<bool> {
-    match result {
-        Ok(()) => Some(true),
-        Err(SendError::NotConnected(_)) => Some(false),
-        Err(_) => None,
+    if !to.relays.is_empty() || !check(gateway, upstream).await {
+        return false;
     }
+    let to = destination(gateway, upstream);
+    gateway.connections.probe(&to).await.is_ok()
 }
 
 /// Records that a connection to a destination was established.
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -382,7 +382,7 @@
 async fn read_response(
     gateway: &SharedGateway,
     reply: Reply,
-    upstream: &Arc<Upstream>,
+    upstream: &Upstream,
     send_deadline_ms: TimeMs,
 ) -> Result<BufferedResponse, ReadError> {
     let status = reply.status;
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -212,7 +212,7 @@
 
 /// Returns whether an upstream whose response ended with its connection has crashed, so that the
 /// response may be incomplete. One that is leaving may have exited after its last response.
-pub async fn has_crashed(gateway: &SharedGateway, upstream: &Arc<Upstream>) -> bool {
+pub async fn has_crashed(gateway: &SharedGateway, upstream: &Upstream) -> bool {
     if accepts_connections(gateway, upstream).await {
         return false;
     }
@@ -221,12 +221,9 @@
     known.is_some_and(|known| known.accepts_work)
 }
 
-// Returns whether an upstream accepts connections, true if that can't be found out.
-async fn accepts_connections(gateway: &SharedGateway, upstream: &Arc<Upstream>) -> bool {
+async fn accepts_connections(gateway: &SharedGateway, upstream: &Upstream) -> bool {
     metrics::counter!(counters::CONNECTIONS_TOTAL).increment(1);
-    paths::accepts_connections(gateway, upstream)
-        .await
-        .unwrap_or(true)
+    paths::accepts_connections(gateway, upstream).await
 }
 
 // Returns the id of a crash: an incarnation of an upstream crashes only once.
--- a/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
@@ -29,6 +29,7 @@
 const REREAD_MS: u64 = 2_000;
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
 const OBSERVATIONS_PER_MAINTENANCE: u32 = 4;
+// By then the owner of a service has created its default version.
 const OBSERVATIONS_BEFORE_READING: u32 = 20;
 // Bounds the calls to the store for the removal of records.
 const MAX_REMOVALS_PER_MAINTENANCE: usize = 20;
@@ -68,12 +69,7 @@
 // Returns the default version as read before, if it can't have changed since: it changes only after
 // its engines have left.
 fn trusted_default(gateway: &Gateway, service: &Arc<str>) -> Option<DefaultVersion> {
-    let known = gateway
-        .stream_origins
-        .lock()
-        .defaults
-        .get(service)
-        .cloned()?;
+    let known = gateway.stream_origins.known_default(service)?;
     let mut state = gateway.state();
     state.observe_versions(clock::now());
     state
