Review case 3: resuming stays impossible for good after a return of the store

Seen: a gateway that read the default version within two timeouts of the drill keeps it with the old era, so only the owner of the service resumes streams.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use self::restored_store::Trouble;
 use crate::client::Answer;
 use crate::client::Call;
 use crate::record::Record;
@@ -20,7 +21,9 @@
         "killed-relay" => killed_relay::play(has_trouble, record),
         "leaving-runner" => leaving_runner::play(has_trouble, record),
         "restarted-version" => restarted_version::play(has_trouble, record),
-        "restored-store" => restored_store::play(has_trouble, record),
+        "restored-store" if has_trouble => restored_store::play(Trouble::Drill, record),
+        "two-versions" if has_trouble => restored_store::play(Trouble::Versions, record),
+        "restored-store" | "two-versions" => restored_store::play(Trouble::None, record),
         "spoiled-prefill" => spoiled_prefill::play(has_trouble, record),
         _ => crate::cannot_run("no such case"),
     }
--- a/review/standins/src/cases/restored_store.rs
+++ b/review/standins/src/cases/restored_store.rs
@@ -1,8 +1,9 @@
-//! The store comes back from a copy. Some seconds later, clients begin streams, their connections
-//! break, and they take the streams up at other machines.
+//! The store comes back from a copy, or a service has two software versions from the first start on.
+//! Clients begin streams, their connections break, and they take the streams up at other machines.
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 
@@ -25,13 +26,28 @@
 const AWAY: Duration = Duration::from_secs(1);
 // Beyond the pages' stability-ms of 3,000, so that all machines are in touch again.
 const STABLE_AFTER: Duration = Duration::from_secs(5);
+const LATE_AFTER: Duration = Duration::from_secs(60);
 
-pub fn play(has_trouble: bool, record: &mut Record) -> bool {
+/// What precedes the streams.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Trouble {
+    /// A drill of the store.
+    Drill,
+    /// Two of the six decode runners have another version.
+    Versions,
+    None,
+}
+
+pub fn play(trouble: Trouble, record: &mut Record) -> bool {
     let changes = json!({ "summary": { "resumable": true, "max-attempts": 2 } });
     let mut deployment = Deployment::start(deployment::configuration(changes));
     for number in 0..6 {
         let id = format!("decode-{number}");
-        deployment.add_runner(&id, "quote-llm", "decode", json!({}));
+        let version = match number {
+            4.. if trouble == Trouble::Versions => "v2",
+            _ => "v1",
+        };
+        deployment.add_runner(&id, "quote-llm", "decode", json!({ "version": version }));
     }
     for number in 0..3 {
         let id = format!("prefill-{number}");
@@ -43,7 +59,7 @@
     thread::sleep(Duration::from_secs(6));
     let copy = deployment.store.copy();
     thread::sleep(COPY_AGE);
-    if has_trouble {
+    if trouble == Trouble::Drill {
         deployment.store.set_down(true);
         record.note("the store is away");
         thread::sleep(AWAY);
@@ -51,11 +67,26 @@
         deployment.store.set_down(false);
         record.note("the store is back from a copy that is 4 s old");
     }
+    let returned = Instant::now();
     thread::sleep(STABLE_AFTER);
+    let early = measure("early", &deployment, record);
+    // Longer than two timeouts of the route, by which streams from before the drill have ended.
+    thread::sleep(LATE_AFTER.saturating_sub(returned.elapsed()));
+    let late = measure("late", &deployment, record);
+    record.add("runners", &deployment.runs());
+    for name in GATEWAYS {
+        record.add(&format!("log of {name}"), &deployment.log_of(name));
+    }
+    early || late
+}
+
+// Has streams begin, cuts them off and takes them up at other machines. Returns whether the rule was
+// broken.
+fn measure(name: &str, deployment: &Deployment, record: &mut Record) -> bool {
     let front = |number: usize| deployment.gateways[number % GATEWAYS.len()].front;
     let mut requests = Requests::default();
     for number in 0..STREAMS {
-        let id = format!("stream-{number}");
+        let id = format!("{name}-{number}");
         let call = Call::generation(&id, "/summary/x", 5_000, EVENTS);
         let breaks_after = Some(EVENTS_BEFORE_BREAK);
         let call = Call {
@@ -67,9 +98,6 @@
     let begun = requests.finish(record);
     let has_begun = |answer: &Answer| answer.status == 200 && events(answer) > 0;
     let begin = begun.iter().filter(|(_, answer)| has_begun(answer)).count();
-    record.note(&format!(
-        "{begin} of {STREAMS} new streams have begun and were cut off"
-    ));
     let mut requests = Requests::default();
     let mut taken_up = 0;
     for (number, (call, answer)) in begun.iter().enumerate() {
@@ -85,12 +113,9 @@
         .filter(|(_, answer)| has_begun(answer))
         .count();
     record.note(&format!(
-        "{go_on} of {taken_up} streams go on at other machines"
+        "{name}: {begin} of {STREAMS} new streams have begun and were cut off, {go_on} of {taken_up} \
+         go on at other machines"
     ));
-    record.add("runners", &deployment.runs());
-    for name in GATEWAYS {
-        record.add(&format!("log of {name}"), &deployment.log_of(name));
-    }
     let begin_share = begin as f64 / STREAMS as f64;
     taken_up >= MIN_TAKEN_UP && (go_on as f64) < 0.5 * begin_share * taken_up as f64
 }
