Prove that an upstream has outlived an answer that ended with its connection

Cause, one for all: the end of such an answer was judged by a later connect to the upstream's address (quarantine::has_crashed). A forwarder, another incarnation and another relay accept as well, and an upstream that was leaving or unknown was not asked at all. Ruled out: the relay's own end, which is a reset for any error it sees; a killed process closes its sockets regularly.

Why this works: a second connection over the same path (the same relay, or direct) is opened when the head of such an answer arrives, or taken from the idle ones. It ends together with the process of the upstream or of the relay. Only a response over it after the answer's end proves that the end was the upstream's own. What isn't proved is cut, or resumed where the route allows it. The request asks engines for their report, which needs no slot, and plain upstreams for their health check; its connection returns to the pool, where the connect before was thrown away.

An exit of a leaving upstream still counts as no crash.

--- a/crates/dogwoodpier-core/src/gateway/routes.rs
+++ b/crates/dogwoodpier-core/src/gateway/routes.rs
@@ -106,6 +106,8 @@
     pub name: Arc<str>,
     /// Maximum number of connections that an upstream accepts from all callers together.
     pub max_connections: u32,
+    /// Path at which its upstreams answer health checks, if known.
+    pub health_check_path: Option<Arc<str>>,
     /// Present if the upstreams are model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -121,6 +121,8 @@
     pub store: &'static Protocol,
     /// Value of the stage header for a request that is only prefilled.
     pub prefill_stage: &'static str,
+    /// Path at which an engine reports its load. A report needs no slot.
+    pub engine_report_path: &'static str,
     /// Decodes a configuration.
     pub decode_configuration: fn(&Value) -> Result<Configuration, DecodeError>,
     /// Decodes an upstream from the name and the value of its entry.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -51,6 +51,7 @@
 use crate::stream::ResumeState;
 use crate::stream_origins;
 use crate::stream_origins::Recorded;
+use crate::witness::Witness;
 
 const EVENT_STREAM: &str = "text/event-stream";
 // Placements of one request, including those whose engines rejected it.
@@ -125,6 +126,8 @@
     pub body: Incoming,
     /// Whether the head states how the body ends.
     pub is_framed: bool,
+    /// Witness of the response, if it is not framed.
+    pub witness: Option<Witness>,
     /// Returns the connection to the pool at the end.
     pub connection: ConnectionReturn,
     /// Load at the engine.
@@ -203,10 +206,12 @@
         }),
     );
     let is_framed = reply.is_framed;
+    let witness = Witness::begin(gateway, &upstream, &reply);
     let (body, connection) = reply.into_body();
     Some(ResumedStream {
         body,
         is_framed,
+        witness,
         connection,
         guard: placement.decode,
     })
@@ -481,6 +486,7 @@
         headers.remove(header::CONTENT_LENGTH);
     }
     let is_framed = reply.is_framed;
+    let witness = Witness::begin(gateway, decode.upstream(), &reply);
     let (body, connection) = reply.into_body();
     let relay = Relay {
         gateway: gateway.clone(),
@@ -490,6 +496,7 @@
         guard: decode,
         deadline_ms: request.deadline_ms,
         is_framed,
+        witness,
         is_success: status.is_success(),
         begun_ms: now,
         bytes: 0,
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod stream;
 mod stream_origins;
 pub mod traffic;
+mod witness;
 
 pub use dialect::Dialect;
 pub use settings::Settings;
--- a/crates/dogwoodpier-gateway/src/paths.rs
+++ b/crates/dogwoodpier-gateway/src/paths.rs
@@ -45,7 +45,8 @@
     }
 }
 
-fn direct(gateway: &Gateway, upstream: &Upstream) -> Destination {
+/// Returns the destination of requests to an upstream over this instance's own links.
+pub fn direct(gateway: &Gateway, upstream: &Upstream) -> Destination {
     Destination {
         id: upstream.id.clone(),
         address: upstream.address,
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -32,6 +32,7 @@
 use crate::state::Holder;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
+use crate::witness::Witness;
 
 // Sends of one request, including rejected ones. More of them would only shift load between
 // upstreams.
@@ -301,8 +302,15 @@
         Ok(response) => response,
         Err(error) => {
             record_failure(gateway, request, upstream, error.as_str());
-            if let ReadError::Cut = error {
-                quarantine::handle_cut(gateway, &request.in_flight(), upstream).await;
+            match error {
+                ReadError::Cut => {
+                    quarantine::handle_cut(gateway, &request.in_flight(), upstream).await;
+                }
+                ReadError::Unproven => {
+                    let in_flight = request.in_flight();
+                    quarantine::handle_unproven_end(gateway, &in_flight, upstream).await;
+                }
+                ReadError::TooLarge | ReadError::TimedOut => {}
             }
             return None;
         }
@@ -364,6 +372,8 @@
 // Why a response could not be read.
 enum ReadError {
     Cut,
+    // It ended with its connection, and possibly with its upstream.
+    Unproven,
     TooLarge,
     TimedOut,
 }
@@ -372,6 +382,7 @@
     fn as_str(&self) -> &'static str {
         match self {
             Self::Cut => "the answer was cut",
+            Self::Unproven => "the answer may have ended with its upstream",
             Self::TooLarge => "the answer is too large",
             Self::TimedOut => "the answer didn't end in time",
         }
@@ -382,9 +393,10 @@
 async fn read_response(
     gateway: &SharedGateway,
     reply: Reply,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     send_deadline_ms: TimeMs,
 ) -> Result<BufferedResponse, ReadError> {
+    let witness = Witness::begin(gateway, upstream, &reply);
     let status = reply.status;
     let is_framed = reply.is_framed;
     let headers = reply.headers.clone();
@@ -395,6 +407,9 @@
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| ReadError::Cut)?.into_data() {
                 buffer.extend_from_slice(&data);
+                if let Some(witness) = &witness {
+                    witness.record_chunk();
+                }
             }
             if buffer.len() > MAX_RESPONSE_BYTES {
                 return Err(ReadError::TooLarge);
@@ -405,8 +420,10 @@
     let body = tokio::time::timeout(limit, read)
         .await
         .unwrap_or(Err(ReadError::TimedOut))?;
-    if !is_framed && quarantine::has_crashed(gateway, upstream).await {
-        return Err(ReadError::Cut);
+    if let Some(witness) = witness
+        && !witness.outlives_response(send_deadline_ms).await
+    {
+        return Err(ReadError::Unproven);
     }
     connection.return_to_pool();
     Ok(BufferedResponse {
--- a/crates/dogwoodpier-gateway/src/quarantine.rs
+++ b/crates/dogwoodpier-gateway/src/quarantine.rs
@@ -210,15 +210,18 @@
     }
 }
 
-/// Returns whether an upstream whose response ended with its connection has crashed, so that the
-/// response may be incomplete. One that is leaving may have exited after its last response.
-pub async fn has_crashed(gateway: &SharedGateway, upstream: &Upstream) -> bool {
-    if accepts_connections(gateway, upstream).await {
-        return false;
+/// Handles the end of a response that may be incomplete, as its connection ended regularly and the
+/// upstream has not been proved to have outlived it. An upstream that is leaving has exited rather
+/// than crashed.
+pub async fn handle_unproven_end(
+    gateway: &SharedGateway,
+    request: &InFlight,
+    upstream: &Arc<Upstream>,
+) {
+    let known = gateway.state().upstreams.get(&upstream.id).cloned();
+    if known.is_some_and(|known| known.accepts_work) {
+        handle_cut(gateway, request, upstream).await;
     }
-    let upstreams = &gateway.state().upstreams;
-    let known = upstreams.get(&upstream.id);
-    known.is_some_and(|known| known.accepts_work)
 }
 
 async fn accepts_connections(gateway: &SharedGateway, upstream: &Upstream) -> bool {
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::sse::EventSplitter;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
+use crate::witness::Witness;
 
 /// A response ended early; the client's connection is closed without a regular end of the body.
 #[derive(Debug, Error)]
@@ -96,6 +97,8 @@
     pub deadline_ms: TimeMs,
     /// Whether the head states how the body ends.
     pub is_framed: bool,
+    /// Witness of the response, if it is not framed and has not ended.
+    pub witness: Option<Witness>,
     /// Whether the status is a success.
     pub is_success: bool,
     /// Time at which the engine that sends the response began it.
@@ -150,7 +153,12 @@
                 None | Some(Err(_)) => {
                     self.log_end("cut by the upstream");
                     let upstream = self.guard.upstream();
-                    quarantine::handle_cut(&self.gateway, &self.in_flight, upstream).await;
+                    if frame.is_none() && self.is_between_events() {
+                        let request = &self.in_flight;
+                        quarantine::handle_unproven_end(&self.gateway, request, upstream).await;
+                    } else {
+                        quarantine::handle_cut(&self.gateway, &self.in_flight, upstream).await;
+                    }
                     if !self.resume().await {
                         return Some(Err(StreamCut("the upstream's connection ended")));
                     }
@@ -202,16 +210,26 @@
     }
 
     // Returns whether a response that has ended without an error is incomplete.
-    async fn ends_early(&self) -> bool {
+    async fn ends_early(&mut self) -> bool {
         let events = self.events.as_ref();
-        if events.is_some_and(EventCounter::is_inside_event) {
+        if !self.is_between_events() {
             return true;
         }
         if self.is_framed {
             return false;
         }
-        events.is_some_and(|events| events.complete() == 0)
-            || quarantine::has_crashed(&self.gateway, self.guard.upstream()).await
+        if events.is_some_and(|events| events.complete() == 0) {
+            return true;
+        }
+        match self.witness.take() {
+            Some(witness) => !witness.outlives_response(self.deadline_ms).await,
+            None => true,
+        }
+    }
+
+    fn is_between_events(&self) -> bool {
+        let events = self.events.as_ref();
+        !events.is_some_and(EventCounter::is_inside_event)
     }
 
     // Returns whether the engine has written an answer, which an error or an empty stream is not.
@@ -224,6 +242,9 @@
     }
 
     fn count_events(&mut self, data: &[u8]) {
+        if let Some(witness) = &self.witness {
+            witness.record_chunk();
+        }
         let Some(events) = &mut self.events else {
             return;
         };
@@ -271,6 +292,7 @@
         resume.runs += 1;
         self.body = next.body;
         self.is_framed = next.is_framed;
+        self.witness = next.witness;
         self.connection = Some(next.connection);
         self.guard = next.guard;
         self.events = Some(EventCounter::default());
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -17,7 +17,9 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -26,6 +28,7 @@
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::error::SendError;
@@ -44,17 +47,27 @@
 // Common servers limit heads to a quarter of this; a faulty upstream may send an endless one.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
-type Sender = SendRequest<Full<Bytes>>;
+// Largest response to a witness's request, beyond which its connection is not reused.
+const MAX_WITNESS_BYTES: usize = 64 * 1024;
+
+// An established connection.
+struct Channel {
+    sender: SendRequest<Full<Bytes>>,
+    // The relay that it leads through.
+    relay: Option<SocketAddr>,
+    // Its sender is dropped once the connection has ended.
+    end: watch::Receiver<()>,
+}
 
 struct Idle {
-    sender: Sender,
+    channel: Channel,
     deadline: Instant,
     was_used: bool,
 }
 
 // A connection that was taken for a request.
 struct Taken {
-    sender: Sender,
+    channel: Channel,
     is_new: bool,
     // Whether a request was sent over it before.
     was_used: bool,
@@ -100,14 +113,26 @@
     pub connected: bool,
     /// Whether another request was sent over the connection before.
     pub was_used: bool,
+    /// The relay that the connection leads through; absent if it leads directly to the upstream.
+    pub relay: Option<SocketAddr>,
+    returning: ConnectionReturn,
+}
+
+/// A connection to the process that is sending a response over another connection. A process that
+/// ends closes both, and so does a relay, so a response over the witness proves that the other
+/// connection didn't end with its process.
+pub struct Witness {
     returning: ConnectionReturn,
+    end: watch::Receiver<()>,
+    /// Whether it was established for this purpose.
+    pub is_new: bool,
 }
 
 /// A connection that can be returned to the pool once the response has been read to its end.
 pub struct ConnectionReturn {
     connections: Connections,
     id: Arc<str>,
-    sender: Option<Sender>,
+    channel: Option<Channel>,
     keep_alive: Duration,
     was_used: bool,
 }
@@ -122,7 +147,7 @@
     ) -> Result<Reply, SendError> {
         loop {
             let mut taken = self.take_or_connect(to).await?;
-            let mut error = match taken.sender.try_send_request(request).await {
+            let mut error = match taken.channel.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.reply(to, taken, response)),
                 Err(error) => error,
             };
@@ -146,7 +171,7 @@
         let returning = ConnectionReturn {
             connections: self.clone(),
             id: to.id.clone(),
-            sender: Some(taken.sender),
+            channel: Some(taken.channel),
             keep_alive: DEFAULT_KEEP_ALIVE,
             was_used: taken.was_used,
         };
@@ -154,6 +179,29 @@
         Ok(taken.is_new)
     }
 
+    /// Takes an idle connection that leads to an upstream through `relay`, or establishes one.
+    pub async fn witness(
+        &self,
+        to: &Destination,
+        relay: Option<SocketAddr>,
+    ) -> Result<Witness, SendError> {
+        let taken = match self.take_idle(&to.id, |channel| channel.relay == relay) {
+            Some(taken) => taken,
+            None => self.establish(to).await?,
+        };
+        Ok(Witness {
+            end: taken.channel.end.clone(),
+            is_new: taken.is_new,
+            returning: ConnectionReturn {
+                connections: self.clone(),
+                id: to.id.clone(),
+                channel: Some(taken.channel),
+                keep_alive: DEFAULT_KEEP_ALIVE,
+                was_used: taken.was_used,
+            },
+        })
+    }
+
     /// Establishes a new connection to an upstream and closes it at once, as it may occupy one of the
     /// upstream's slots. Idle connections may belong to a process that has ended.
     pub async fn probe(&self, to: &Destination) -> Result<(), SendError> {
@@ -187,10 +235,11 @@
             is_framed,
             connected: taken.is_new,
             was_used: taken.was_used,
+            relay: taken.channel.relay,
             returning: ConnectionReturn {
                 connections: self.clone(),
                 id: to.id.clone(),
-                sender: (is_framed && keep_alive > Duration::ZERO).then_some(taken.sender),
+                channel: (is_framed && keep_alive > Duration::ZERO).then_some(taken.channel),
                 keep_alive,
                 was_used: true,
             },
@@ -198,35 +247,47 @@
     }
 
     async fn take_or_connect(&self, to: &Destination) -> Result<Taken, SendError> {
-        if let Some(idle) = self.take_idle(&to.id) {
-            return Ok(Taken {
-                sender: idle.sender,
-                is_new: false,
-                was_used: idle.was_used,
-            });
+        match self.take_idle(&to.id, |_| true) {
+            Some(taken) => Ok(taken),
+            None => self.establish(to).await,
         }
+    }
+
+    async fn establish(&self, to: &Destination) -> Result<Taken, SendError> {
         Ok(Taken {
-            sender: self.connect(to).await?,
+            channel: self.connect(to).await?,
             is_new: true,
             was_used: false,
         })
     }
 
-    async fn connect(&self, to: &Destination) -> Result<Sender, SendError> {
+    async fn connect(&self, to: &Destination) -> Result<Channel, SendError> {
         if to.relays.is_empty() {
             let stream = open(to.address, to.connect_timeout_ms).await?;
-            return handshake(TokioIo::new(stream)).await;
+            return handshake(TokioIo::new(stream), None).await;
         }
-        handshake(relay::connect(to, &self.shared.relay_failures).await?).await
+        let (tunnel, relay) = relay::connect(to, &self.shared.relay_failures).await?;
+        handshake(tunnel, Some(relay)).await
     }
 
-    fn take_idle(&self, id: &str) -> Option<Idle> {
+    fn take_idle<F>(&self, id: &str, is_suitable: F) -> Option<Taken>
+    where
+        F: Fn(&Channel) -> bool,
+    {
         let now = Instant::now();
         let mut connections = self.idle();
         let idle = connections.get_mut(id)?;
-        idle.retain(|entry| !entry.sender.is_closed() && entry.deadline > now);
-        let index = idle.iter().rposition(|entry| entry.sender.is_ready())?;
-        Some(idle.remove(index))
+        idle.retain(|entry| !entry.channel.sender.is_closed() && entry.deadline > now);
+        let index = idle.iter().rposition(|entry| {
+            let channel = &entry.channel;
+            channel.sender.is_ready() && is_suitable(channel)
+        })?;
+        let entry = idle.remove(index);
+        Some(Taken {
+            channel: entry.channel,
+            is_new: false,
+            was_used: entry.was_used,
+        })
     }
 
     fn idle(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, Vec<Idle>>> {
@@ -249,11 +310,11 @@
     /// Makes the connection available to other requests. Must be called only after the response's
     /// body has been read to its end.
     pub fn return_to_pool(mut self) {
-        let Some(sender) = self.sender.take() else {
+        let Some(channel) = self.channel.take() else {
             return;
         };
         let entry = Idle {
-            sender,
+            channel,
             deadline: Instant::now() + self.keep_alive,
             was_used: self.was_used,
         };
@@ -265,6 +326,44 @@
     }
 }
 
+impl Witness {
+    /// Waits until the connection has ended.
+    pub async fn ended(&mut self) {
+        // Nothing is ever sent, so the wait ends with the connection.
+        let _ = self.end.changed().await;
+    }
+
+    /// Makes the connection available to other requests.
+    pub fn release(self) {
+        self.returning.return_to_pool();
+    }
+
+    /// Sends a request and returns the status of its response. Has no timeout of its own. Returns the
+    /// connection to the pool if it can be used again.
+    pub async fn request(self, request: Request<Full<Bytes>>) -> Result<StatusCode, SendError> {
+        let mut returning = self.returning;
+        let Some(channel) = returning.channel.as_mut() else {
+            return Err(SendError::NotSent("no connection".to_owned()));
+        };
+        let response = channel.sender.send_request(request).await;
+        let response = response.map_err(|error| SendError::Cut(describe(&error)))?;
+        let (head, body) = response.into_parts();
+        let is_framed = body.is_end_stream() || response::is_framed(&head.headers);
+        returning.keep_alive = keep_alive(&head.headers);
+        returning.was_used = true;
+        if is_framed && returning.keep_alive > Duration::ZERO {
+            // The head is the proof, so nobody waits for the body.
+            tokio::spawn(async move {
+                let body = Limited::new(body, MAX_WITNESS_BYTES).collect();
+                if let Ok(Ok(_)) = tokio::time::timeout(DEFAULT_KEEP_ALIVE, body).await {
+                    returning.return_to_pool();
+                }
+            });
+        }
+        Ok(head.status)
+    }
+}
+
 /// Opens a TCP connection.
 pub(crate) async fn open(address: SocketAddr, timeout_ms: u64) -> Result<TcpStream, SendError> {
     let limit = Duration::from_millis(timeout_ms);
@@ -275,7 +374,7 @@
         .map_err(|error| SendError::NotConnected(error.to_string()))
 }
 
-async fn handshake<T>(io: T) -> Result<Sender, SendError>
+async fn handshake<T>(io: T, relay: Option<SocketAddr>) -> Result<Channel, SendError>
 where
     T: Read + Write + Unpin + Send + 'static,
 {
@@ -284,9 +383,13 @@
         .handshake(io)
         .await
         .map_err(|error| SendError::NotConnected(error.to_string()))?;
-    // Errors of the connection are reported by the request in progress.
-    tokio::spawn(async move { connection.await.ok() });
-    Ok(sender)
+    let (open, end) = watch::channel(());
+    tokio::spawn(async move {
+        // Errors of the connection are reported by the request in progress.
+        connection.await.ok();
+        drop(open);
+    });
+    Ok(Channel { sender, relay, end })
 }
 
 // Returns for how long a connection may be reused after this response, zero if not at all.
--- a/crates/dogwoodpier-http/src/lib.rs
+++ b/crates/dogwoodpier-http/src/lib.rs
@@ -17,6 +17,7 @@
 pub use connections::Connections;
 pub use connections::Destination;
 pub use connections::Reply;
+pub use connections::Witness;
 pub use error::BodyError;
 pub use error::SendError;
 pub use pool::Pool;
--- a/crates/dogwoodpier-http/src/relay.rs
+++ b/crates/dogwoodpier-http/src/relay.rs
@@ -93,7 +93,7 @@
     Unreachable,
 }
 
-/// Connects to an upstream through the first of its relays that can.
+/// Connects to an upstream through the first of its relays that can, and returns that relay too.
 ///
 /// # Errors
 ///
@@ -102,12 +102,12 @@
 pub(crate) async fn connect(
     to: &Destination,
     failures: &RelayFailures,
-) -> Result<Upgraded, SendError> {
+) -> Result<(Upgraded, SocketAddr), SendError> {
     let mut unreachable = 0;
     let mut detail = "no relay".to_owned();
     for relay in failures.order(&to.relays) {
         match connect_through(relay, to).await {
-            Ok(connection) => return Ok(connection),
+            Ok(connection) => return Ok((connection, relay)),
             Err(RelayError::Unusable(error)) => {
                 failures.record(relay);
                 detail = error;
