Begin streams without a record only where they can be resumed without one

Cause: two readers of the default version disagreed. A stream began without a record if its version was the default one, in whatever era of the store; whoever was asked to resume it refused, as the default version wasn't confirmed in the new era. And each instance kept what it had read: trusted_default didn't ask for the era, so only the service's owner, who confirms it after two timeouts of the route, ever learned of it. The same happened without a restore where a service had two versions from the first start on. Ruled out: records that were lost (none is written for the default version), the store's answers.

Why this works: both ask the same question now, of_unrecorded in the present era. Until the default version is confirmed in it, streams are recorded, whatever their version. An instance reads the default version again, every 2 s at most, until it is confirmed, and trusts one that it read in an earlier era no more. A stream of the default version whose record can't be written in time begins all the same, as nobody would resume it elsewhere.

Costs: a write and a deletion for each resumable stream in the two timeouts after a restore, and a read of each instance every 2 s in that time.

Evidence: software_versions on the code before: stream_begun_after_a_restore_is_resumed and stream_is_resumed_if_the_first_start_finds_two_versions fail (503 version_unknown); now 11 of 11.

--- a/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
@@ -25,7 +25,7 @@
 use super::TIMEOUTS_OF_STREAM_LIFE;
 use super::log_store_failure;
 
-// Time for which a default version that has no engines any more isn't read again.
+// Time for which a default version that may have changed isn't read again.
 const REREAD_MS: u64 = 2_000;
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
 const OBSERVATIONS_PER_MAINTENANCE: u32 = 4;
@@ -41,10 +41,31 @@
     pub(super) default: DefaultVersion,
     store_version: u64,
     read_ms: TimeMs,
-    // Time since which this instance has seen that streams of the present era may lack a record.
+    // Era of the store in which it was read.
+    read_era: u64,
+    // Time since which this instance has seen that streams of the era may lack a record.
     unrecorded_since_ms: Option<TimeMs>,
 }
 
+impl KnownDefault {
+    // Returns whether the default version can't have changed since it was read.
+    pub(super) fn is_unchanged(&self, gateway: &Gateway, service: &str) -> bool {
+        let era = *gateway.store.era().borrow();
+        let mut state = gateway.state();
+        state.observe_versions(clock::now());
+        let version = &self.default.version;
+        self.read_era == era
+            && state
+                .versions
+                .is_present_since(service, version, self.read_ms)
+    }
+
+    // Returns whether it need not be read again yet, although it may have changed.
+    fn is_recent(&self, era: u64) -> bool {
+        self.read_era == era && clock::now().since(self.read_ms) < REREAD_MS
+    }
+}
+
 // Returns for how long after its beginning a stream of a service can be resumed, `None` if none can
 // be.
 fn stream_life_ms(configuration: &Configuration, service: &str) -> Option<u64> {
@@ -60,22 +81,20 @@
     Some(longest_ms * TIMEOUTS_OF_STREAM_LIFE)
 }
 
-/// Returns whether a stream is known to need no record.
+/// Returns whether a stream is known to need no record: whoever resumes it will take it for one of the
+/// default version.
 pub(super) fn is_default(gateway: &Gateway, record: &StreamRecord) -> bool {
     trusted_default(gateway, &record.service)
         .is_some_and(|default| default.version == record.version)
 }
 
-// Returns the default version as read before, if it can't have changed since: it changes only after
-// its engines have left.
+// Returns the default version as read before, if streams without a record are of that version and it
+// can't have changed since: it changes only after its engines have left, or with the store's era.
 fn trusted_default(gateway: &Gateway, service: &Arc<str>) -> Option<DefaultVersion> {
     let known = gateway.stream_origins.known_default(service)?;
-    let mut state = gateway.state();
-    state.observe_versions(clock::now());
-    state
-        .versions
-        .is_present_since(service, &known.default.version, known.read_ms)
-        .then_some(known.default)
+    let era = *gateway.store.era().borrow();
+    let is_recorded = known.default.of_unrecorded(era).is_some();
+    (is_recorded && known.is_unchanged(gateway, service)).then_some(known.default)
 }
 
 /// Returns the default version of a service, or `None` if the service has no engines and so no
@@ -89,13 +108,15 @@
     if let Some(default) = trusted_default(gateway, service) {
         return Ok(Some(default));
     }
+    let era = *gateway.store.era().borrow();
     let known = gateway.stream_origins.known_default(service);
-    let known = known.filter(|known| clock::now().since(known.read_ms) < REREAD_MS);
-    match (known, other) {
-        (Some(known), Some(other)) if known.default.version != *other => {
-            return Ok(Some(known.default));
-        }
-        _ => {}
+    let known = known.filter(|known| known.is_recent(era));
+    // A stream is recorded in vain if the default version has become the other one, or the only one of
+    // streams without a record, in the meantime.
+    if let (Some(known), Some(other)) = (known, other)
+        && known.default.of_unrecorded(era) != Some(other)
+    {
+        return Ok(Some(known.default));
     }
     let result = read_from_store(gateway, service).await;
     gateway.stream_origins.record_store_result(&result);
@@ -169,11 +190,13 @@
     let is_recorded = default.of_unrecorded(era).is_some();
     let defaults = &mut gateway.stream_origins.lock().defaults;
     let before = defaults.get(service);
+    let before = before.filter(|before| before.read_era == era);
     let unrecorded_since_ms = before.and_then(|before| before.unrecorded_since_ms);
     let known = KnownDefault {
         default,
         store_version,
         read_ms,
+        read_era: era,
         unrecorded_since_ms: (!is_recorded).then(|| unrecorded_since_ms.unwrap_or(read_ms)),
     };
     defaults.insert(service.clone(), known);
@@ -237,11 +260,15 @@
     Ok(())
 }
 
-// Reads the default version of a service with engines, so that the first stream doesn't wait for it.
+// Reads the default version of a service with engines, so that the first stream doesn't wait for it,
+// and again until streams without a record are of that version in the present era.
 async fn read_ahead(gateway: &SharedGateway, service: &Arc<str>) -> Result<(), Error> {
-    let is_known = gateway.stream_origins.known_default(service).is_some();
+    let era = *gateway.store.era().borrow();
+    let known = gateway.stream_origins.known_default(service);
+    let is_current = known
+        .is_some_and(|known| known.default.of_unrecorded(era).is_some() || known.is_recent(era));
     let has_engines = !gateway.state().upstreams.version_slots(service).is_empty();
-    if !is_known && has_engines {
+    if !is_current && has_engines {
         read(gateway, service, None).await?;
     }
     Ok(())
@@ -276,14 +303,11 @@
         return Ok(());
     };
     let era = *gateway.store.era().borrow();
-    let is_recorded = known.default.of_unrecorded(era).is_some();
-    if !is_recorded && known.unrecorded_since_ms.is_none() {
-        let defaults = &mut gateway.stream_origins.lock().defaults;
-        if let Some(known) = defaults.get_mut(service) {
-            known.unrecorded_since_ms = Some(now);
-        }
+    if known.read_era != era {
+        // Read ahead first.
         return Ok(());
     }
+    let is_recorded = known.default.of_unrecorded(era).is_some();
     let next = match next_default(gateway, service, &known.default.version, life_ms) {
         Some(next) if has_left(gateway, service, &known.default.version).await? => Some(next),
         _ => None,
--- a/crates/dogwoodpier-gateway/src/stream_origins/recording.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/recording.rs
@@ -79,29 +79,33 @@
         let (Some(mut task), Some(stream)) = (self.task.take(), self.stream.take()) else {
             return Recorded::AnyVersion;
         };
-        let service = &stream.record.service;
-        let timeout_ms = match passing_version(&self.gateway, service) {
+        let timeout_ms = match passing_version(&self.gateway, &stream.record) {
             PassingVersion::Absent => 0,
-            PassingVersion::Sole => READ_TIMEOUT_MS,
+            PassingVersion::Own | PassingVersion::Sole => READ_TIMEOUT_MS,
             PassingVersion::Present(_) | PassingVersion::Unknown => RECORD_TIMEOUT_MS,
         };
         let remaining_ms = self.started_ms.after(timeout_ms).remaining(clock::now());
         let limit = Duration::from_millis(remaining_ms);
         let written = tokio::time::timeout(limit, &mut task).await;
-        let default = passing_version(&self.gateway, service);
+        let default = passing_version(&self.gateway, &stream.record);
         match (written, default) {
             (Ok(Ok(Written::Needless)), _) => Recorded::AnyVersion,
             (Ok(Ok(Written::Done)), _) => Recorded::OneVersion,
             (Ok(Ok(Written::Nothing)), PassingVersion::Present(default)) => {
                 Recorded::Default(default)
             }
-            (Ok(Ok(Written::Nothing)), PassingVersion::Absent | PassingVersion::Sole) => {
+            (
+                Ok(Ok(Written::Nothing)),
+                PassingVersion::Own | PassingVersion::Absent | PassingVersion::Sole,
+            ) => {
                 let gateway = self.gateway.clone();
                 tokio::spawn(async move { record_later(&gateway, &stream).await });
                 Recorded::OneVersion
             }
             // The task goes on.
-            (Err(_), PassingVersion::Absent | PassingVersion::Sole) => Recorded::OneVersion,
+            (Err(_), PassingVersion::Own | PassingVersion::Absent | PassingVersion::Sole) => {
+                Recorded::OneVersion
+            }
             (Err(_), _) => {
                 self.gateway.stream_origins.record_store_failure();
                 task.abort();
@@ -122,6 +126,8 @@
 
 // The version for which a stream without a record passes.
 enum PassingVersion {
+    // It is the stream's own, or nobody resumes the stream.
+    Own,
     // Engines have it, so they would resume the stream.
     Present(Arc<str>),
     // No engine has it, so nobody resumes the stream at a wrong version.
@@ -132,16 +138,20 @@
     Unknown,
 }
 
-fn passing_version(gateway: &Gateway, service: &Arc<str>) -> PassingVersion {
+fn passing_version(gateway: &Gateway, record: &StreamRecord) -> PassingVersion {
+    let service = &record.service;
     let known = gateway.stream_origins.known_default(service);
-    let mut state = gateway.state();
     let Some(known) = known else {
-        return match state.upstreams.version_slots(service).len() {
+        return match gateway.state().upstreams.version_slots(service).len() {
             0 | 1 => PassingVersion::Sole,
             _ => PassingVersion::Unknown,
         };
     };
+    if known.default.version == record.version && known.is_unchanged(gateway, service) {
+        return PassingVersion::Own;
+    }
     let version = known.default.version;
+    let mut state = gateway.state();
     state.observe_versions(clock::now());
     match state.versions.is_present(service, &version) {
         true => PassingVersion::Present(version),
@@ -191,8 +201,11 @@
     let UnrecordedStream { id, record, .. } = stream;
     let kind = gateway.dialect.objects.stream_kind;
     let default = defaults::read(gateway, &record.service, Some(&record.version)).await;
+    let era = *gateway.store.era().borrow();
     match default {
-        Ok(Some(default)) if default.version == record.version => return Written::Needless,
+        Ok(Some(default)) if default.of_unrecorded(era) == Some(&record.version) => {
+            return Written::Needless;
+        }
         Ok(_) => {}
         Err(error) => {
             log_store_failure(gateway, id, &error);
