Read the answer to a prefill until the deadline of its head

Cause: read_cache_source read the body without a deadline; that of the send covers only the head, and nothing limits generate as a whole. The request kept its slots meanwhile. Ruled out: the number of bytes, which was bounded.

Why this works: the body has the deadline of the head. After it the decode engine prefills by itself, as with an engine that is silent from the start; the event prefill_unusable tells of it.

--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -1,6 +1,7 @@
 //! The prefill of a generation request and the resulting KV cache.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderValue;
 use http::StatusCode;
@@ -133,8 +134,16 @@
             return None;
         }
     };
-    let Some(source) = read_cache_source(gateway, reply, &engine).await else {
+    let Some(source) = read_cache_source(gateway, reply, &engine, send_deadline_ms).await else {
         gateway.record_outcome(&engine, Outcome::Failed);
+        gateway.events.write(
+            "prefill_unusable",
+            serde_json::json!({
+                "request_id": request.id_text(),
+                "upstream": &*engine.id,
+                "elapsed_ms": clock::now().since(started_ms),
+            }),
+        );
         return None;
     };
     if is_first {
@@ -168,16 +177,21 @@
     Some(source)
 }
 
+// Reads the response to a prefill. Its body may be as late as its head, and has no end if the engine is
+// faulty.
 async fn read_cache_source(
     gateway: &Gateway,
     reply: Reply,
     prefill: &Upstream,
+    deadline_ms: TimeMs,
 ) -> Option<HeaderValue> {
     if reply.status != StatusCode::OK {
         return None;
     }
     let (body, connection) = reply.into_body();
-    let whole = Limited::new(body, MAX_HANDLE_BYTES).collect().await.ok()?;
+    let limit = Duration::from_millis(deadline_ms.remaining(clock::now()));
+    let whole = Limited::new(body, MAX_HANDLE_BYTES).collect();
+    let whole = tokio::time::timeout(limit, whole).await.ok()?.ok()?;
     connection.return_to_pool();
     let handle = (gateway.dialect.decode_cache_handle)(&whole.to_bytes())?;
     let source = (gateway.dialect.cache_source)(prefill.address, &handle);
