Close the witness of a response that failed

An unframed response that was given up (too long, late, left by its client) returned its witness to the pool, where it stayed open at an upstream that may be faulty: endless_responses_are_cut_off counted 6 connections that were still open after 3 s. Now they are closed; found by that test on the code with the witness, which passes now.

--- a/crates/dogwoodpier-gateway/src/witness.rs
+++ b/crates/dogwoodpier-gateway/src/witness.rs
@@ -152,7 +152,6 @@
                 ended = &mut has_ended => {
                     let is_proof = *received.borrow() >= settled_ms;
                     if ended.is_err() || !is_proof {
-                        connection.release();
                         return None;
                     }
                     let request = self.request().ok()?;
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -333,11 +333,6 @@
         let _ = self.end.changed().await;
     }
 
-    /// Makes the connection available to other requests.
-    pub fn release(self) {
-        self.returning.return_to_pool();
-    }
-
     /// Sends a request and returns the status of its response. Has no timeout of its own. Returns the
     /// connection to the pool if it can be used again.
     pub async fn request(self, request: Request<Full<Bytes>>) -> Result<StatusCode, SendError> {
