Bound the memory of buffered responses

What callers saw, by the report of another operator: a faulty runner's endless bytes filled the memory of the machine that had called it, and the requests of others ended with that.

Cause here: a plain upstream's response is buffered up to 1 MB, but nothing bounded all of them together. 240 responses of 1 MB that go on slowly took a gateway with a setting of 200 MB to 277 to 291 MB. Ruled out by the same test file: heads, chunk sizes, extensions, trailers and interim responses (bounded by the connection's buffer of 32 KB); partial events of resumable streams (64 KB, then forwarded); prefill answers (64 KB); streams wait for their client.

Why this works: buffered responses are counted until they have been sent, and one beyond 64 KB is given up (502, as it may have run) while all together exceed an eighth of the memory; their buffers may be twice as large.

--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -130,7 +130,7 @@
         method: head.method,
         target: head.uri,
         headers: forwarded,
-        held: HeldBytes::new(gateway, body.len()),
+        held: HeldBytes::of_request(gateway, body.len()),
         body,
         route,
         service,
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -1,6 +1,7 @@
 //! Requests to plain services, with one buffered response each.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -29,6 +30,8 @@
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
+use crate::request::HeldBytes;
+use crate::state::Gateway;
 use crate::state::Holder;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
@@ -42,6 +45,8 @@
 const MAX_DENIED_PERMITS: u32 = 3;
 // Largest response; it is buffered until it is complete.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
+// Responses up to this size are read even if others take all the memory that bodies may take.
+const SMALL_RESPONSE_BYTES: usize = 64 * 1024;
 // Time after which a service that rejects is likely to have room: a few of its usual response
 // times.
 const NOT_RUN_RETRY_MS: u64 = 300;
@@ -51,12 +56,15 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    held: HeldBytes,
     is_framed: bool,
 }
 
 impl BufferedResponse {
     fn into_response(self) -> Response<ResponseBody> {
-        let mut response = Response::new(ResponseBody::full(self.body));
+        let mut body = ResponseBody::full(self.body);
+        body.hold_bytes(self.held);
+        let mut response = Response::new(body);
         *response.status_mut() = self.status;
         *response.headers_mut() = headers::to_client(&self.headers);
         response
@@ -310,7 +318,7 @@
                     let in_flight = request.in_flight();
                     quarantine::handle_unproven_end(gateway, &in_flight, upstream).await;
                 }
-                ReadError::TooLarge | ReadError::TimedOut => {}
+                ReadError::TooLarge | ReadError::NoMemory | ReadError::TimedOut => {}
             }
             return None;
         }
@@ -375,6 +383,7 @@
     // It ended with its connection, and possibly with its upstream.
     Unproven,
     TooLarge,
+    NoMemory,
     TimedOut,
 }
 
@@ -384,11 +393,19 @@
             Self::Cut => "the answer was cut",
             Self::Unproven => "the answer may have ended with its upstream",
             Self::TooLarge => "the answer is too large",
+            Self::NoMemory => "there is no memory for the answer",
             Self::TimedOut => "the answer didn't end in time",
         }
     }
 }
 
+// Returns whether long responses have room in memory. They don't take that of requests, so that a
+// faulty upstream can't have the requests to others refused.
+fn has_room(gateway: &Gateway) -> bool {
+    let held = gateway.buffered_response_bytes.load(Ordering::Relaxed);
+    held <= gateway.settings.load().max_buffered_response_bytes
+}
+
 // Reads a response to its end.
 async fn read_response(
     gateway: &SharedGateway,
@@ -402,11 +419,13 @@
     let headers = reply.headers.clone();
     let (mut body, connection) = reply.into_body();
     let limit = std::time::Duration::from_millis(send_deadline_ms.remaining(clock::now()));
+    let mut held = HeldBytes::of_response(gateway);
     let read = async {
         let mut buffer = BytesMut::new();
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| ReadError::Cut)?.into_data() {
                 buffer.extend_from_slice(&data);
+                held.add(data.len());
                 if let Some(witness) = &witness {
                     witness.record_chunk();
                 }
@@ -414,6 +433,9 @@
             if buffer.len() > MAX_RESPONSE_BYTES {
                 return Err(ReadError::TooLarge);
             }
+            if buffer.len() > SMALL_RESPONSE_BYTES && !has_room(gateway) {
+                return Err(ReadError::NoMemory);
+            }
         }
         Ok(buffer.freeze())
     };
@@ -430,6 +452,7 @@
         status,
         headers,
         body,
+        held,
         is_framed,
     })
 }
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! An admitted request of a client.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
@@ -19,30 +20,47 @@
 use crate::quarantine::InFlight;
 use crate::quarantine::RequestContent;
 use crate::quota::Charge;
+use crate::state::Gateway;
 use crate::state::SharedGateway;
 
 /// A count of body bytes held in memory. Dropping it ends the count.
 pub struct HeldBytes {
     gateway: SharedGateway,
+    counter: fn(&Gateway) -> &AtomicUsize,
     bytes: usize,
 }
 
 impl HeldBytes {
-    /// Counts `bytes` as held in memory.
-    pub fn new(gateway: &SharedGateway, bytes: usize) -> Self {
-        gateway.buffered_bytes.fetch_add(bytes, Ordering::Relaxed);
-        Self {
+    /// Counts the body of a request.
+    pub fn of_request(gateway: &SharedGateway, bytes: usize) -> Self {
+        Self::new(gateway, |gateway| &gateway.buffered_bytes, bytes)
+    }
+
+    /// Counts the body of a response, of which nothing has been read yet.
+    pub fn of_response(gateway: &SharedGateway) -> Self {
+        Self::new(gateway, |gateway| &gateway.buffered_response_bytes, 0)
+    }
+
+    fn new(gateway: &SharedGateway, counter: fn(&Gateway) -> &AtomicUsize, bytes: usize) -> Self {
+        let mut held = Self {
             gateway: gateway.clone(),
-            bytes,
-        }
+            counter,
+            bytes: 0,
+        };
+        held.add(bytes);
+        held
+    }
+
+    /// Counts further bytes.
+    pub fn add(&mut self, bytes: usize) {
+        (self.counter)(&self.gateway).fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
     }
 }
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        self.gateway
-            .buffered_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
+        (self.counter)(&self.gateway).fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -21,6 +21,9 @@
 const BYTES_PER_MB: usize = 1 << 20;
 // Part of the memory that all request bodies together may take.
 const BODY_MEMORY_DIVISOR: usize = 4;
+// Part of the memory that all buffered responses together may take. Their buffers may have twice the
+// size.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 
 /// Settings of a gateway.
 #[plain]
@@ -53,6 +56,8 @@
     pub entry_grace_ms: u64,
     /// Limit on the bytes of request bodies held at once.
     pub max_buffered_bytes: usize,
+    /// Limit on the bytes of long responses that are buffered.
+    pub max_buffered_response_bytes: usize,
     /// Heartbeat of reports to peers, and limits on the trust in them.
     pub report_options: PeerReportOptions,
     /// Time limits of calls.
@@ -154,6 +159,7 @@
         grace_ms: (grace_s? * MS_PER_S) as u64,
         entry_grace_ms: (entry_grace_s? * MS_PER_S) as u64,
         max_buffered_bytes: memory_mb? as usize * BYTES_PER_MB / BODY_MEMORY_DIVISOR,
+        max_buffered_response_bytes: memory_mb? as usize * BYTES_PER_MB / RESPONSE_MEMORY_DIVISOR,
         report_options: PeerReportOptions::default(),
         timing: Timing::default(),
     })
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -180,6 +180,7 @@
         drain: Arc::default(),
         events,
         buffered_bytes: AtomicUsize::new(0),
+        buffered_response_bytes: AtomicUsize::new(0),
         report_needed: Notify::new(),
         close_idle: Notify::new(),
         shutdown: Mutex::new(None),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -109,6 +109,8 @@
     pub events: EventLog,
     /// Bytes of request bodies held in memory.
     pub buffered_bytes: AtomicUsize,
+    /// The same of the bodies of responses that are buffered until they are complete.
+    pub buffered_response_bytes: AtomicUsize,
     /// Wakes the task that reports to peers.
     pub report_needed: Notify,
     /// Makes clients' connections close as soon as they are idle.
