Trust what is known of a service's default version only while nothing can have been missed

Cause: an instance that stood still while all old engines were replaced, and the default version changed, believed both its old engines and its old default version when it woke, until it had read the changes, one batch each 300 ms. Streams of the new version have no record by then. If it also decides on placements, it resumed them at an old engine that serves on after its entry is gone; otherwise it refused them as overloaded. In the same way it began streams at the old version without a record, which others resumed at the new one. Ruled out: a release that is still going on (gateway_that_stood_still_joins_no_versions held before), as streams of the new version have records then.

Why this works: an instance that hasn't observed its engines for a second has stood still, and forgets since when it has seen their versions, so it reads the default version again before it trusts it; the shortest life of a stream is longer. A stream without a record is taken up by the default version as the store has it now, not as it was read before: one more read for each such attempt, none for new streams.

The core's standstill_ends_the_presence_that_was_seen shows the gap alone. Not covered: an instance whose watch hangs for longer than a stream's life while its other calls to the store are answered.

--- a/crates/dogwoodpier-core/src/gateway/software_versions.rs
+++ b/crates/dogwoodpier-core/src/gateway/software_versions.rs
@@ -56,17 +56,26 @@
 #[derive(Debug, Default)]
 pub struct SeenVersions {
     services: BTreeMap<Arc<str>, ServiceVersions>,
+    observed_ms: Option<TimeMs>,
 }
 
 // Versions of a service above which those that left first are dropped.
 const MAX_VERSIONS: usize = 32;
+// Time between two observations after which the instance has stood still. It is shorter than any
+// stream's life, so that no default version can change unseen.
+const MAX_OBSERVATION_GAP_MS: u64 = 1_000;
 
 impl SeenVersions {
-    /// Records which versions engines have now, as pairs of a service and a version.
+    /// Records which versions engines have now, as pairs of a service and a version. Forgets what was
+    /// seen before if the instance has stood still, as what it knows of the engines may be old.
     pub fn observe<'a, E>(&mut self, engines: E, now: TimeMs)
     where
         E: IntoIterator<Item = (&'a Arc<str>, &'a Arc<str>)>,
     {
+        let observed_ms = self.observed_ms.replace(now);
+        if observed_ms.is_some_and(|before| now.since(before) > MAX_OBSERVATION_GAP_MS) {
+            self.reset();
+        }
         for (service, version) in engines {
             let seen = self
                 .services
--- a/crates/dogwoodpier-core/tests/software_versions.rs
+++ b/crates/dogwoodpier-core/tests/software_versions.rs
@@ -60,6 +60,19 @@
     assert_eq!(next(&started, 12_000), None);
 }
 
+// An instance that stood still may have missed that a version left, and that another became the default.
+#[test]
+fn standstill_ends_the_presence_that_was_seen() {
+    let mut seen = SeenVersions::default();
+    observe(&mut seen, &["v1"], 1_000);
+    observe(&mut seen, &["v1"], 1_250);
+    assert!(seen.is_present_since(SERVICE, "v1", TimeMs(1_100)));
+    observe(&mut seen, &["v1"], 6_000);
+    assert!(seen.is_present(SERVICE, "v1"));
+    assert!(!seen.is_present_since(SERVICE, "v1", TimeMs(1_100)));
+    assert_eq!(seen.absent_ms(SERVICE, "v2", TimeMs(7_000)), 1_000);
+}
+
 #[test]
 fn unrecorded_stream_is_unknown_in_another_era() {
     let default = DefaultVersion {
--- a/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
@@ -118,6 +118,14 @@
     {
         return Ok(Some(known.default));
     }
+    read_anew(gateway, service).await
+}
+
+/// Reads the default version of a service from the store, whatever is known of it.
+pub(super) async fn read_anew(
+    gateway: &SharedGateway,
+    service: &Arc<str>,
+) -> Result<Option<DefaultVersion>, Error> {
     let result = read_from_store(gateway, service).await;
     gateway.stream_origins.record_store_result(&result);
     result
--- a/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
@@ -229,7 +229,8 @@
             unknown
         });
     }
-    let default = defaults::read(gateway, service, None).await;
+    // What this instance knows may be older than the stream.
+    let default = defaults::read_anew(gateway, service).await;
     let default = default.map_err(unavailable)?.ok_or(unknown)?;
     let era = *gateway.store.era().borrow();
     let version = default.of_unrecorded(era).ok_or(unknown)?;
