Survive any Keep-Alive timeout that an upstream states

What callers saw: a request was cut without an answer if the upstream's response stated a Keep-Alive timeout near the largest number. Cause: the time at which the idle connection ends overflowed, and the request's task panicked (seen in the source by the review). An idle connection is kept for ten minutes at most now.

--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -42,6 +42,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(400);
 // Assumed if an upstream doesn't state how long it keeps idle connections open.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
+// Idle connections are not kept longer, whatever an upstream states.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(600);
 const KEEP_ALIVE: &str = "keep-alive";
 // Maximum number of bytes of a response that are buffered, which also bounds the size of its head.
 // Common servers limit heads to a quarter of this; a faulty upstream may send an endless one.
@@ -410,5 +412,6 @@
         .map(Duration::from_secs);
     stated_timeout
         .unwrap_or(DEFAULT_KEEP_ALIVE)
+        .min(MAX_KEEP_ALIVE)
         .saturating_sub(KEEP_ALIVE_MARGIN)
 }
