Resume a stream only with a response that bears its upstream's seal

What callers saw: a stream that was cut went on in the same answer with events of a response without the seal, and ended as complete. Cause: engines::resume asked for a success only, while accept asks for the seal, too (seen in the source by the review). Both ask is_forwardable now; a response without a seal counts as a failure of its engine, and the stream ends cut.

--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -193,6 +193,10 @@
     let SendOutcome::Answered(reply) = outcome else {
         return None;
     };
+    if !forwarding::is_forwardable(gateway, reply.status, &reply.headers) {
+        gateway.record_outcome(&upstream, Outcome::Failed);
+        return None;
+    }
     if !reply.status.is_success() {
         return None;
     }
