Accept only the response to a witness's own request as proof

A faulty upstream may send an earlier response once more where the next one is expected; one on an idle connection would have passed for the sign of life of a process that has ended.

--- a/crates/dogwoodpier-gateway/src/witness.rs
+++ b/crates/dogwoodpier-gateway/src/witness.rs
@@ -92,10 +92,16 @@
             let Ok(Some(proof)) = self.watching.await else {
                 return Err("no connection");
             };
-            match proof.connection.request(proof.request).await {
-                Ok(StatusCode::MISDIRECTED_REQUEST) => Err("another upstream responded"),
-                Ok(_) => Ok(()),
-                Err(_) => Err("the connection ended"),
+            let head = proof.connection.request(proof.request).await;
+            let head = head.map_err(|_| "the connection ended")?;
+            if head.status == StatusCode::MISDIRECTED_REQUEST {
+                return Err("another upstream responded");
+            }
+            // The request has no id. A faulty upstream may have sent an earlier response once more.
+            let id = head.headers.get(&self.gateway.dialect.headers.request_id);
+            match id.is_some_and(|id| !id.is_empty()) {
+                true => Err("the response is that to another request"),
+                false => Ok(()),
             }
         };
         let result = tokio::time::timeout(Duration::from_millis(limit_ms), proof).await;
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -17,6 +17,7 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -117,7 +118,7 @@
     pub was_used: bool,
     /// The relay that the connection leads through; absent if it leads directly to the upstream.
     pub relay: Option<SocketAddr>,
-    returning: ConnectionReturn,
+    returning: Box<ConnectionReturn>,
 }
 
 /// A connection to the process that is sending a response over another connection. A process that
@@ -238,13 +239,13 @@
             connected: taken.is_new,
             was_used: taken.was_used,
             relay: taken.channel.relay,
-            returning: ConnectionReturn {
+            returning: Box::new(ConnectionReturn {
                 connections: self.clone(),
                 id: to.id.clone(),
                 channel: (is_framed && keep_alive > Duration::ZERO).then_some(taken.channel),
                 keep_alive,
                 was_used: true,
-            },
+            }),
         }
     }
 
@@ -304,7 +305,7 @@
     /// Splits the response into its body and the connection to return to the pool after the body's
     /// end.
     pub fn into_body(self) -> (Incoming, ConnectionReturn) {
-        (self.body, self.returning)
+        (self.body, *self.returning)
     }
 }
 
@@ -335,9 +336,9 @@
         let _ = self.end.changed().await;
     }
 
-    /// Sends a request and returns the status of its response. Has no timeout of its own. Returns the
+    /// Sends a request and returns the head of its response. Has no timeout of its own. Returns the
     /// connection to the pool if it can be used again.
-    pub async fn request(self, request: Request<Full<Bytes>>) -> Result<StatusCode, SendError> {
+    pub async fn request(self, request: Request<Full<Bytes>>) -> Result<Parts, SendError> {
         let mut returning = self.returning;
         let Some(channel) = returning.channel.as_mut() else {
             return Err(SendError::NotSent("no connection".to_owned()));
@@ -357,7 +358,7 @@
                 }
             });
         }
-        Ok(head.status)
+        Ok(head)
     }
 }
 
