Settings: a list of features that a deployment calls for

Cause: new behaviour is to take effect only where a deployment's settings call for it, and no setting could say so. Change: an optional list 'features', decoded by the adapter; nothing reads it yet.

--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 //! An adapter supplies these structs; no other code knows the names.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use http::HeaderMap;
 use http::HeaderName;
@@ -11,6 +12,7 @@
 
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::upstreams::Upstream;
+use dogwoodpier_derive::plain;
 use dogwoodpier_platform::Protocol;
 
 /// Why an entry can't be decoded.
@@ -107,6 +109,14 @@
     pub stream_kind: &'static str,
 }
 
+/// Optional behaviour that a deployment calls for.
+#[plain]
+#[derive(Copy, Default, Eq)]
+pub struct Features {
+    /// Whether requests wait in order for room at a plain service that is full.
+    pub queue_plain_requests: bool,
+}
+
 /// Names and formats of a deployment.
 pub struct Dialect {
     /// Header names.
@@ -123,6 +133,8 @@
     pub prefill_stage: &'static str,
     /// Path at which an engine reports its load. A report needs no slot.
     pub engine_report_path: &'static str,
+    /// Decodes the names of features in the settings. Unknown names are ignored.
+    pub decode_features: fn(&[Arc<str>]) -> Features,
     /// Decodes a configuration.
     pub decode_configuration: fn(&Value) -> Result<Configuration, DecodeError>,
     /// Decodes an upstream from the name and the value of its entry.
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -50,6 +50,8 @@
     pub quota_tolerance: Overdraft,
     /// Whether operators may evacuate data centres, so that the store is read for evacuations.
     pub evacuations: bool,
+    /// Names of the optional features that the deployment calls for.
+    pub features: Vec<Arc<str>>,
     /// Time from SIGTERM to the end of the process.
     pub grace_ms: u64,
     /// Time for which the entry of an upstream may be missing after an outage of the store.
@@ -132,6 +134,7 @@
     };
     let tolerance = number(&mut root, "quota_tolerance_units", 0.0, 1e15, report);
     let evacuations = root.flag("evacuations", report);
+    let features = root.texts("features", report);
     let mut retries = root.table("retries", report);
     let ratio = number(&mut retries, "ratio", 0.0, 10.0, report);
     let allowance = number(&mut retries, "allowance", 0.0, 1e9, report);
@@ -156,6 +159,7 @@
             units: (tolerance? * QUOTA_TOLERANCE_SHARE) as u64,
         },
         evacuations: evacuations.unwrap_or(false),
+        features,
         grace_ms: (grace_s? * MS_PER_S) as u64,
         entry_grace_ms: (entry_grace_s? * MS_PER_S) as u64,
         max_buffered_bytes: memory_mb? as usize * BYTES_PER_MB / BODY_MEMORY_DIVISOR,
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -50,6 +50,7 @@
 use crate::broker::EngineRelease;
 use crate::codec;
 use crate::dialect::Dialect;
+use crate::dialect::Features;
 use crate::engines::TimingStats;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
@@ -167,6 +168,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the optional behaviour that the settings call for.
+    pub fn features(&self) -> Features {
+        (self.dialect.decode_features)(&self.settings.load().features)
+    }
+
     /// Returns whether a new request is accepted: always, unless the process would exit before the
     /// request ends.
     pub fn accepts(&self, route: &Route) -> bool {
