Keep looking for an engine while an answer that has begun has time left

What callers saw: a stream was given up as no_upstream while both engines were sound (KNOWN-RED, running_streams_are_completed). Cause: when load reports of all engines fail or are late for a moment, no engine counts as available; after one second the request was refused, also if part of its answer had been delivered. Beside load a round of polls over silent connections takes longer than that. Evidence: the new stream_is_resumed_after_long_hang (all decode engines silent for 4 s in mid-answer) fails before with no_upstream and passes now; lost_reservations 3 passed. Change: until its deadline an answer that has begun waits for a decode and a prefill engine. New requests are still refused after a second. Not shown: that no other cause remains for the entry of KNOWN-RED, which stays until it has been run beside load.

--- a/crates/dogwoodpier-node/src/pipeline/model.rs
+++ b/crates/dogwoodpier-node/src/pipeline/model.rs
@@ -238,10 +238,13 @@
         }
     }
 
-    // Waits up to `NO_ENGINE_TIMEOUT_MS` for a prefill engine if there is none. Engines that were
-    // excluded are then tried again.
+    // Waits for a prefill engine if there is none: up to `NO_ENGINE_TIMEOUT_MS`, or until the deadline
+    // if part of the answer has been delivered. Engines that were excluded are then tried again.
     async fn choose_prefill(&mut self, prompt: &Prompt) -> Option<PrefillHint> {
-        let no_engine_deadline_ms = clock::now().after(NO_ENGINE_TIMEOUT_MS);
+        let no_engine_deadline_ms = match self.answer_begun() {
+            true => self.job.request.deadline_ms,
+            false => clock::now().after(NO_ENGINE_TIMEOUT_MS),
+        };
         loop {
             let hint = prefill::choose_engine(self.node, prompt, &self.excluded);
             if hint.is_some() || clock::now() >= no_engine_deadline_ms {
@@ -333,7 +336,7 @@
             let reason = RefusalReason::UpstreamFailed;
             return Err(Refusal::new(reason, self.execution, cause).retry_after(RETRY_AFTER_MS));
         }
-        if self.delivery.delivered_tokens() > 0 {
+        if self.answer_begun() {
             counter!(counters::DECODE_RESUMES_TOTAL).increment(1);
         }
         Ok(())
@@ -391,10 +394,10 @@
             .upstreams
             .tokens_per_piece(&self.job.model.decode_pool);
         // Once part of the answer is delivered, the request waits until its own deadline.
-        let deadline_ms = if self.delivery.delivered_tokens() == 0 {
-            self.reserve_deadline_ms()
-        } else {
+        let deadline_ms = if self.answer_begun() {
             self.job.request.deadline_ms
+        } else {
+            self.reserve_deadline_ms()
         };
         ReservationRequest {
             pool: self.job.model.decode_pool.clone(),
@@ -406,9 +409,14 @@
             },
             cost_tokens: call.prompt_tokens + call.max_tokens,
             deadline_ms,
+            answer_begun: self.answer_begun(),
         }
     }
 
+    fn answer_begun(&self) -> bool {
+        self.delivery.delivered_tokens() > 0
+    }
+
     // Leaves time for the prefill before the first token is due, but keeps at least half of the
     // remaining time for the reservation.
     fn reserve_deadline_ms(&self) -> TimeMs {
@@ -426,10 +434,10 @@
     }
 
     fn prompt(&self) -> Prompt {
-        let text: Arc<str> = if self.delivery.delivered_tokens() == 0 {
-            self.job.call.prompt.clone()
-        } else {
+        let text: Arc<str> = if self.answer_begun() {
             format!("{}{}", self.job.call.prompt, self.delivery.delivered_text()).into()
+        } else {
+            self.job.call.prompt.clone()
         };
         Prompt {
             pool: self.job.model.prefill_pool.clone(),
--- a/crates/dogwoodpier-node/src/pipeline/queue.rs
+++ b/crates/dogwoodpier-node/src/pipeline/queue.rs
@@ -27,7 +27,8 @@
 const MAX_QUEUES: usize = 3;
 // Time for which a coordinator queues the request before other engines are probed again.
 const QUEUE_WAIT_MS: u64 = 200;
-// Time to wait for an engine of the pool to become available, if there is none.
+// Time to wait for an engine of the pool to become available, if there is none and no part of the
+// answer has been delivered.
 const NO_ENGINE_TIMEOUT_MS: u64 = 1_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 const MIN_RETRY_AFTER_MS: u64 = 100;
@@ -122,7 +123,7 @@
                 self.refuse_too_large()?;
                 let no_engine_deadline_ms =
                     no_engine_deadline_ms.get_or_insert_with(|| now.after(NO_ENGINE_TIMEOUT_MS));
-                if now >= *no_engine_deadline_ms {
+                if now >= *no_engine_deadline_ms && !self.request.answer_begun {
                     return Err(no_engine_refusal());
                 }
                 self.retry_excluded();
--- a/crates/dogwoodpier-node/src/pipeline/reserve.rs
+++ b/crates/dogwoodpier-node/src/pipeline/reserve.rs
@@ -31,6 +31,9 @@
     pub cost_tokens: u64,
     /// Time after which a reservation is of no use.
     pub deadline_ms: TimeMs,
+    /// Whether part of the answer has been delivered. Its caller loses more by a refusal than by a
+    /// pause.
+    pub answer_begun: bool,
 }
 
 /// A reservation at a decode engine. Dropping it cancels it.
--- a/crates/dogwoodpier-node/tests/lost_reservations.rs
+++ b/crates/dogwoodpier-node/tests/lost_reservations.rs
@@ -22,6 +22,8 @@
 const TOKENS_BEFORE_HANG: usize = 5;
 // More than the timeout of a call to an engine.
 const HANG_TIME: Duration = Duration::from_millis(1_200);
+// More than the time for which a request waits for an engine of its pool before its answer has begun.
+const LONG_HANG_TIME: Duration = Duration::from_millis(4_000);
 
 async fn set_faults(fleet: &Fleet, faults: &EngineFaults) {
     for engine in DECODE_ENGINES {
@@ -30,8 +32,7 @@
     }
 }
 
-#[tokio::test]
-async fn stream_is_resumed_after_reservations_without_answer() {
+async fn assert_resumed_after(hang_time: Duration) {
     let mut plan = models::plan(1);
     plan.declarations = plan
         .declarations
@@ -53,7 +54,7 @@
             ..EngineFaults::default()
         };
         set_faults(&fleet, &hang).await;
-        tokio::time::sleep(HANG_TIME).await;
+        tokio::time::sleep(hang_time).await;
         set_faults(&fleet, &EngineFaults::default()).await;
     };
     let (answer, ()) = tokio::join!(stream, hang);
@@ -62,6 +63,18 @@
     models::wait_for_no_holds(&fleet).await;
 }
 
+#[tokio::test]
+async fn stream_is_resumed_after_reservations_without_answer() {
+    assert_resumed_after(HANG_TIME).await;
+}
+
+/// An answer that has begun is not given up while its caller still waits: all engines counted as
+/// unavailable for more than a second, and the stream ended as `no_upstream`.
+#[tokio::test]
+async fn stream_is_resumed_after_long_hang() {
+    assert_resumed_after(LONG_HANG_TIME).await;
+}
+
 #[tokio::test]
 async fn request_is_placed_after_lost_reservations() {
     let fleet = Fleet::start(models::plan(1))
