Hold the first requests after a start until the store has been read

Cause: the client address is bound before the first reading. Change: a request waits up to 150 ms for the first reading of configuration, upstreams and evacuations. Ruled out: binding later, as refused connections cost clients an attempt too, and the port's queue isn't under our control. Test: early_requests; first_request_after_a_start_is_served fails before (503), passes 3 of 3 now.

--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -45,6 +45,10 @@
 
 // Time after which a client may retry at an instance that has no configuration yet.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
+// Longest wait of a request for the first reading of the store, several times what it takes. A client
+// that is rejected meanwhile has to connect anew.
+const FIRST_READING_WAIT_MS: u64 = 150;
+const FIRST_READING_POLL: Duration = Duration::from_millis(5);
 // Time after which bodies held now are likely to be released.
 const NO_MEMORY_RETRY_MS: u64 = 500;
 
@@ -54,6 +58,7 @@
     request: Request<Incoming>,
     received_ms: TimeMs,
 ) -> Result<ClientRequest, Rejection> {
+    wait_for_first_reading(gateway).await;
     let configuration = gateway.configuration.load_full();
     let configuration = configuration.filter(|_| {
         readiness::knows_evacuations(gateway) && !newer_configuration::is_awaited(gateway)
@@ -158,6 +163,19 @@
     Ok(request)
 }
 
+// Waits until the instance has read from the store what it needs to serve, if it has just started.
+async fn wait_for_first_reading(gateway: &Gateway) {
+    let has_read = || {
+        gateway.configuration.load().is_some()
+            && readiness::knows_evacuations(gateway)
+            && gateway.state().upstreams_known
+    };
+    let deadline_ms = clock::now().after(FIRST_READING_WAIT_MS);
+    while !has_read() && clock::now() < deadline_ms {
+        tokio::time::sleep(FIRST_READING_POLL).await;
+    }
+}
+
 fn log_quarantined(gateway: &Gateway, id: &HeaderValue, fingerprint: u64) {
     gateway.events.write(
         "quarantined",
