Tell the broker when a request fails at an engine that it granted

Cause: only the instances that sent to the engine recorded the failures. A release said 'used', so that the broker saw an engine with free slots and placed the next request there. Change: an instance notifies the broker of the failure with a new message, after the release; the broker records it in the engine's health, which fades in seconds. An instance of an earlier version can't decode the message and drops it. Ruled out: 'unreachable' in the release, as it makes all instances avoid the engine for up to 3 s and the broker sees no success that would end it.

--- a/crates/dogwoodpier-gateway/src/broker.rs
+++ b/crates/dogwoodpier-gateway/src/broker.rs
@@ -146,6 +146,16 @@
     pub result: GrantOutcome,
 }
 
+/// Notice that a request failed at a granted engine: its connection was cut, or the engine answered
+/// with an error or with nothing that can be used. Follows the release, whose encoding must not change
+/// while instances of an earlier version run.
+#[wire]
+#[derive(Eq)]
+pub struct EngineFailure {
+    /// The engine.
+    pub upstream: Arc<str>,
+}
+
 enum IncomingRequest {
     Waiting(AbortHandle),
     Decided {
@@ -527,6 +537,17 @@
     gateway.queues.slot_freed();
 }
 
+/// Handles the notice of a peer that a request failed at an engine. Without it the broker would place
+/// more requests at an engine that fails them, as the slots there are free again at once.
+pub fn handle_failure(gateway: &Gateway, failure: &EngineFailure) {
+    let now = clock::now();
+    let mut state = gateway.state();
+    if state.upstreams.get(&failure.upstream).is_some() {
+        let health = &mut state.health;
+        health.record_outcome(&failure.upstream, Outcome::Failed, now);
+    }
+}
+
 /// Handles the withdrawal of a request by a peer.
 pub fn handle_withdrawal(gateway: &Gateway, instance: &Arc<str>, ticket: u64) {
     let incoming = locked(&gateway.broker.incoming).remove(&(instance.clone(), ticket));
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -447,9 +447,13 @@
         SendOutcome::Quarantined => {}
         SendOutcome::Cut(_) => {
             progress.attempts.runs += 1;
+            decode.set_failed();
             quarantine::handle_cut(gateway, &request.in_flight(), &upstream).await;
         }
-        SendOutcome::Lost(_) => progress.attempts.runs += 1,
+        SendOutcome::Lost(_) => {
+            progress.attempts.runs += 1;
+            decode.set_failed();
+        }
         SendOutcome::TimedOut => {
             progress.attempts.runs += 1;
             progress.timed_out = true;
@@ -464,7 +468,7 @@
     gateway: &SharedGateway,
     request: &Arc<ClientRequest>,
     reply: Reply,
-    decode: LoadGuard,
+    mut decode: LoadGuard,
     slot_granted_ms: TimeMs,
     runs: u32,
 ) -> Option<Response<ResponseBody>> {
@@ -478,6 +482,7 @@
             .record_first_event(&request.service.name, elapsed_ms);
     } else {
         gateway.record_outcome(decode.upstream(), Outcome::Failed);
+        decode.set_failed();
     }
     if !forwardable {
         return None;
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -18,6 +18,7 @@
 use dogwoodpier_process::clock;
 
 use crate::broker;
+use crate::broker::EngineFailure;
 use crate::broker::EngineRelease;
 use crate::broker::PlacementAnswer;
 use crate::broker::PlacementRequest;
@@ -89,6 +90,8 @@
     UnstoredConfiguration(u64),
     /// A request for a placement on engines of one software version.
     AskVersion(VersionPlacementRequest),
+    /// A request failed at an engine that the receiver had granted.
+    EngineFailure(EngineFailure),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -154,6 +157,7 @@
         Message::AskVersion(VersionPlacementRequest { request, version }) => {
             broker::handle_request(gateway, from, request, Some(version));
         }
+        Message::EngineFailure(failure) => broker::handle_failure(gateway, &failure),
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -47,6 +47,7 @@
 
 use crate::broker;
 use crate::broker::Broker;
+use crate::broker::EngineFailure;
 use crate::broker::EngineRelease;
 use crate::codec;
 use crate::dialect::Dialect;
@@ -263,6 +264,7 @@
             load,
             holder,
             result: broker::GrantOutcome::Used,
+            has_failed: false,
         }
     }
 
@@ -430,6 +432,7 @@
     load: UpstreamLoad,
     holder: Holder,
     result: broker::GrantOutcome,
+    has_failed: bool,
 }
 
 impl LoadGuard {
@@ -443,6 +446,11 @@
         self.result = result;
     }
 
+    /// Notes that the request failed at the upstream, for the broker that granted it.
+    pub fn set_failed(&mut self) {
+        self.has_failed = true;
+    }
+
     /// Transfers the count to the peer that holds the placement and returns the upstream's id. The
     /// count ends with the peer's release message or its reports.
     pub fn hand_over(mut self) -> Arc<str> {
@@ -490,6 +498,11 @@
                 };
                 self.gateway
                     .send_message(*broker, &Message::Release(release));
+                if self.has_failed {
+                    let upstream = self.upstream.id.clone();
+                    let failure = Message::EngineFailure(EngineFailure { upstream });
+                    self.gateway.send_message(*broker, &failure);
+                }
             }
             Holder::HandedOver => return,
             Holder::Peer { instance, ticket } => {
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -10,6 +10,7 @@
 use dogwoodpier_core::gateway::upstream_limits::ReportedLimit;
 use dogwoodpier_core::quarantine::PartAnswer;
 use dogwoodpier_core::quarantine::PartCrash;
+use dogwoodpier_gateway::broker::EngineFailure;
 use dogwoodpier_gateway::broker::PlacementAnswer;
 use dogwoodpier_gateway::broker::PlacementVerdict;
 use dogwoodpier_gateway::codec;
@@ -132,6 +133,9 @@
             instance: "front-1".into(),
             ticket: 9,
         },
+        Message::EngineFailure(EngineFailure {
+            upstream: "i-1".into(),
+        }),
     ]
 }
 
