Count a stream that its engine breaks off as a failure of the engine

What callers saw: an engine that breaks streams off got new ones at once, as its health knew the sound head of each response only. Change: a cut stream counts as a failure, at the instance and at the broker that granted the engine.

--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_http::ConnectionReturn;
 use dogwoodpier_process::clock;
 
@@ -152,7 +153,9 @@
                 None if !self.ends_early().await => return self.finish().map(Ok),
                 None | Some(Err(_)) => {
                     self.log_end("cut by the upstream");
+                    self.guard.set_failed();
                     let upstream = self.guard.upstream();
+                    self.gateway.record_outcome(upstream, Outcome::Failed);
                     if frame.is_none() && self.is_between_events() {
                         let request = &self.in_flight;
                         quarantine::handle_unproven_end(&self.gateway, request, upstream).await;
