Core: order and limit requests to plain services that are full

Cause: instances select upstreams of plain services by each other's load, which is up to 0.8 s old, and nothing orders requests or holds them back when the upstreams are full.

Change: a window for each service and instance, which starts from the instance's share of the slots and is adjusted by rejections and by late responses, and a queue ordered by priority, recent use of the workspace and deadline. Requests that can't be on time are rejected on arrival.

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! The gateway forwards HTTP requests to upstreams that an operator and a platform declare. This
 //! module makes its decisions, without I/O; the `dogwoodpier-gateway` crate carries them out.
 
+pub mod admission_window;
 pub mod evacuations;
 pub mod memory_limit;
 pub mod owners;
@@ -10,6 +11,7 @@
 pub mod peer_reports;
 pub mod permits;
 pub mod placement;
+pub mod plain_queue;
 pub mod quota;
 pub mod retries;
 pub mod routes;
@@ -20,3 +22,4 @@
 pub mod upstream_limits;
 pub mod upstreams;
 pub mod wait_queue;
+pub mod workspace_use;
