State page: lock the queues before the routing state

Cause: the page locked the queues while it held the routing state, and a request that joins a queue locks them the other way round, so both could wait for each other for good.

Change: the page reads the lengths of the queues first.

--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -18,6 +18,8 @@
     let now = clock::now();
     let configuration = gateway.configuration.load();
     let unmet_conditions = readiness::unmet_conditions(gateway);
+    // Before the routing state is locked: requests lock it while they hold the lock on the queues.
+    let lengths = gateway.queues.lengths();
     let state = gateway.state();
     let membership = state.peer_reports.membership(now);
     let upstreams: Vec<serde_json::Value> = state
@@ -42,9 +44,7 @@
             })
         })
         .collect();
-    let queues: Vec<serde_json::Value> = gateway
-        .queues
-        .lengths()
+    let queues: Vec<serde_json::Value> = lengths
         .iter()
         .map(|(service, length)| serde_json::json!({ "service": &**service, "waiting": length }))
         .collect();
