Gateway: queue requests to plain services that are full

Cause: a request went from one full upstream to the next, up to three of them, and nothing ordered the requests that waited at the upstreams.

Change: plain::forward gets the capacity for each send from `plain_queue::acquire`, in deployments that call for it; elsewhere nothing changes. A request that an upstream rejects as full goes through the queue once more. Events plain_limit, plain_waited and plain_rejected; metrics of waits by workspace and cause, of the window, and of rejections by decision.

--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -24,6 +24,14 @@
 pub const CONNECTIONS_TOTAL: &str = "dogwoodpier_gateway_upstream_connections_total";
 /// Time in the queue for an engine.
 pub const WAIT_MS: &str = "dogwoodpier_gateway_wait_ms";
+/// Requests to plain services that waited for capacity, by workspace and cause.
+pub const PLAIN_WAITS_TOTAL: &str = "dogwoodpier_gateway_plain_waits_total";
+/// Milliseconds for which requests to plain services waited for capacity, by workspace and cause.
+pub const PLAIN_WAIT_MS_TOTAL: &str = "dogwoodpier_gateway_plain_wait_ms_total";
+/// Requests that this instance may have at the upstreams of a plain service; 0 without a limit.
+pub const PLAIN_WINDOW: &str = "dogwoodpier_gateway_plain_window";
+/// Requests rejected because a plain service is full, by decision.
+pub const PLAIN_REJECTED_TOTAL: &str = "dogwoodpier_gateway_plain_rejected_total";
 /// Time from the head of a request to the head of its response.
 pub const FIRST_BYTE_MS: &str = "dogwoodpier_gateway_first_byte_ms";
 /// Time from a send to the head of the response.
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -85,9 +85,9 @@
 }
 
 impl TimingStats {
-    // Returns for how long the client has been trying: the difference between the longest stated
-    // wait of the route and that of this request, as a client that retries has less time left.
-    fn elapsed_before(&self, request: &ClientRequest) -> u64 {
+    /// Returns for how long the client has been trying: the difference between the longest stated
+    /// wait of the route and that of this request, as a client that retries has less time left.
+    pub fn elapsed_before(&self, request: &ClientRequest) -> u64 {
         let mut inner = self.lock();
         let longest_ms = inner
             .longest_wait_ms
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pending;
 pub mod permits;
 pub mod plain;
+pub mod plain_queue;
 mod prefill;
 pub mod prompt_parts;
 mod quarantine;
--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -19,7 +19,8 @@
     let configuration = gateway.configuration.load();
     let unmet_conditions = readiness::unmet_conditions(gateway);
     // Before the routing state is locked: requests lock it while they hold the lock on the queues.
-    let lengths = gateway.queues.lengths();
+    let mut lengths = gateway.queues.lengths();
+    lengths.append(&mut gateway.plain_queues.lengths());
     let state = gateway.state();
     let membership = state.peer_reports.membership(now);
     let upstreams: Vec<serde_json::Value> = state
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -25,6 +25,8 @@
 use crate::headers;
 use crate::permits;
 use crate::permits::SendPermit;
+use crate::plain_queue;
+use crate::plain_queue::PlainSlot;
 use crate::quarantine;
 use crate::queues;
 use crate::reject::Reason;
@@ -40,6 +42,9 @@
 // Sends of one request, including rejected ones. More of them would only shift load between
 // upstreams.
 const MAX_SENDS: u32 = 3;
+// Sends of one request that upstreams reject as full, if requests wait for capacity. Beyond one more,
+// a request would be passed from one full upstream to the next.
+const MAX_FULL_SENDS: u32 = 2;
 // Permits that a request is denied before only upstreams without a limit are tried: each denial
 // costs a round trip to another instance.
 const MAX_DENIED_PERMITS: u32 = 3;
@@ -76,6 +81,8 @@
 struct Progress {
     attempts: Attempts,
     timed_out: bool,
+    // Sends that upstreams rejected as full.
+    full_sends: u32,
     tried: Vec<Arc<str>>,
     // An upstream's own error response, returned to the client if no later send succeeds.
     failure: Option<BufferedResponse>,
@@ -90,12 +97,9 @@
     loop {
         let selected = gateway
             .quarantine
-            .unless_quarantined(
-                &request.content,
-                select_permitted(gateway, request, &progress.tried),
-            )
+            .unless_quarantined(&request.content, place(gateway, request, &progress))
             .await;
-        let (guard, permit) = match selected {
+        let (slot, guard, permit) = match selected {
             Some(Ok(selected)) => selected,
             Some(Err(NotSelected {
                 reason,
@@ -105,8 +109,13 @@
         };
         progress.attempts.sends += 1;
         progress.tried.push(guard.upstream().id.clone());
-        match attempt(gateway, request, &guard, permit, &mut progress).await {
+        match attempt(gateway, request, &guard, &slot, permit, &mut progress).await {
             Some(response) => return Ok(response.into_response()),
+            None if slot.is_queued() && progress.full_sends == MAX_FULL_SENDS => {
+                let rejection = plain_queue::reject(gateway, request, "full", 0);
+                let retry_after_ms = rejection.retry_after_ms.unwrap_or(NOT_RUN_RETRY_MS);
+                return finish(gateway, request, progress, Reason::NotRun, retry_after_ms);
+            }
             None if may_retry(gateway, request, &progress) => {}
             None => return finish(gateway, request, progress, Reason::NotRun, NOT_RUN_RETRY_MS),
         }
@@ -157,6 +166,23 @@
     retry_after_ms: u64,
 }
 
+// Waits for the capacity to send a request, and selects an upstream for it.
+async fn place(
+    gateway: &SharedGateway,
+    request: &ClientRequest,
+    progress: &Progress,
+) -> Result<(PlainSlot, LoadGuard, SendPermit), NotSelected> {
+    let was_sent = progress.full_sends > 0;
+    let slot = plain_queue::acquire(gateway, request, was_sent)
+        .await
+        .map_err(|rejection| NotSelected {
+            reason: rejection.reason,
+            retry_after_ms: rejection.retry_after_ms.unwrap_or(NOT_RUN_RETRY_MS),
+        })?;
+    let (guard, permit) = select_permitted(gateway, request, &progress.tried).await?;
+    Ok((slot, guard, permit))
+}
+
 // Selects an upstream that may be sent the request now. If there are only upstreams whose rate
 // limit is used up, waits for one of them for as long as the response can still be on time.
 async fn select_permitted(
@@ -280,6 +306,7 @@
     gateway: &SharedGateway,
     request: &ClientRequest,
     guard: &LoadGuard,
+    slot: &PlainSlot,
     permit: SendPermit,
     progress: &mut Progress,
 ) -> Option<BufferedResponse> {
@@ -295,6 +322,10 @@
         send_deadline_ms,
     )
     .await;
+    if plain_queue::is_full(gateway, upstream, &outcome) {
+        progress.full_sends += 1;
+        slot.record_full(request, upstream, started_ms);
+    }
     if outcome.has_not_run() {
         return None;
     }
@@ -336,6 +367,7 @@
         progress.failure = Some(response);
         return None;
     }
+    slot.record_answer(request, upstream, started_ms);
     let elapsed_ms = clock::now().since(started_ms);
     gateway.record_outcome(upstream, Outcome::Answered { elapsed_ms });
     gateway.events.write(
--- a/crates/dogwoodpier-gateway/src/reject.rs
+++ b/crates/dogwoodpier-gateway/src/reject.rs
@@ -114,6 +114,11 @@
     }
 }
 
+/// Returns the longest time that clients with `remaining_ms` left are willing to wait before a retry.
+pub fn max_retry_ms(remaining_ms: u64) -> u64 {
+    remaining_ms / RETRY_AFTER_DIVISOR
+}
+
 /// The rejection of a request by the gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rejection {
@@ -137,7 +142,7 @@
     pub fn with_retry_after(reason: Reason, retry_after_ms: u64, remaining_ms: u64) -> Self {
         Self {
             reason,
-            retry_after_ms: Some(retry_after_ms.min(remaining_ms / RETRY_AFTER_DIVISOR)),
+            retry_after_ms: Some(retry_after_ms.min(max_retry_ms(remaining_ms))),
         }
     }
 
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -44,6 +44,7 @@
 use crate::paths;
 use crate::peer_messages;
 use crate::pending::PendingRequests;
+use crate::plain_queue::PlainQueues;
 use crate::quarantine::Quarantine;
 use crate::queues;
 use crate::queues::Queues;
@@ -174,6 +175,7 @@
         stream_origins: StreamOrigins::default(),
         timing_stats: TimingStats::default(),
         queues: Queues::default(),
+        plain_queues: PlainQueues::default(),
         connections: Connections::default(),
         checking_links: tokio::sync::Mutex::default(),
         store,
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -57,6 +57,7 @@
 use crate::owners::Owners;
 use crate::peer_messages::Message;
 use crate::pending::PendingRequests;
+use crate::plain_queue::PlainQueues;
 use crate::quarantine::Quarantine;
 use crate::queues::Queues;
 use crate::registry::PeerAddresses;
@@ -99,6 +100,8 @@
     pub timing_stats: TimingStats,
     /// Requests that wait for a slot of an engine.
     pub queues: Queues,
+    /// Requests that wait for capacity of a plain service.
+    pub plain_queues: PlainQueues,
     /// Connections to upstreams.
     pub connections: Connections,
     /// Held while the links to upstreams are checked.
