--- a/crates/dogwoodpier-core/src/gateway/plain_queue.rs
+++ b/crates/dogwoodpier-core/src/gateway/plain_queue.rs
@@ -208,7 +208,7 @@
     }
 
     fn is_within_share(&self, waiter: &Waiter, now: TimeMs) -> bool {
-        self.uses.is_within_share(&waiter.workspace, now)
+        self.window.size().is_some() && self.uses.is_within_share(&waiter.workspace, now)
     }
 
     // Returns the index of the first request.
--- a/crates/dogwoodpier-core/tests/plain_contention/load.rs
+++ b/crates/dogwoodpier-core/tests/plain_contention/load.rs
@@ -87,6 +87,8 @@
     pub late: u32,
     /// Requests that got no response before their deadline.
     pub lost: u32,
+    /// The same without those of the hot workspace.
+    pub lost_of_others: u32,
     /// Responses on time by workspace.
     pub on_time: Vec<u32>,
     /// Requests by workspace.
@@ -104,6 +106,7 @@
             (&mut self.served, other.served),
             (&mut self.late, other.late),
             (&mut self.lost, other.lost),
+            (&mut self.lost_of_others, other.lost_of_others),
         ];
         for (count, more) in counts {
             *count += more;
@@ -124,7 +127,7 @@
         let others = |counts: &[u32]| counts[HOT + 1..].iter().sum::<u32>();
         format!(
             "{} requests, {} sends, {} of them rejected, {} rejections, {} served, {} late, {} \
-             lost; on time: {} of {} of the hot workspace, {} of {} of the others",
+             lost, {} of them of the others; on time: {} of {} of the hot workspace, {} of {} of the others",
             self.requests,
             self.sends,
             self.rejected_sends,
@@ -132,6 +135,7 @@
             self.served,
             self.late,
             self.lost,
+            self.lost_of_others,
             self.on_time[HOT],
             self.sent[HOT],
             others(&self.on_time),
--- a/crates/dogwoodpier-core/tests/plain_contention/main.rs
+++ b/crates/dogwoodpier-core/tests/plain_contention/main.rs
@@ -48,6 +48,8 @@
             "workspace {workspace}: {after} on time, {before} before"
         );
     }
+    // Requests that get no response are the excess of the workspace that sends too many.
+    assert!(after.lost_of_others <= before.lost_of_others, "{after:?}");
 }
 
 #[test]
--- a/crates/dogwoodpier-core/tests/plain_contention/replay.rs
+++ b/crates/dogwoodpier-core/tests/plain_contention/replay.rs
@@ -25,6 +25,7 @@
 use dogwoodpier_core::gateway::upstreams::Upstream;
 
 use super::load::Day;
+use super::load::HOT;
 use super::load::Totals;
 use super::load::WORKSPACES;
 
@@ -310,6 +311,7 @@
         let retry_after_ms = retry_after_ms.min(self.remaining_ms(&request) / RETRY_DIVISOR);
         if self.remaining_ms(&request) < retry_after_ms + OBJECTIVE_MS {
             self.totals.lost += 1;
+            self.totals.lost_of_others += u32::from(request.workspace != HOT);
             return;
         }
         request.returned = true;
--- a/crates/dogwoodpier-core/tests/plain_order.rs
+++ b/crates/dogwoodpier-core/tests/plain_order.rs
@@ -104,6 +104,8 @@
         2 => (0..3_usize).prop_map(|upstream| Step::Reject { upstream }),
         1 => (0..20_usize).prop_map(|index| Step::Leave { index }),
         3 => (1..400_u64).prop_map(|ms| Step::Wait { ms }),
+        // Far longer than use is remembered.
+        1 => (100_000..2_000_000_u64).prop_map(|ms| Step::Wait { ms }),
     ];
     proptest::collection::vec(step, 1..150)
 }
