Gateway: spread the return of callers that a full upstream rejected

Cause: if the retry budget was used up after the first rejection, all callers were told to return after 300 ms.

Change: they get the spread time of the queue, as after the second rejection. Found by reading.

--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -111,12 +111,12 @@
         progress.tried.push(guard.upstream().id.clone());
         match attempt(gateway, request, &guard, &slot, permit, &mut progress).await {
             Some(response) => return Ok(response.into_response()),
-            None if slot.is_queued() && progress.full_sends == MAX_FULL_SENDS => {
+            None if !is_last(&slot, &progress) && may_retry(gateway, request, &progress) => {}
+            None if slot.is_queued() && progress.full_sends > 0 => {
                 let rejection = plain_queue::reject(gateway, request, "full", 0);
                 let retry_after_ms = rejection.retry_after_ms.unwrap_or(NOT_RUN_RETRY_MS);
                 return finish(gateway, request, progress, Reason::NotRun, retry_after_ms);
             }
-            None if may_retry(gateway, request, &progress) => {}
             None => return finish(gateway, request, progress, Reason::NotRun, NOT_RUN_RETRY_MS),
         }
     }
@@ -153,6 +153,11 @@
     ))
 }
 
+// Returns whether upstreams have rejected a request as full as often as is allowed.
+fn is_last(slot: &PlainSlot, progress: &Progress) -> bool {
+    slot.is_queued() && progress.full_sends >= MAX_FULL_SENDS
+}
+
 fn may_retry(gateway: &SharedGateway, request: &ClientRequest, progress: &Progress) -> bool {
     progress.attempts.may_retry(&request.route)
         && progress.attempts.sends < MAX_SENDS
