Core: choose upstreams by expected finish where they state a speed

Engines of one service differ for good by 2.4 in speed, and the choice ranked them by used slots or queued tokens only. UpstreamSpeeds learns the speed of each from durations and stated figures, CostModel the lengths of outputs, and CostSelector chooses by expected finish at that speed.

Nothing uses it yet.

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -4,6 +4,8 @@
 //! module makes its decisions, without I/O; the `dogwoodpier-gateway` crate carries them out.
 
 pub mod admission_window;
+pub mod cost;
+pub mod cost_placement;
 pub mod evacuations;
 pub mod memory_limit;
 pub mod owners;
@@ -17,6 +19,7 @@
 pub mod routes;
 pub mod shutdown;
 pub mod software_versions;
+pub mod speed;
 pub mod store_position;
 pub mod token_bucket;
 pub mod upstream_limits;
--- a/crates/dogwoodpier-core/src/gateway/placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/placement.rs
@@ -12,6 +12,7 @@
 
 use crate::TimeMs;
 
+use super::cost_placement::plain_load_factor;
 use super::peer_reports::UpstreamLoad;
 use super::upstreams::Upstream;
 
@@ -50,7 +51,7 @@
 // unreachable.
 const RECENT_SUCCESS_MS: u64 = 1_000;
 // Additional cost of an upstream in another data centre, relative to its cost in the same one.
-const REMOTE_SURCHARGE_FRACTION: f64 = 0.15;
+pub(super) const REMOTE_SURCHARGE_FRACTION: f64 = 0.15;
 
 /// Outcome of a request that was sent to an upstream.
 #[plain]
@@ -302,6 +303,20 @@
             .max(MIN_SUCCESS_RATE)
     }
 
+    /// Returns the mean over the candidates of the average time to an answer, 1 before the first.
+    pub(super) fn mean_latency_ms(&self, candidates: &[Candidate]) -> f64 {
+        let latencies_ms: Vec<f64> = candidates
+            .iter()
+            .filter_map(|candidate| self.records.get(&candidate.upstream.id))
+            .map(|record| record.latency_ms)
+            .filter(|latency_ms| *latency_ms > 0.0)
+            .collect();
+        if latencies_ms.is_empty() {
+            return 1.0;
+        }
+        latencies_ms.iter().sum::<f64>() / latencies_ms.len() as f64
+    }
+
     /// Returns the average time to an answer, or `default_ms` before the first answer.
     pub fn latency_ms(&self, upstream: &str, default_ms: f64) -> f64 {
         match self.records.get(upstream) {
@@ -399,24 +414,10 @@
     }
 
     fn best_plain(&self, candidates: &[Candidate]) -> Option<usize> {
-        let latencies_ms: Vec<f64> = candidates
-            .iter()
-            .filter_map(|candidate| self.health.records.get(&candidate.upstream.id))
-            .map(|record| record.latency_ms)
-            .filter(|latency_ms| *latency_ms > 0.0)
-            .collect();
-        let default_ms = if latencies_ms.is_empty() {
-            1.0
-        } else {
-            latencies_ms.iter().sum::<f64>() / latencies_ms.len() as f64
-        };
+        let default_ms = self.health.mean_latency_ms(candidates);
         self.cheapest(candidates, |candidate| {
             let upstream = &candidate.upstream;
-            let slots = f64::from(upstream.slots.max(1));
-            // Up to its number of slots an upstream works at full speed; beyond it requests queue,
-            // so the cost grows quadratically.
-            let load_per_slot = (f64::from(candidate.load.requests) + 1.0) / slots;
-            let load = 0.5 + load_per_slot.max(load_per_slot * load_per_slot);
+            let load = plain_load_factor(f64::from(candidate.load.requests), upstream.slots);
             load * self.health.latency_ms(&upstream.id, default_ms)
         })
     }
@@ -431,21 +432,29 @@
     ) -> Option<usize> {
         let usable: Vec<bool> = candidates
             .iter()
-            .map(|candidate| {
-                let used = candidate.load;
-                let id = &candidate.upstream.id;
-                let memory = self
-                    .health
-                    .available_kv_tokens(id, capacity_kv_tokens, self.now);
-                used.requests < candidate.upstream.slots
-                    && (used.requests == 0 || used.kv_tokens + kv_tokens <= memory)
-            })
+            .map(|candidate| self.may_decode(candidate, kv_tokens, capacity_kv_tokens))
             .collect();
         self.cheapest_where(candidates, &usable, |candidate| {
             1.0 + f64::from(candidate.load.requests) / f64::from(candidate.upstream.slots.max(1))
         })
     }
 
+    // Returns whether an engine has a free slot and memory for a request of `kv_tokens`.
+    pub(super) fn may_decode(
+        &self,
+        candidate: &Candidate,
+        kv_tokens: u64,
+        capacity_kv_tokens: u64,
+    ) -> bool {
+        let used = candidate.load;
+        let id = &candidate.upstream.id;
+        let memory = self
+            .health
+            .available_kv_tokens(id, capacity_kv_tokens, self.now);
+        used.requests < candidate.upstream.slots
+            && (used.requests == 0 || used.kv_tokens + kv_tokens <= memory)
+    }
+
     /// Returns the engine to prefill on: the one with the fewest prompt tokens to process before
     /// the request is prefilled.
     pub fn select_prefill(&self, candidates: &[Candidate], prompt_tokens: u64) -> Option<usize> {
