Place requests by expected finish where upstreams state a speed

Cause: the broker ranked decode engines by used slots and prefill engines by queued prompt tokens, although engines differ for good by 2.4 in speed.

Change: the gateway decodes Dogwoodpier-Instance-Load, learns the speed of each upstream from it and from durations, and chooses by expected finish for services of which an upstream has stated a slowness. Instances send samples of engines to the broker (Message::Speeds, the last variant), at most 20 messages a second from all of them. A request is given more KV memory, never less, if its route and workspace write more than they state.

--- a/crates/dogwoodpier-core/src/gateway/cost.rs
+++ b/crates/dogwoodpier-core/src/gateway/cost.rs
@@ -1,27 +1,26 @@
 //! Expected cost of a request, learned by route and workspace.
 //!
-//! Load pattern: requests of equal prompt and equal limit write outputs of very different lengths,
-//! and a tenth of the requests cause most of the work. Lengths are alike within a route and a
-//! workspace. Each combination has a histogram of output tokens that decays, so that a workspace
-//! whose lengths jump is learned again within some ten requests. A combination without requests
-//! takes the histogram of its route as its prior.
+//! Load pattern: requests of equal prompt and equal stated length write outputs of very different
+//! lengths, and a tenth of the requests cause most of the work. How an output compares to the length
+//! that its request states is alike within a route and a workspace. Each combination has a histogram
+//! of that ratio, which decays, so that a workspace whose lengths jump is learned again within some
+//! twenty requests. A combination without requests takes the histogram of its route as its prior.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use dogwoodpier_derive::plain;
 
-// Class limits grow by powers of two, from 16 tokens to half a million.
-const CLASSES: usize = 16;
-const FIRST_CLASS_TOKENS: f64 = 16.0;
+// Classes of the ratio of an output to its stated length. Their limits grow by the root of two, from
+// a thirty-second to 90 times the stated length.
+const CLASSES: usize = 24;
+const FIRST_CLASS_RATIO: f64 = 1.0 / 32.0;
 // Requests of a combination that count as much as its prior.
 const PRIOR_REQUESTS: f64 = 8.0;
 // Part of a class that is left after another request: the last 20 requests or so count.
 const DECAY: f64 = 0.95;
-// Quantile that a request is assumed to stay below where too low an estimate costs memory.
-const HIGH_QUANTILE: f64 = 0.9;
 // Bound of the combinations that are remembered: those of 1,900 workspaces that each use two routes,
-// in about 600 kB.
+// in about 1 MB.
 const MAX_COMBINATIONS: usize = 4_000;
 // The same for the routes alone.
 const MAX_ROUTES: usize = 500;
@@ -34,8 +33,6 @@
     pub prompt_tokens: u64,
     /// Average number of output tokens.
     pub output_tokens: f64,
-    /// Number of output tokens that nine of ten requests stay below.
-    pub high_output_tokens: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -63,13 +60,14 @@
     }
 }
 
-fn class_of(tokens: u64) -> usize {
-    let ratio = tokens as f64 / FIRST_CLASS_TOKENS;
-    (ratio.max(1.0).log2().ceil() as usize).min(CLASSES - 1)
+fn class_of(ratio: f64) -> usize {
+    let steps = (ratio / FIRST_CLASS_RATIO).max(1.0).log2() * 2.0;
+    (steps.ceil() as usize).min(CLASSES - 1)
 }
 
-fn class_limit(class: usize) -> f64 {
-    FIRST_CLASS_TOKENS * 2.0_f64.powi(class as i32)
+// Returns the middle of a class.
+fn class_ratio(class: usize) -> f64 {
+    FIRST_CLASS_RATIO * 2.0_f64.powf((class as f64 - 0.5) / 2.0)
 }
 
 /// Expected output lengths by route and workspace.
@@ -81,46 +79,42 @@
 }
 
 impl CostModel {
-    /// Returns the expected cost of a request of `prompt_tokens` that may write up to
-    /// `max_output_tokens`. `None` before the first request of the route has ended.
+    /// Returns the expected cost of a request of `prompt_tokens` that states an output of
+    /// `stated_tokens`. `None` before the first request of the route has ended.
     pub fn expect(
         &self,
         route: &Arc<str>,
         workspace: Option<&Arc<str>>,
         prompt_tokens: u64,
-        max_output_tokens: u64,
+        stated_tokens: u64,
     ) -> Option<ExpectedCost> {
         let prior = self.routes.get(route)?;
         let key = (route.clone(), workspace.cloned());
         let own = self.combinations.get(&key).unwrap_or(&Histogram::EMPTY);
-        let (own_total, prior_total) = (own.total(), prior.total().max(f64::MIN_POSITIVE));
-        let total = own_total + PRIOR_REQUESTS;
-        let shares = (0..CLASSES).map(|class| {
-            let prior = f64::from(prior.weights[class]) / prior_total * PRIOR_REQUESTS;
-            (f64::from(own.weights[class]) + prior) / total
-        });
-        let max = max_output_tokens as f64;
-        let (mut average, mut below, mut high) = (0.0, 0.0, None);
-        for (class, share) in shares.enumerate() {
-            let limit = class_limit(class).min(max);
-            // The middle of a class whose lower limit is half of the upper one.
-            average += share * (class_limit(class) * 0.75).min(max);
-            below += share;
-            if below >= HIGH_QUANTILE && high.is_none() {
-                high = Some(limit);
-            }
-        }
+        let prior_total = prior.total().max(f64::MIN_POSITIVE);
+        let total = own.total() + PRIOR_REQUESTS;
+        let ratio: f64 = (0..CLASSES)
+            .map(|class| {
+                let prior = f64::from(prior.weights[class]) / prior_total * PRIOR_REQUESTS;
+                (f64::from(own.weights[class]) + prior) / total * class_ratio(class)
+            })
+            .sum();
         Some(ExpectedCost {
             prompt_tokens,
-            output_tokens: average,
-            high_output_tokens: high.unwrap_or(max),
+            output_tokens: ratio * stated_tokens as f64,
         })
     }
 
     /// Records the output of a request that has ended by itself.
-    pub fn record(&mut self, route: &Arc<str>, workspace: Option<&Arc<str>>, output_tokens: u64) {
+    pub fn record(
+        &mut self,
+        route: &Arc<str>,
+        workspace: Option<&Arc<str>>,
+        stated_tokens: u64,
+        output_tokens: u64,
+    ) {
         self.recorded += 1;
-        let class = class_of(output_tokens);
+        let class = class_of(output_tokens as f64 / stated_tokens.max(1) as f64);
         let used = self.recorded;
         histogram(&mut self.routes, route.clone(), MAX_ROUTES).record(class, used);
         let key = (route.clone(), workspace.cloned());
--- a/crates/dogwoodpier-core/src/gateway/cost_placement.rs
+++ b/crates/dogwoodpier-core/src/gateway/cost_placement.rs
@@ -199,11 +199,10 @@
     finish_ms: f64,
 }
 
-/// Returns the time for a unit of prefill work: `elapsed_ms` divided by the prompt and the prompts
-/// that were ahead of it. `None` if there is nothing to divide by.
-pub fn prefill_unit_ms(elapsed_ms: u64, prompt_tokens: u64, tokens_ahead: u64) -> Option<f64> {
-    let tokens = prompt_tokens.saturating_add(tokens_ahead);
-    (tokens > 0 && elapsed_ms > 0).then(|| elapsed_ms as f64 / tokens as f64)
+/// Returns the time for a unit of prefill work: `elapsed_ms` divided by the tokens of the prompt and
+/// of the prompts that were ahead of it. `None` if there is nothing to divide by.
+pub fn prefill_unit_ms(elapsed_ms: u64, queued_tokens: u64) -> Option<f64> {
+    (queued_tokens > 0 && elapsed_ms > 0).then(|| elapsed_ms as f64 / queued_tokens as f64)
 }
 
 // Returns the factor by which the time of a plain request grows with `requests` others. Up to its
--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod shutdown;
 pub mod software_versions;
 pub mod speed;
+pub mod speed_samples;
 pub mod store_position;
 pub mod token_bucket;
 pub mod upstream_limits;
--- a/crates/dogwoodpier-core/src/gateway/speed.rs
+++ b/crates/dogwoodpier-core/src/gateway/speed.rs
@@ -229,7 +229,8 @@
         record.updated_ms = record.updated_ms.max(now);
         let kept_fraction = 0.5_f64.powf(elapsed_ms / WEIGHT_HALF_LIFE_MS);
         let slowness = observed.slowness.filter(|slowness| slowness.is_finite());
-        let stated = slowness.map_or(0.0, |slowness| bounded(slowness).ln());
+        let average = record.stated_average.unwrap_or(0.0);
+        let stated = slowness.map_or(average, |slowness| bounded(slowness).ln());
         let unit = observed.unit_ms.ln();
         let count = f64::from(observed.count);
         record.corrected.record(unit - stated, count, kept_fraction);
@@ -243,6 +244,11 @@
             .is_some_and(|stated_ms| now.since(*stated_ms) <= STATED_RETENTION_MS)
     }
 
+    /// Returns the load that an upstream stated last.
+    pub fn last_stated(&self, upstream: &str) -> Option<LoadSample> {
+        self.records.get(upstream)?.sample
+    }
+
     /// Returns the load that an upstream stated last, unless its stated figures are wrong.
     pub fn sample(&self, upstream: &str) -> Option<LoadSample> {
         let record = self.records.get(upstream)?;
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -36,6 +36,12 @@
 pub const FIRST_BYTE_MS: &str = "dogwoodpier_gateway_first_byte_ms";
 /// Time from a send to the head of the response.
 pub const SEND_MS: &str = "dogwoodpier_gateway_send_ms";
+/// Loads that upstreams have stated, by whether they could be decoded.
+pub const STATED_LOADS_TOTAL: &str = "dogwoodpier_gateway_stated_loads_total";
+/// Messages with samples of the speed of engines, by direction.
+pub const SPEED_MESSAGES_TOTAL: &str = "dogwoodpier_gateway_speed_messages_total";
+/// Selections of upstreams by their expected finish, by kind of work and by whether one was usable.
+pub const COST_PLACEMENTS_TOTAL: &str = "dogwoodpier_gateway_cost_placements_total";
 /// Version of the configuration in force.
 pub const CONFIG_VERSION: &str = "dogwoodpier_gateway_config_version";
 /// Entries of the store that can't be decoded.
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use dogwoodpier_core::gateway::routes::Configuration;
+use dogwoodpier_core::gateway::speed::StatedLoad;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_derive::plain;
 use dogwoodpier_platform::Protocol;
@@ -83,6 +84,17 @@
     pub expected_output_tokens: Option<u64>,
 }
 
+impl PromptSize {
+    /// Returns the number of output tokens that the request states: as many as the client expects,
+    /// up to the limit.
+    pub fn output_tokens(&self) -> u64 {
+        let expected = self.expected_output_tokens;
+        expected.map_or(self.max_output_tokens, |expected| {
+            expected.min(self.max_output_tokens)
+        })
+    }
+}
+
 /// The KV cache of a prompt that one engine holds for another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CacheHandle {
@@ -139,6 +151,8 @@
     pub decode_configuration: fn(&Value) -> Result<Configuration, DecodeError>,
     /// Decodes an upstream from the name and the value of its entry.
     pub decode_upstream: fn(&str, &Value) -> Result<Upstream, DecodeError>,
+    /// Decodes the load that an upstream states in a response. `None` if it states none.
+    pub decode_load: fn(&HeaderMap) -> Option<Result<StatedLoad, DecodeError>>,
     /// Reads the size of a generation request from its headers.
     pub decode_prompt_size: fn(&HeaderMap) -> Option<PromptSize>,
     /// Reads the ids of the parts of a generation request's prompt that other requests may share, in
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -51,6 +51,8 @@
 use crate::stream::ResumeState;
 use crate::stream_origins;
 use crate::stream_origins::Recorded;
+use crate::upstream_speeds;
+use crate::upstream_speeds::Workload;
 use crate::witness::Witness;
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -66,9 +68,9 @@
 // Stated waits vary with the clients' own delays. Only a larger difference shows that a client was
 // refused before.
 const RETURNED_MARGIN_MS: u64 = 250;
-// Average part of its expected output that a running request holds in memory: the requests of an
-// engine are at different points of their output.
-const HELD_OUTPUT_SHARE: f64 = 0.8;
+/// Average part of its expected output that a running request holds in memory: the requests of an
+/// engine are at different points of their output.
+pub const HELD_OUTPUT_SHARE: f64 = 0.8;
 
 /// Statistics on the routes and services with engines.
 #[derive(Default)]
@@ -318,11 +320,7 @@
         max_output_tokens: 1,
         expected_output_tokens: None,
     });
-    let expected = size
-        .expected_output_tokens
-        .map_or(size.max_output_tokens, |expected| {
-            expected.min(size.max_output_tokens)
-        });
+    let expected = upstream_speeds::output_tokens(gateway, request, size);
     let service = &request.service.name;
     let elapsed_ms = gateway.timing_stats.elapsed_before(request);
     let first_event_ms = gateway.timing_stats.first_event_ms(service) as u64;
@@ -500,6 +498,7 @@
     let relay = Relay {
         gateway: gateway.clone(),
         in_flight: request.in_flight(),
+        workload: Workload::of(gateway, request),
         body,
         connection: Some(connection),
         guard: decode,
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -25,6 +25,7 @@
 use crate::request::ClientRequest;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
+use crate::upstream_speeds;
 
 // Least time left for a send: with less, the upstream would give up before it began.
 const MIN_SEND_MS: u64 = 5;
@@ -229,6 +230,7 @@
             }
             apply_response_hints(gateway, upstream, &reply);
             record_limit(gateway, upstream, &reply, now);
+            upstream_speeds::record_stated(gateway, upstream, &reply);
             classify(gateway, reply)
         }
         Err(SendFailure::Invalid(error)) => SendOutcome::NotSent(error.to_string()),
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod stream;
 mod stream_origins;
 pub mod traffic;
+pub mod upstream_speeds;
 mod witness;
 
 pub use dialect::Dialect;
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -41,6 +41,8 @@
 use crate::registry;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
+use crate::upstream_speeds;
+use crate::upstream_speeds::SpeedReport;
 
 // Largest message: several times the size of a report with load at a hundred upstreams.
 const MAX_MESSAGE_BYTES: usize = 60_000;
@@ -92,6 +94,8 @@
     AskVersion(VersionPlacementRequest),
     /// A request failed at an engine that the receiver had granted.
     EngineFailure(EngineFailure),
+    /// Samples of the speed of a service's engines, for its broker.
+    Speeds(SpeedReport),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -158,6 +162,7 @@
             broker::handle_request(gateway, from, request, Some(version));
         }
         Message::EngineFailure(failure) => broker::handle_failure(gateway, &failure),
+        Message::Speeds(report) => upstream_speeds::handle_report(gateway, report),
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -37,6 +37,7 @@
 use crate::state::Holder;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
+use crate::upstream_speeds;
 use crate::witness::Witness;
 
 // Sends of one request, including rejected ones. More of them would only shift load between
@@ -289,8 +290,8 @@
             health: &state.health,
             now,
         };
-        let index = selector
-            .select_plain(&candidates, rand::random())
+        let service = &request.service.name;
+        let index = upstream_speeds::select_plain(gateway, service, &selector, &candidates)
             .or_else(|| selector.select_any(&candidates))?;
         candidates.swap_remove(index).upstream
     };
@@ -375,6 +376,7 @@
     slot.record_answer(request, upstream, started_ms);
     let elapsed_ms = clock::now().since(started_ms);
     gateway.record_outcome(upstream, Outcome::Answered { elapsed_ms });
+    upstream_speeds::record_plain(gateway, upstream, elapsed_ms);
     gateway.events.write(
         "served",
         serde_json::json!({
--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -24,6 +24,7 @@
 use crate::state::Gateway;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
+use crate::upstream_speeds;
 
 // Largest response to a prefill.
 const MAX_HANDLE_BYTES: usize = 64 * 1024;
@@ -96,6 +97,11 @@
         return None;
     }
     progress.attempts.prefills += 1;
+    // This request's own tokens included.
+    let queued_tokens = gateway
+        .state()
+        .total_load(&engine.id, clock::now())
+        .prefill_tokens;
     let names = &gateway.dialect.headers;
     let stage = HeaderValue::from_static(gateway.dialect.prefill_stage);
     let extra_headers = vec![(names.stage.clone(), stage)];
@@ -152,6 +158,7 @@
     let now = clock::now();
     let elapsed_ms = now.since(started_ms);
     gateway.record_outcome(&engine, Outcome::Answered { elapsed_ms });
+    upstream_speeds::record_prefill(gateway, &engine, elapsed_ms, queued_tokens);
     gateway.events.write(
         "prefilled",
         serde_json::json!({
--- a/crates/dogwoodpier-gateway/src/queues.rs
+++ b/crates/dogwoodpier-gateway/src/queues.rs
@@ -28,6 +28,7 @@
 use crate::state::LoadGuard;
 use crate::state::RoutingState;
 use crate::state::SharedGateway;
+use crate::upstream_speeds;
 
 // Longest and shortest time between two runs over the queues. Every release and report of a peer
 // may have freed a slot; without a shortest time, a broker of hundreds of instances would spend all
@@ -408,7 +409,7 @@
         .get(&request.service)?
         .engine
         .as_ref()?;
-    let (decode, prefill) = select_engines(&gateway.state(), request, spec)?;
+    let (decode, prefill) = select_engines(gateway, request, spec)?;
     Some(occupy(gateway, request, &decode, prefill.as_ref(), holder))
 }
 
@@ -437,11 +438,12 @@
 }
 
 fn select_engines(
-    state: &RoutingState,
+    gateway: &Gateway,
     request: &SlotRequest,
     spec: &EngineSpec,
 ) -> Option<(Arc<Upstream>, Option<Arc<Upstream>>)> {
     let now = clock::now();
+    let state = gateway.state();
     let mut candidates = state.candidates(&request.service);
     state.retain_permitted(&mut candidates, now);
     let (mut prefilling, mut decoding): (Vec<Candidate>, Vec<Candidate>) = candidates
@@ -466,16 +468,13 @@
         .get(&request.service)
         .copied()
         .unwrap_or_default();
-    let decode = selector.select_decode(
-        &decoding,
-        request.kv_tokens,
-        memory_limit.limit(spec.kv_tokens),
-    )?;
+    let capacity_kv_tokens = memory_limit.limit(spec.kv_tokens);
+    let decode =
+        upstream_speeds::select_decode(gateway, request, &selector, &decoding, capacity_kv_tokens)?;
     let decode = decoding.swap_remove(decode).upstream;
     // The KV cache of one software version is not known to suit another.
     prefilling.retain(|candidate| candidate.upstream.software_version == decode.software_version);
-    let prefill = selector
-        .select_prefill(&prefilling, request.prompt_tokens)
+    let prefill = upstream_speeds::select_prefill(gateway, request, &selector, &prefilling)
         .map(|placement| prefilling.swap_remove(placement).upstream);
     Some((decode, prefill))
 }
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -61,6 +61,7 @@
 use crate::store;
 use crate::stream_origins;
 use crate::stream_origins::StreamOrigins;
+use crate::upstream_speeds::LearnedCosts;
 
 // Time after which a balancer that checks every second has seen twice that the instance isn't
 // ready.
@@ -173,6 +174,7 @@
         pending_permit_requests: PendingRequests::default(),
         quarantine: Quarantine::default(),
         stream_origins: StreamOrigins::default(),
+        learned_costs: LearnedCosts::default(),
         timing_stats: TimingStats::default(),
         queues: Queues::default(),
         plain_queues: PlainQueues::default(),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -65,6 +65,7 @@
 use crate::seen_positions::SeenPositions;
 use crate::settings::Settings;
 use crate::stream_origins::StreamOrigins;
+use crate::upstream_speeds::LearnedCosts;
 
 const MS_PER_S: f64 = 1_000.0;
 
@@ -96,6 +97,8 @@
     pub quarantine: Quarantine,
     /// Software versions that began streams.
     pub stream_origins: StreamOrigins,
+    /// Speeds of upstreams and costs of requests, as far as they are known.
+    pub learned_costs: LearnedCosts,
     /// Statistics on clients' waits and engines' first events.
     pub timing_stats: TimingStats,
     /// Requests that wait for a slot of an engine.
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -394,6 +394,7 @@
         state.observe_versions(clock::now());
         if restarted {
             state.forget_upstream(&upstream.id);
+            gateway.learned_costs.forget(&upstream.id);
         }
         for id in state.upstreams.replaced_by(&upstream) {
             state
@@ -417,6 +418,7 @@
         let known = state.upstreams.remove(id, keep_deadline_ms);
         if keep_deadline_ms.is_none() {
             state.forget_upstream(id);
+            gateway.learned_costs.forget(id);
         }
         known
     };
--- a/crates/dogwoodpier-gateway/src/stream.rs
+++ b/crates/dogwoodpier-gateway/src/stream.rs
@@ -29,6 +29,8 @@
 use crate::sse::EventSplitter;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
+use crate::upstream_speeds;
+use crate::upstream_speeds::Workload;
 use crate::witness::Witness;
 
 /// A response ended early; the client's connection is closed without a regular end of the body.
@@ -88,6 +90,8 @@
     pub gateway: SharedGateway,
     /// The request.
     pub in_flight: InFlight,
+    /// Whose output lengths the response is one of; absent if it is not whole.
+    pub workload: Option<Workload>,
     /// Body of the engine's response.
     pub body: Incoming,
     /// Returns the connection to the pool at the end; absent after it.
@@ -204,6 +208,7 @@
         if self.is_framed || self.in_flight.answer_underway {
             quarantine::record_answer(&self.gateway, &self.in_flight, self.has_answer());
         }
+        self.record_speed();
         self.log_end("complete");
         None
     }
@@ -300,11 +305,25 @@
         self.guard = next.guard;
         self.events = Some(EventCounter::default());
         self.begun_ms = clock::now();
+        self.workload = None;
         self.in_flight.events = 0;
         self.in_flight.answer_underway = false;
         true
     }
 
+    fn record_speed(&self) {
+        let Some(events) = self.events.as_ref().filter(|_| self.is_success) else {
+            return;
+        };
+        upstream_speeds::record_stream(
+            &self.gateway,
+            self.guard.upstream(),
+            self.workload.as_ref(),
+            events.complete(),
+            self.last_chunk_ms.since(self.begun_ms),
+        );
+    }
+
     fn record_chunk(&mut self, bytes: usize) {
         let now = clock::now();
         self.bytes += bytes as u64;
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -6,6 +6,9 @@
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
 use dogwoodpier_core::gateway::permits::PermitDecision;
 use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::speed::ObservedSpeed;
+use dogwoodpier_core::gateway::speed::StatedLoad;
+use dogwoodpier_core::gateway::speed_samples::SpeedSample;
 use dogwoodpier_core::gateway::store_position::StorePosition;
 use dogwoodpier_core::gateway::upstream_limits::ReportedLimit;
 use dogwoodpier_core::quarantine::PartAnswer;
@@ -23,6 +26,7 @@
 use dogwoodpier_gateway::prompt_parts::PartReport;
 use dogwoodpier_gateway::quota::QuotaAnswer;
 use dogwoodpier_gateway::quota::QuotaRequest;
+use dogwoodpier_gateway::upstream_speeds::SpeedReport;
 
 // Largest report of an instance that serves a few requests: reports are single datagrams, many a
 // second from each of hundreds of peers.
@@ -87,8 +91,31 @@
     })
 }
 
+fn speeds(samples: usize) -> Message {
+    let sample = |number: usize| SpeedSample {
+        upstream: format!("i-{number:08x}").into(),
+        stated: Some(StatedLoad {
+            running: 12,
+            waiting: 3,
+            slots: 12,
+            slowness: Some(2.5),
+        }),
+        age_ms: 1_800,
+        observed: Some(ObservedSpeed {
+            unit_ms: 23.7,
+            slowness: Some(2.5),
+            count: 7,
+        }),
+    };
+    Message::Speeds(SpeedReport {
+        service: "svc-chat".into(),
+        samples: (0..samples).map(sample).collect(),
+    })
+}
+
 fn messages() -> Vec<Message> {
     vec![
+        speeds(2),
         report(2),
         parts(),
         Message::UnstoredConfiguration(u64::MAX),
@@ -153,6 +180,21 @@
     assert!(bytes.len() <= MAX_REPORT_BYTES, "{} bytes", bytes.len());
 }
 
+// Brokers receive twenty of them a second, next to a hundred reports.
+#[test]
+fn largest_speed_report_stays_below_size_limit() {
+    let bytes = codec::encode(&speeds(8)).unwrap();
+    assert!(bytes.len() <= 400, "{} bytes", bytes.len());
+}
+
+// Instances of an earlier build know the variants before it by their position.
+#[test]
+fn speed_report_is_the_last_variant() {
+    assert_eq!(codec::encode(&speeds(1)).unwrap()[1], 17);
+    let version = codec::encode(&Message::UnstoredConfiguration(7)).unwrap();
+    assert_eq!(version, [2, 14, 7]);
+}
+
 #[test]
 fn other_versions_are_rejected() {
     let mut bytes = codec::encode(&messages()[0]).unwrap();
