Core: a first duration that is far off no longer counts for twenty more

Cause: the average of an upstream began with the first duration as it was, and later ones moved it by a factor of at most 4 / n.

Change: deviations are bounded from the third duration on; times for a unit of work outside 1e-6 to 1e6 ms are ignored.

--- a/crates/dogwoodpier-core/src/gateway/speed.rs
+++ b/crates/dogwoodpier-core/src/gateway/speed.rs
@@ -33,8 +33,14 @@
 const WEIGHT_HALF_LIFE_MS: f64 = 30_000.0;
 // Number of observations by which a new average is drawn towards the median of the service.
 const PRIOR_WEIGHT: f64 = 1.0;
-// Largest deviation of one observation from the average, as a factor.
+// Largest deviation of one observation from the average, as a factor, and number of observations
+// from which on it is bounded. A first one that is wrong would otherwise count for twenty more.
 const MAX_DEVIATION: f64 = 4.0;
+const BOUNDED_WEIGHT: f64 = 2.5;
+// Bounds of the time for a unit of work. Beyond a millisecond per million tokens or 1,000 s per event
+// it is taken to be wrong.
+const MIN_UNIT_MS: f64 = 1e-6;
+const MAX_UNIT_MS: f64 = 1e6;
 // Weight of a new observation in the average error of a prediction.
 const ERROR_SMOOTHING: f64 = 0.1;
 // Weight of a new figure in the average of stated figures.
@@ -100,7 +106,7 @@
     }
 
     fn is_valid(&self) -> bool {
-        self.unit_ms.is_finite() && self.unit_ms > 0.0 && self.count > 0
+        (MIN_UNIT_MS..=MAX_UNIT_MS).contains(&self.unit_ms) && self.count > 0
     }
 }
 
@@ -118,8 +124,11 @@
         if self.weight == 0.0 {
             self.value = observed;
         }
-        let bound = MAX_DEVIATION.ln();
-        let deviation = (observed - self.value).clamp(-bound, bound);
+        let mut deviation = observed - self.value;
+        if self.weight >= BOUNDED_WEIGHT {
+            let bound = MAX_DEVIATION.ln();
+            deviation = deviation.clamp(-bound, bound);
+        }
         if self.weight >= PRIOR_WEIGHT {
             self.squared_error += ERROR_SMOOTHING * (deviation * deviation - self.squared_error);
         }
--- a/crates/dogwoodpier-core/tests/expected_cost.rs
+++ b/crates/dogwoodpier-core/tests/expected_cost.rs
@@ -88,6 +88,24 @@
     assert!((2.0..=2.4).contains(&learned), "{learned}");
 }
 
+// One stalled request, the first or a later one, must not count as a slow upstream for long.
+#[test]
+fn single_outlier_is_forgotten() {
+    for before in [0, 10] {
+        let mut speeds = with_usual_upstreams();
+        let mut record = |unit_ms, count| {
+            for _ in 0..count {
+                speeds.record_observed(&"d".into(), observed(unit_ms, None), TimeMs(1_000));
+            }
+        };
+        record(10.0, before);
+        record(400.0, 1);
+        record(10.0, 8);
+        let counted = slowness(&speeds, "d", 1_000);
+        assert!(counted < 1.6, "after {before} usual ones: {counted}");
+    }
+}
+
 // A figure from a slowdown that has passed must not keep requests away.
 #[test]
 fn stated_figure_fades_with_age() {
