Resume streams without a named first attempt where the store proves their version

A stream of which the store holds no record of another version of its service began at the default version. An instance proves that by a listing that begins after the request has arrived, and a read of the default version after it. It does so only while all engines have the default version; otherwise the request is rejected at once. All rejections for an unknown version now have a Retry-After. The owner of a service removes the records of ended instances, which would prevent a proof for good.

Tests: core prove_default, and the property test of versions asks for unnamed streams as well.

--- a/crates/dogwoodpier-core/src/gateway/software_versions.rs
+++ b/crates/dogwoodpier-core/src/gateway/software_versions.rs
@@ -8,8 +8,13 @@
 //!
 //! The default version changes only after it has been absent for as long as a stream can last. By
 //! then no stream that it began can be resumed any more.
+//!
+//! Load pattern of [`prove_default`]: all instances start at once, and clients resume streams without
+//! naming the attempt that began them, so no record can be looked up. The stream began at the default
+//! version if the store holds no record of another version of its service.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use dogwoodpier_derive::plain;
@@ -36,6 +41,96 @@
     }
 }
 
+/// Versions of the recorded streams, by a listing of all records.
+#[plain]
+#[derive(Default, Eq)]
+pub struct RecordedVersions {
+    /// Era of the store that was listed.
+    pub era: u64,
+    /// Versions by service.
+    pub versions: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    /// Number of records that can't be decoded: they may be of any service and version.
+    pub unreadable: usize,
+}
+
+/// Why a stream can't be proven to have begun at the default version of its service.
+#[plain]
+#[derive(Copy, Eq)]
+pub enum Unproven {
+    /// The engines of the service have several versions, or there are none.
+    SeveralVersions,
+    /// The default version is not the version of the engines.
+    DefaultDiffers,
+    /// Streams of another version are recorded.
+    OthersRecorded,
+    /// Records may be missing since the store was restored from a copy.
+    Restored,
+    /// The service that began the stream is unknown, as its route is split between services.
+    SplitRoute,
+}
+
+impl Unproven {
+    /// Returns the name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::SeveralVersions => "several_versions",
+            Self::DefaultDiffers => "default_differs",
+            Self::OthersRecorded => "others_recorded",
+            Self::Restored => "restored",
+            Self::SplitRoute => "split_route",
+        }
+    }
+}
+
+/// Returns the only version that engines of a service have. `slots` are the slots of each version.
+///
+/// # Errors
+///
+/// Fails if there are several versions or none. Streams of all but one of them are recorded then, so
+/// a listing would prove nothing while they serve, and a stream may be about to be recorded by an
+/// instance that knows the engines of the default version to be gone.
+pub fn only_version(slots: &BTreeMap<Arc<str>, u32>) -> Result<&Arc<str>, Unproven> {
+    let mut versions = slots.keys();
+    match (versions.next(), versions.next()) {
+        (Some(version), None) => Ok(version),
+        _ => Err(Unproven::SeveralVersions),
+    }
+}
+
+/// Returns the version that began a stream of which nothing but its service is known, if that can be
+/// proven: the default version.
+///
+/// The listing must have begun after the stream, and the default version must have been read after
+/// the listing. When the default version changes, the records of the new one are removed, so one that
+/// was read before could be that of streams whose records are listed no more. `era` is the era of the
+/// store after both calls, and `slots` are the slots of each version that engines have.
+///
+/// # Errors
+///
+/// Fails with the reason if the stream may have begun at another version.
+pub fn prove_default(
+    service: &str,
+    slots: &BTreeMap<Arc<str>, u32>,
+    recorded: &RecordedVersions,
+    default: &DefaultVersion,
+    era: u64,
+) -> Result<Arc<str>, Unproven> {
+    let only = only_version(slots)?;
+    if recorded.era != era {
+        return Err(Unproven::Restored);
+    }
+    let version = default.of_unrecorded(era).ok_or(Unproven::Restored)?;
+    if version != only {
+        return Err(Unproven::DefaultDiffers);
+    }
+    let of_service = recorded.versions.get(service);
+    let mut recorded_versions = of_service.into_iter().flatten();
+    if recorded.unreadable > 0 || recorded_versions.any(|recorded| recorded != version) {
+        return Err(Unproven::OthersRecorded);
+    }
+    Ok(version.clone())
+}
+
 /// Presence of a version among the engines of a service.
 #[plain]
 #[derive(Copy, Eq)]
--- a/crates/dogwoodpier-core/tests/software_versions.rs
+++ b/crates/dogwoodpier-core/tests/software_versions.rs
@@ -10,8 +10,11 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::software_versions::DefaultVersion;
+use dogwoodpier_core::gateway::software_versions::RecordedVersions;
 use dogwoodpier_core::gateway::software_versions::SeenVersions;
+use dogwoodpier_core::gateway::software_versions::Unproven;
 use dogwoodpier_core::gateway::software_versions::largest_version;
+use dogwoodpier_core::gateway::software_versions::prove_default;
 
 const LIFE_MS: u64 = 10_000;
 const SERVICE: &str = "engines";
@@ -280,6 +283,29 @@
                 stream.version, self.default
             );
         }
+        self.resume_unnamed(instance);
+    }
+
+    // Checks the same for streams whose first attempt isn't named, by a listing of all records.
+    fn resume_unnamed(&self, instance: usize) {
+        let view: Vec<&str> = self.instances[instance].view.iter().copied().collect();
+        let listed = self.streams.iter().filter(|stream| stream.is_recorded);
+        let listed: Vec<&str> = listed.map(|stream| stream.version).collect();
+        let default = DefaultVersion {
+            version: self.default.clone(),
+            recorded_era: Some(1),
+        };
+        let proven = prove_default(SERVICE, &slots(&view), &recorded(1, &listed), &default, 1);
+        let Ok(found) = proven else { return };
+        for stream in &self.streams {
+            let may_be_resumed = self.now_ms - stream.begun_ms < LIFE_MS - LAG_MS;
+            let is_wrong = *stream.version != *found && self.engines.contains(&*found);
+            assert!(
+                !(may_be_resumed && is_wrong),
+                "{} is taken for {found}",
+                stream.version
+            );
+        }
     }
 }
 
@@ -296,3 +322,54 @@
         }
     }
 }
+
+fn recorded(era: u64, versions: &[&str]) -> RecordedVersions {
+    let versions = versions.iter().map(|version| (*version).into()).collect();
+    RecordedVersions {
+        era,
+        versions: BTreeMap::from([(SERVICE.into(), versions)]),
+        unreadable: 0,
+    }
+}
+
+// A client resumes a stream without naming the attempt that began it. It must not go on at the default
+// version while anything allows another one.
+#[test]
+fn unnamed_stream_is_proven_only_without_records_of_others() {
+    let default = DefaultVersion {
+        version: "v1".into(),
+        recorded_era: Some(3),
+    };
+    let prove = |engines: &[&str], recorded: &RecordedVersions, era| {
+        prove_default(SERVICE, &slots(engines), recorded, &default, era)
+    };
+    let none = recorded(3, &[]);
+    assert_eq!(prove(&["v1"], &none, 3).as_deref(), Ok("v1"));
+    // A record of the default version is needless, as after a change of the default.
+    assert!(prove(&["v1"], &recorded(3, &["v1"]), 3).is_ok());
+    let of_another = RecordedVersions {
+        versions: BTreeMap::from([("others".into(), BTreeSet::from(["v2".into()]))]),
+        ..none.clone()
+    };
+    assert!(prove(&["v1"], &of_another, 3).is_ok());
+    let unreadable = RecordedVersions {
+        unreadable: 1,
+        ..none.clone()
+    };
+    let failures = [
+        (prove(&["v1", "v2"], &none, 3), Unproven::SeveralVersions),
+        (prove(&[], &none, 3), Unproven::SeveralVersions),
+        (prove(&["v2"], &none, 3), Unproven::DefaultDiffers),
+        (
+            prove(&["v1"], &recorded(3, &["v1", "v2"]), 3),
+            Unproven::OthersRecorded,
+        ),
+        (prove(&["v1"], &unreadable, 3), Unproven::OthersRecorded),
+        // The listing is of the era before, or the default version was stored in it.
+        (prove(&["v1"], &recorded(2, &[]), 3), Unproven::Restored),
+        (prove(&["v1"], &recorded(4, &[]), 4), Unproven::Restored),
+    ];
+    for (result, reason) in failures {
+        assert_eq!(result, Err(reason));
+    }
+}
--- a/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/defaults.rs
@@ -262,7 +262,10 @@
             read_ahead(gateway, &service.name).await?;
         }
         if is_owner {
+            adopt_records(gateway, &service.name, life_ms).await?;
             maintain_default(gateway, &service.name, life_ms).await?;
+        } else {
+            gateway.stream_origins.lock().adopted.remove(&service.name);
         }
     }
     Ok(())
@@ -291,6 +294,30 @@
     recorded.pop_front().map(|(_, id)| id)
 }
 
+// Takes over the removal of the records of a service from instances that have ended, once for each time
+// in which this instance owns the service. Nobody can prove that a stream began at the default version
+// while records of another one stay.
+async fn adopt_records(gateway: &Gateway, service: &Arc<str>, life_ms: u64) -> Result<(), Error> {
+    if gateway.stream_origins.lock().adopted.contains(service) {
+        return Ok(());
+    }
+    let kind = gateway.dialect.objects.stream_kind;
+    let listing = gateway.store.list(kind, "").await;
+    gateway.stream_origins.record_store_result(&listing);
+    let listing = listing?;
+    let inner = &mut *gateway.stream_origins.lock();
+    // A stream that is recorded by now has ended after `life_ms`, and can be resumed for as long again.
+    let deadline_ms = clock::now().after(2 * life_ms);
+    for object in listing.items {
+        let record = StreamRecord::deserialize(&object.value);
+        if record.is_ok_and(|record| record.service == *service) {
+            inner.recorded.push_back((deadline_ms, object.name));
+        }
+    }
+    inner.adopted.insert(service.clone());
+    Ok(())
+}
+
 async fn remove_record(gateway: &Gateway, id: &str) -> Result<(), Error> {
     let kind = gateway.dialect.objects.stream_kind;
     let removed = gateway.store.delete(kind, id, Precondition::Any).await;
--- a/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/mod.rs
@@ -4,10 +4,13 @@
 //! writes the records, looks them up for clients that resume a stream, and removes them.
 
 mod defaults;
+mod proof;
 mod recording;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -17,6 +20,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::routes::RetryPolicy;
+use dogwoodpier_core::gateway::software_versions::Unproven;
 use dogwoodpier_derive::wire;
 use dogwoodpier_platform::Error;
 use dogwoodpier_process::clock;
@@ -32,6 +36,7 @@
 
 use self::defaults::KnownDefault;
 pub use self::defaults::maintain;
+use self::proof::Proofs;
 pub use self::recording::Recorded;
 pub use self::recording::record;
 
@@ -43,6 +48,10 @@
 const STORE_FAILURE_MS: u64 = 2_000;
 // Time after which a store that did not answer may be available again.
 const UNKNOWN_RETRY_MS: u64 = 500;
+// Times after which another attempt to resume a stream of unknown version may succeed, as a release
+// that ends changes the answer. They are spread, as clients resume the streams of a fleet that was
+// restarted at the same time.
+const UNPROVEN_RETRY_MS: RangeInclusive<u64> = 500..=1_000;
 // Streams that an instance remembers; more than it begins in the life of a stream.
 const MAX_REMEMBERED: usize = 20_000;
 
@@ -59,6 +68,7 @@
     inner: Mutex<Inner>,
     // Held while a default version is read, so that concurrent requests read it once.
     reading: tokio::sync::Mutex<()>,
+    proofs: Proofs,
 }
 
 #[derive(Default)]
@@ -69,8 +79,10 @@
     remembered_order: VecDeque<Arc<str>>,
     // Default versions by service.
     defaults: BTreeMap<Arc<str>, KnownDefault>,
-    // Records that this instance has written, with the time of their removal.
+    // Records that this instance has written or taken over, with the time of their removal.
     recorded: VecDeque<(TimeMs, Arc<str>)>,
+    // Services that this instance owns and of which `recorded` has the records of ended instances.
+    adopted: BTreeSet<Arc<str>>,
     store_failed_ms: Option<TimeMs>,
 }
 
@@ -162,9 +174,9 @@
     }
     let first = request.header_text(&gateway.dialect.headers.resumes);
     let found = find_origin(gateway, request, first).await;
-    let (record, source) = match &found {
-        Ok((record, source)) => (Some(record), *source),
-        Err(_) => (None, "unknown"),
+    let (record, source, detail) = match &found {
+        Ok((record, source)) => (Some(record), *source, ""),
+        Err(unknown) => (None, "unknown", unknown.detail()),
     };
     metrics::counter!(counters::RESUMED_STREAMS_TOTAL, "source" => source).increment(1);
     gateway.events.write(
@@ -175,13 +187,14 @@
             "service": &*request.service.name,
             "version": record.map(|record| &*record.version),
             "source": source,
+            "detail": detail,
         }),
     );
-    let (record, _) = found?;
+    let (record, _) = found.map_err(|unknown| unknown.rejection(request))?;
     if record.service != request.service.name {
         return Err(Rejection::new(Reason::VersionUnknown));
     }
-    if let Some(first) = first {
+    if let Some(first) = first.filter(|first| !first.is_empty()) {
         let deadline_ms = clock::now().after(request_life_ms(request));
         let version = record.version.clone();
         gateway.stream_origins.remember(first, record, deadline_ms);
@@ -202,22 +215,61 @@
     queues::has_decode_engine(gateway, service, Some(&version), None).then_some(version)
 }
 
+// Why it is unknown which version began a stream.
+enum Unknown {
+    // The store doesn't answer.
+    NoStore,
+    // The record can't be decoded.
+    Unreadable,
+    // No engine of the service has been seen yet.
+    NoDefault,
+    // Without the id of the attempt that began it, nothing proves the version.
+    Unproven(Unproven),
+}
+
+impl Unknown {
+    fn detail(&self) -> &'static str {
+        match self {
+            Self::NoStore => "no_store",
+            Self::Unreadable => "unreadable",
+            Self::NoDefault => "no_default",
+            Self::Unproven(reason) => reason.as_str(),
+        }
+    }
+
+    fn rejection(&self, request: &ClientRequest) -> Rejection {
+        let retry_after_ms = match self {
+            Self::NoStore => UNKNOWN_RETRY_MS,
+            Self::Unreadable | Self::NoDefault | Self::Unproven(_) => {
+                rand::random_range(UNPROVEN_RETRY_MS)
+            }
+        };
+        let remaining_ms = request.deadline_ms.remaining(clock::now());
+        Rejection::with_retry_after(Reason::VersionUnknown, retry_after_ms, remaining_ms)
+    }
+}
+
 // Finds out which version began a stream, and how that is known.
 async fn find_origin(
     gateway: &SharedGateway,
     request: &ClientRequest,
     first: Option<&str>,
-) -> Result<(StreamRecord, &'static str), Rejection> {
+) -> Result<(StreamRecord, &'static str), Unknown> {
     let service = &request.service.name;
-    if let Some(record) = first.and_then(|first| gateway.stream_origins.remembered(first)) {
+    let Some(first) = first.filter(|first| !first.is_empty()) else {
+        let version = proof::prove(gateway, request).await?;
+        let record = StreamRecord {
+            service: service.clone(),
+            version,
+        };
+        return Ok((record, "no_records"));
+    };
+    if let Some(record) = gateway.stream_origins.remembered(first) {
         return Ok((record, "own"));
     }
-    let unknown = Rejection::new(Reason::VersionUnknown);
-    let first = first.filter(|first| !first.is_empty()).ok_or(unknown)?;
     let unavailable = |error: Error| {
         log_store_failure(gateway, first, &error);
-        let remaining_ms = request.deadline_ms.remaining(clock::now());
-        Rejection::with_retry_after(Reason::VersionUnknown, UNKNOWN_RETRY_MS, remaining_ms)
+        Unknown::NoStore
     };
     let kind = gateway.dialect.objects.stream_kind;
     let object = gateway.store.get(kind, first).await;
@@ -226,17 +278,19 @@
         let record = StreamRecord::deserialize(&object.value);
         return record.map(|record| (record, "record")).map_err(|error| {
             store::log_unreadable(gateway, &object, &error.to_string());
-            unknown
+            Unknown::Unreadable
         });
     }
     // What this instance knows may be older than the stream.
     let default = defaults::read_anew(gateway, service).await;
-    let default = default.map_err(unavailable)?.ok_or(unknown)?;
+    let default = default.map_err(unavailable)?.ok_or(Unknown::NoDefault)?;
     let era = *gateway.store.era().borrow();
-    let version = default.of_unrecorded(era).ok_or(unknown)?;
+    let version = default.of_unrecorded(era);
     let record = StreamRecord {
         service: service.clone(),
-        version: version.clone(),
+        version: version
+            .ok_or(Unknown::Unproven(Unproven::Restored))?
+            .clone(),
     };
     Ok((record, "default"))
 }
