Exchange reports as soon as instances know of each other

Reports are paced by the size of the fleet, so an owner that had just started had heard from 1 to 3 of 73 members for 0.7 s, used that part of each quota, and rejected requests within it.

An instance now sends a report to each registered incarnation that it has not heard of, and answers the first report of an incarnation, in batches of 32. Registrations are read at once after the start, and each 0.5 s until they have been read once. Both messages are ordinary reports, so the encoding is unchanged.

--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -44,3 +44,5 @@
 pub const LOG_LINES_LOST: &str = "dogwoodpier_gateway_log_lines_lost";
 /// Calls to the store that failed.
 pub const STORE_FAILURES_TOTAL: &str = "dogwoodpier_gateway_store_failures_total";
+/// Reports to peers that had just become known.
+pub const GREETINGS_TOTAL: &str = "dogwoodpier_gateway_greetings_total";
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engines;
 mod evacuations;
 pub mod forwarding;
+pub mod greetings;
 pub mod headers;
 mod newer_configuration;
 pub mod operators;
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -163,7 +164,7 @@
 
 fn handle_report(gateway: &SharedGateway, from: SocketAddr, report: Report) {
     let now = clock::now();
-    registry::record_reporting_peer(gateway, &report.instance, from);
+    registry::record_reporting_peer(gateway, &report.instance, report.incarnation, from);
     // The peer may have started since the store was restored.
     if let Some(version) = newer_configuration::unstored_version(gateway) {
         gateway.send_message(from, &Message::UnstoredConfiguration(version));
@@ -209,9 +210,6 @@
 /// Reports to all peers at every heartbeat and on urgent changes, and to the brokers while this
 /// instance uses engines, for as long as the process lives.
 pub async fn report(gateway: SharedGateway) {
-    // Fewer than one report is sent per millisecond, so that the numbers of a restarted task
-    // continue above those of its predecessor.
-    let mut sequence = clock::now().0;
     let mut sent = SentReports::default();
     loop {
         let timing = gateway.settings.load().timing;
@@ -229,9 +227,8 @@
             () = gateway.report_needed.notified() => false,
             () = tokio::time::sleep(Duration::from_millis(timing.broker_heartbeat_ms)) => false,
         };
-        sequence += 1;
         let now = clock::now();
-        let report = build_report(&gateway, sequence);
+        let report = build_report(&gateway);
         let limits = gateway.state().upstream_limits.reports(now);
         if is_due || sent.lack_limit(&gateway, &limits) {
             sent.limited = limits.keys().cloned().collect();
@@ -341,9 +338,12 @@
     }
 }
 
-fn build_report(gateway: &SharedGateway, sequence: u64) -> Report {
+/// Builds a report of this instance's present state.
+pub fn build_report(gateway: &Gateway) -> Report {
     let now = clock::now();
     let mut state = gateway.state();
+    // Drawn under the lock, so that a report with a higher number is newer.
+    let sequence = gateway.report_sequence.fetch_add(1, Ordering::Relaxed) + 1;
     state.peer_reports.expire(now);
     Report {
         instance: gateway.settings.load().instance.clone(),
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -21,7 +21,8 @@
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
-// Pause between attempts to register while the store is unavailable.
+// Pause between attempts to register, and to list the peers for the first time, while the store is
+// unavailable.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 // Changes of the quarantined parts come in series; one write covers those of this time.
 const CHANGE_PAUSE: Duration = Duration::from_millis(200);
@@ -204,18 +205,35 @@
 /// decisions, so a cheap read that may be seconds old is sufficient.
 pub async fn find_peers(gateway: SharedGateway) {
     let kind = gateway.dialect.objects.instance_kind;
-    let mut pause = INITIAL_LISTING_INTERVAL;
+    // After a restart of all instances, the registrations of before name all peers already, and owners
+    // need them with the first request.
+    let mut pause = Duration::ZERO;
+    let mut has_listed = false;
     loop {
         tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(LISTING_INTERVAL);
+        pause = (pause * 2).clamp(INITIAL_LISTING_INTERVAL, LISTING_INTERVAL);
         let reporting = std::mem::take(&mut *gateway.peer_addresses.reporting());
         log_peers(&gateway, "peers_reported", reporting);
         match gateway.store.list_stale(kind, "").await {
-            Ok(listing) => apply_listing(&gateway, &listing.items),
-            Err(error) => gateway.events.write(
-                "peers_not_read",
-                serde_json::json!({ "detail": error.to_string() }),
-            ),
+            Ok(listing) => {
+                apply_listing(&gateway, &listing.items);
+                // The first listing may be older than the registration of this process.
+                let own = gateway.settings.load().instance.clone();
+                if has_listed && !listing.items.iter().any(|object| object.name == own) {
+                    gateway.registration_lost.notify_one();
+                }
+                has_listed = true;
+            }
+            Err(error) => {
+                // An instance that knows no peers takes itself for the whole fleet.
+                if !has_listed {
+                    pause = RETRY_PAUSE;
+                }
+                gateway.events.write(
+                    "peers_not_read",
+                    serde_json::json!({ "detail": error.to_string() }),
+                );
+            }
         }
     }
 }
@@ -235,10 +253,6 @@
             remove_peer(gateway, &instance);
         }
     }
-    let own = gateway.settings.load().instance.clone();
-    if !objects.iter().any(|object| object.name == own) {
-        gateway.registration_lost.notify_one();
-    }
 }
 
 // Writes one log line for all peers that have become known in the same way since the last line.
@@ -278,19 +292,31 @@
     if is_reachable && known.is_some() {
         return false;
     }
+    let address = registration.peer_address;
+    let is_new = gateway.peer_addresses.insert(&object.name, address);
+    let incarnation = registration.incarnation;
     gateway
-        .peer_addresses
-        .insert(&object.name, registration.peer_address)
+        .greetings
+        .record_peer(&object.name, incarnation, address);
+    is_new
 }
 
 /// Records the address from which a peer reports. An instance owns services and workspaces as soon
 /// as its peers receive its reports, so all of them need its address at the same time, while they
 /// read its registration seconds apart.
-pub fn record_reporting_peer(gateway: &Gateway, instance: &Arc<str>, from: SocketAddr) {
-    let is_other = *instance != gateway.settings.load().instance;
-    if is_other && gateway.peer_addresses.insert(instance, from) {
+pub fn record_reporting_peer(
+    gateway: &Gateway,
+    instance: &Arc<str>,
+    incarnation: u64,
+    from: SocketAddr,
+) {
+    if *instance == gateway.settings.load().instance {
+        return;
+    }
+    if gateway.peer_addresses.insert(instance, from) {
         gateway.peer_addresses.reporting().push(instance.clone());
     }
+    gateway.greetings.record_peer(instance, incarnation, from);
 }
 
 fn parse_registration(value: &Value) -> serde_json::Result<Registration> {
@@ -300,6 +326,7 @@
 fn remove_peer(gateway: &SharedGateway, instance: &str) {
     gateway.peer_addresses.lock().remove(instance);
     gateway.state().peer_reports.forget(instance);
+    gateway.greetings.forget(instance);
     gateway
         .events
         .write("peer_gone", serde_json::json!({ "peer": instance }));
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
 use crate::evacuations;
+use crate::greetings;
+use crate::greetings::Greetings;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::paths;
@@ -189,6 +192,8 @@
         registration_lost: Notify::new(),
         seen_positions: SeenPositions::default(),
         peer_addresses: registry::PeerAddresses::default(),
+        greetings: Greetings::default(),
+        report_sequence: AtomicU64::new(0),
         settings: ArcSwap::from_pointee(settings),
     }
 }
@@ -216,6 +221,7 @@
     spawn_supervised(gateway, "lines", queues::run);
     spawn_supervised(gateway, "receive", peer_messages::receive);
     spawn_supervised(gateway, "report", peer_messages::report);
+    spawn_supervised(gateway, "greetings", greetings::run);
     spawn_supervised(gateway, "quotas", quota::advance);
     spawn_supervised(gateway, "readiness", readiness::report);
     spawn_supervised(gateway, "stream_origins", stream_origins::maintain);
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 
 use arc_swap::ArcSwap;
@@ -53,6 +54,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::Features;
 use crate::engines::TimingStats;
+use crate::greetings::Greetings;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::peer_messages::Message;
@@ -128,6 +130,10 @@
     pub seen_positions: SeenPositions,
     /// Addresses of the known peers.
     pub peer_addresses: PeerAddresses,
+    /// Peers that are to be sent a report at once.
+    pub greetings: Greetings,
+    /// Number of the last report to peers.
+    pub report_sequence: AtomicU64,
 }
 
 /// State that routing decisions are made from: what this instance knows of upstreams and peers,
