Keep lent units apart from the bucket of a workspace; no refill over a standstill

A prompt that was lent units beyond the rate pushed the bucket of its workspace below zero.

What is lent is now a debt of its own. It is repaid out of the part of the rate that the full bucket can't hold, before more is lent, so the units that run over any time are bounded as before. Retry-After and the logged level are those of the bucket. Without a debt, decisions are the same.

An owner that stood still for more than a second refilled its buckets for a time in which the next owner admitted the same units, and after 15 s took itself for the only member, with the whole of each quota. Its buckets now go on from where they were, and its peers stay members that it hasn't heard from. It also removed the registrations of all others after 60 s; no longer.

--- a/crates/dogwoodpier-core/src/gateway/peer_reports.rs
+++ b/crates/dogwoodpier-core/src/gateway/peer_reports.rs
@@ -25,6 +25,7 @@
 
 use super::evacuations::Evacuations;
 use super::quota::Membership;
+use super::quota::has_stood_still;
 use super::store_position::StorePosition;
 
 /// Load on one upstream, by one instance or several.
@@ -223,6 +224,10 @@
     total_loads: BTreeMap<Arc<str>, UpstreamLoad>,
     // Time before which no peer's share of the total loads expires.
     expiry_ms: TimeMs,
+    observed_ms: Option<TimeMs>,
+    // End of the last time in which the instance stood still. The silence of peers until then says
+    // nothing about them.
+    woken_ms: TimeMs,
 }
 
 impl PeerReports {
@@ -233,6 +238,16 @@
             peers: BTreeMap::new(),
             total_loads: BTreeMap::new(),
             expiry_ms: NEVER_MS,
+            observed_ms: None,
+            woken_ms: TimeMs::default(),
+        }
+    }
+
+    /// Notes that the instance runs. An instance that has not run for a while has received no reports,
+    /// so its peers are members still, although none of them is reachable.
+    pub fn observe(&mut self, now: TimeMs) {
+        if has_stood_still(self.observed_ms.replace(now), now) {
+            self.woken_ms = now;
         }
     }
 
@@ -405,7 +420,8 @@
             .max(self.heartbeat_ms() * DEAD_TIMEOUT_HEARTBEATS);
         let mut membership = Membership::ALONE;
         for peer in self.peers.values() {
-            if peer.is_leaving() || now.since(peer.last_contact_ms()) > dead_timeout_ms {
+            let contact_ms = peer.last_contact_ms().max(self.woken_ms);
+            if peer.is_leaving() || now.since(contact_ms) > dead_timeout_ms {
                 continue;
             }
             membership.members += 1;
@@ -438,11 +454,12 @@
     }
 
     /// Returns the peers that have not sent a report for longer than `timeout_ms`, counted from
-    /// when they became known if they have never sent one.
+    /// when they became known if they have never sent one, and from when this instance last stood
+    /// still.
     pub fn silent_peers(&self, timeout_ms: u64, now: TimeMs) -> Vec<Arc<str>> {
         self.peers
             .iter()
-            .filter(|(_, peer)| now.since(peer.last_contact_ms()) > timeout_ms)
+            .filter(|(_, peer)| now.since(peer.last_contact_ms().max(self.woken_ms)) > timeout_ms)
             .map(|(name, _)| name.clone())
             .collect()
     }
--- a/crates/dogwoodpier-core/src/gateway/quota.rs
+++ b/crates/dogwoodpier-core/src/gateway/quota.rs
@@ -8,8 +8,14 @@
 //! reach an owner uses its own equal share.
 //!
 //! Operators may tolerate a number of units beyond the rate over a window. While upstreams have
-//! spare capacity, a workspace may overdraw its bucket by this number. The debt is repaid out of
-//! its rate before the workspace can overdraw again.
+//! spare capacity, a workspace is lent up to this number of units that its bucket doesn't hold. What
+//! was lent stays apart from the bucket, so that large prompts that were lent units don't shut out
+//! requests that the bucket itself would admit, as when upstreams of other services are busy. It is
+//! repaid out of the part of the rate that the full bucket can't hold, before more is lent. The units
+//! that run over any time are those of the rate, the burst and the tolerated number at most.
+//!
+//! An owner that stood still doesn't know what other instances have admitted in the meantime, so its
+//! buckets don't refill for that time.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -75,15 +81,20 @@
     Rejected {
         /// Time until the quota would allow it, if nothing else were admitted.
         retry_after_ms: u64,
-        /// Units that are left; negative while the bucket is overdrawn.
+        /// Units that are left, without those that are lent; negative after a request larger than the
+        /// burst.
         level: i64,
     },
 }
 
-// The level is negative after an overdraft or a request larger than the burst.
+// The level is negative after a request larger than the burst.
 #[derive(Debug)]
 struct Bucket {
     tokens: TokenBucket,
+    // Burst at the last update.
+    burst: f64,
+    // Units that were lent and aren't repaid.
+    lent: f64,
     // Time of the last request for admission.
     last_request_ms: TimeMs,
 }
@@ -92,9 +103,31 @@
 #[derive(Debug, Default)]
 pub struct Quotas {
     buckets: BTreeMap<Arc<str>, Bucket>,
+    observed_ms: Option<TimeMs>,
+}
+
+// Time between two observations after which the instance has stood still. Until then, the units that two
+// owners admit for the same time are less than the tenth by which a quota may be exceeded over 8 s.
+const MAX_OBSERVATION_GAP_MS: u64 = 1_000;
+
+/// Returns whether an instance that last ran at `observed_ms` has stood still until `now`.
+pub fn has_stood_still(observed_ms: Option<TimeMs>, now: TimeMs) -> bool {
+    observed_ms.is_some_and(|before| now.since(before) > MAX_OBSERVATION_GAP_MS)
 }
 
 impl Quotas {
+    /// Notes that the instance runs. After a standstill, the buckets go on from where they were.
+    /// Returns whether there was one.
+    pub fn observe(&mut self, now: TimeMs) -> bool {
+        let has_stood_still = has_stood_still(self.observed_ms.replace(now), now);
+        if has_stood_still {
+            for bucket in self.buckets.values_mut() {
+                bucket.tokens.skip_to(now);
+            }
+        }
+        has_stood_still
+    }
+
     /// Admits and charges a request that costs `units`, or rejects it with the time after which to
     /// retry.
     pub fn admit(
@@ -113,23 +146,24 @@
         bucket.last_request_ms = now;
         // A request that is larger than the burst is admitted if the bucket is full.
         let needed = (units as f64).min(rate.burst);
-        let overdraft_units = overdraft.units as f64 * membership.share();
-        let level = bucket.tokens.level();
-        if level + overdraft_units < needed {
-            let missing = needed - level;
-            return Decision::Rejected {
-                retry_after_ms: (missing / rate.units_per_ms).ceil() as u64,
-                level: level as i64,
-            };
+        let lendable = (overdraft.units as f64 * membership.share() - bucket.lent).max(0.0);
+        match bucket.lend(units as f64, needed, lendable) {
+            Some(lent) => {
+                bucket.lent += lent;
+                bucket.tokens.take(units as f64 - lent);
+                Decision::Admitted
+            }
+            None => Decision::Rejected {
+                retry_after_ms: bucket.refill_ms(needed, rate),
+                level: bucket.tokens.level() as i64,
+            },
         }
-        bucket.tokens.take(units as f64);
-        Decision::Admitted
     }
 
     /// Refunds the units charged for a request that has not run.
     pub fn refund(&mut self, workspace: &str, units: u64) {
         if let Some(bucket) = self.buckets.get_mut(workspace) {
-            bucket.tokens.take(-(units as f64));
+            bucket.refund(units as f64);
         }
     }
 
@@ -148,9 +182,13 @@
             .entry(workspace.name.clone())
             .or_insert(Bucket {
                 tokens: TokenBucket::empty(now),
+                burst: rate.burst,
+                lent: 0.0,
                 last_request_ms: now,
             });
-        bucket.tokens.refill(rate, now);
+        let excess = bucket.tokens.refill(rate, now);
+        bucket.burst = rate.burst;
+        bucket.lent = (bucket.lent - excess).max(0.0);
         bucket
     }
 
@@ -173,6 +211,38 @@
     }
 }
 
+impl Bucket {
+    // Returns how many units of a request are lent, `None` if the request isn't admitted. `lendable`
+    // units are left to be lent.
+    fn lend(&self, units: f64, needed: f64, lendable: f64) -> Option<f64> {
+        let level = self.tokens.level();
+        if needed <= level {
+            Some(0.0)
+        } else if units <= lendable {
+            Some(units)
+        } else if units > lendable + self.lent && needed <= level + lendable {
+            // Larger than all that may be lent. The bucket pays the rest.
+            Some(lendable)
+        } else {
+            None
+        }
+    }
+
+    // Returns the time until the bucket holds a number of units, if nothing else is admitted.
+    fn refill_ms(&self, needed: f64, rate: BucketRate) -> u64 {
+        let missing = needed - self.tokens.level();
+        (missing / rate.units_per_ms).ceil() as u64
+    }
+
+    // Puts units back into the bucket, up to the burst. The rest repays what was lent.
+    fn refund(&mut self, units: f64) {
+        let room = (self.burst - self.tokens.level()).max(0.0);
+        let returned = units.min(room);
+        self.tokens.take(-returned);
+        self.lent = (self.lent - (units - returned)).max(0.0);
+    }
+}
+
 fn bucket_rate(workspace: &Workspace, membership: Membership) -> BucketRate {
     BucketRate {
         units_per_ms: workspace.rate_per_s as f64 * membership.share() / 1_000.0,
--- a/crates/dogwoodpier-core/src/gateway/token_bucket.rs
+++ b/crates/dogwoodpier-core/src/gateway/token_bucket.rs
@@ -30,10 +30,18 @@
         }
     }
 
-    /// Adds the units of the time since the last update.
-    pub fn refill(&mut self, rate: BucketRate, now: TimeMs) {
+    /// Adds the units of the time since the last update. Returns those of them that the bucket can't
+    /// hold.
+    pub fn refill(&mut self, rate: BucketRate, now: TimeMs) -> f64 {
         let refill = now.since(self.updated_ms) as f64 * rate.units_per_ms;
-        self.level = (self.level + refill).min(rate.burst);
+        let level = self.level + refill;
+        self.level = level.min(rate.burst);
+        self.updated_ms = self.updated_ms.max(now);
+        (level - rate.burst).clamp(0.0, refill)
+    }
+
+    /// Leaves out the time since the last update: it adds no units.
+    pub fn skip_to(&mut self, now: TimeMs) {
         self.updated_ms = self.updated_ms.max(now);
     }
 
--- a/crates/dogwoodpier-core/tests/gateway_reports.rs
+++ b/crates/dogwoodpier-core/tests/gateway_reports.rs
@@ -294,3 +294,22 @@
     assert_eq!(reports.membership(TimeMs(2_000)).reachable, 1);
     assert_eq!(reports.live_peers(TimeMs(20_000)).count(), 0);
 }
+
+// After a standstill of 15 s, all peers counted as dead, and the instance used the whole of each quota
+// until it heard from them.
+#[test]
+fn peers_stay_members_after_a_standstill() {
+    let mut reports = fleet(8);
+    for now_ms in (0..2_000).step_by(250) {
+        reports.observe(TimeMs(now_ms));
+    }
+    reports.observe(TimeMs(60_000));
+    let membership = reports.membership(TimeMs(60_000));
+    assert_eq!((membership.members, membership.reachable), (8, 1));
+    assert!(reports.silent_peers(15_000, TimeMs(60_000)).is_empty());
+    // Those that stay silent are presumed dead later.
+    for now_ms in (60_250..80_000).step_by(250) {
+        reports.observe(TimeMs(now_ms));
+    }
+    assert_eq!(reports.membership(TimeMs(80_000)).members, 1);
+}
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -46,3 +46,5 @@
 pub const STORE_FAILURES_TOTAL: &str = "dogwoodpier_gateway_store_failures_total";
 /// Reports to peers that had just become known.
 pub const GREETINGS_TOTAL: &str = "dogwoodpier_gateway_greetings_total";
+/// Times in which the process did not run for a second or more.
+pub const STANDSTILLS_TOTAL: &str = "dogwoodpier_gateway_standstills_total";
--- a/crates/dogwoodpier-gateway/src/quota.rs
+++ b/crates/dogwoodpier-gateway/src/quota.rs
@@ -12,14 +12,18 @@
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
 
+use crate::counters;
 use crate::owners;
 use crate::owners::OwnerReply;
 use crate::peer_messages::Message;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
-// Time between two updates of the buckets that this instance owns.
-const ADVANCE_INTERVAL: Duration = Duration::from_secs(1);
+// A fraction of the time after which an instance that has observed nothing has stood still.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
+// The buckets that this instance owns are updated once a second: a large fleet has thousands of
+// workspaces whose owner has to be found.
+const OBSERVATIONS_PER_ADVANCE: u32 = 4;
 
 /// A request for units of a workspace.
 #[wire]
@@ -189,6 +193,7 @@
         OwnerReply::Peer { address, answer } => (answer, DecidedBy::Peer(address)),
         OwnerReply::NoAnswer => {
             let now = clock::now();
+            observe(gateway);
             let mut state = gateway.state();
             let mut membership = state.peer_reports.membership(now);
             membership.reachable = 1;
@@ -210,6 +215,7 @@
         true => gateway.settings.load().quota_tolerance,
         false => Overdraft::NONE,
     };
+    observe(gateway);
     let mut state = gateway.state();
     let membership = state.peer_reports.membership(now);
     state
@@ -217,6 +223,23 @@
         .admit(workspace, units, membership, tolerance, now)
 }
 
+// Notes that this instance runs, before it decides on units.
+fn observe(gateway: &Gateway) {
+    let now = clock::now();
+    let has_stood_still = {
+        let mut state = gateway.state();
+        state.peer_reports.observe(now);
+        state.quota_shares.observe(now);
+        state.quotas.observe(now)
+    };
+    if has_stood_still {
+        metrics::counter!(counters::STANDSTILLS_TOTAL).increment(1);
+        gateway
+            .events
+            .write("stood_still", serde_json::json!({ "source": "quotas" }));
+    }
+}
+
 /// Answers the quota request of a peer.
 pub fn handle_request(gateway: &Gateway, from: SocketAddr, request: &QuotaRequest) {
     let configuration = gateway.configuration.load();
@@ -260,8 +283,14 @@
 /// Advances the buckets of the workspaces that this instance owns, for as long as the process
 /// lives: they refill even while no units are requested.
 pub async fn advance(gateway: SharedGateway) {
+    let mut observations: u32 = 0;
     loop {
-        tokio::time::sleep(ADVANCE_INTERVAL).await;
+        tokio::time::sleep(OBSERVATION_INTERVAL).await;
+        observe(&gateway);
+        observations = observations.wrapping_add(1);
+        if !observations.is_multiple_of(OBSERVATIONS_PER_ADVANCE) {
+            continue;
+        }
         let Some(configuration) = gateway.configuration.load_full() else {
             continue;
         };
