--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission_window;
 pub mod evacuations;
+pub mod greetings;
 pub mod memory_limit;
 pub mod owners;
 pub mod partition;
--- a/crates/dogwoodpier-core/src/gateway/quota.rs
+++ b/crates/dogwoodpier-core/src/gateway/quota.rs
@@ -19,6 +19,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use dogwoodpier_derive::plain;
@@ -211,6 +212,38 @@
     }
 }
 
+// Time for which a decision is remembered: far longer than an asker repeats a request and messages are
+// under way.
+const DECISION_RETENTION_MS: u64 = 1_000;
+
+/// Recent decisions on requests of peers. A peer repeats a request if the answer is late, and must not
+/// be charged for it again: until the second charge is refunded, it shuts out other requests.
+#[derive(Debug, Default)]
+pub struct RecentDecisions {
+    by_ticket: BTreeMap<u64, Decision>,
+    // Tickets with the time of their decision, the oldest first.
+    order: VecDeque<(TimeMs, u64)>,
+}
+
+impl RecentDecisions {
+    /// Returns the decision on a request that has arrived before.
+    pub fn get(&mut self, ticket: u64, now: TimeMs) -> Option<Decision> {
+        while let Some((decided_ms, oldest)) = self.order.front().copied()
+            && now.since(decided_ms) > DECISION_RETENTION_MS
+        {
+            self.order.pop_front();
+            self.by_ticket.remove(&oldest);
+        }
+        self.by_ticket.get(&ticket).copied()
+    }
+
+    /// Remembers the decision on a request that has not arrived before.
+    pub fn insert(&mut self, ticket: u64, decision: Decision, now: TimeMs) {
+        self.by_ticket.insert(ticket, decision);
+        self.order.push_back((now, ticket));
+    }
+}
+
 impl Bucket {
     // Returns how many units of a request are lent, `None` if the request isn't admitted. `lendable`
     // units are left to be lent.
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -48,3 +48,5 @@
 pub const GREETINGS_TOTAL: &str = "dogwoodpier_gateway_greetings_total";
 /// Times in which the process did not run for a second or more.
 pub const STANDSTILLS_TOTAL: &str = "dogwoodpier_gateway_standstills_total";
+/// Requests for units of a workspace that arrived again and were not charged again.
+pub const QUOTA_REPEATS_TOTAL: &str = "dogwoodpier_gateway_quota_repeats_total";
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -93,6 +93,9 @@
     AskVersion(VersionPlacementRequest),
     /// A request failed at an engine that the receiver had granted.
     EngineFailure(EngineFailure),
+    /// The answer to a request for units that has arrived before and is not charged again. Instances of
+    /// an earlier build, which would refund it, ignore it.
+    QuotaRepeat(QuotaAnswer),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -159,6 +162,7 @@
             broker::handle_request(gateway, from, request, Some(version));
         }
         Message::EngineFailure(failure) => broker::handle_failure(gateway, &failure),
+        Message::QuotaRepeat(answer) => quota::handle_repeat(gateway, &answer),
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/quota.rs
+++ b/crates/dogwoodpier-gateway/src/quota.rs
@@ -25,6 +25,10 @@
 // workspaces whose owner has to be found.
 const OBSERVATIONS_PER_ADVANCE: u32 = 4;
 
+// Requests whose repeated answer came before the first one, which may still arrive: more than messages
+// change their order in the time of a few round trips.
+const MAX_REPEATED_TICKETS: usize = 64;
+
 /// A request for units of a workspace.
 #[wire]
 pub struct QuotaRequest {
@@ -250,21 +254,45 @@
     let Some(workspace) = workspace else {
         return;
     };
-    let decision = decide_locally(gateway, workspace, request.units, request.has_room);
-    let answer = QuotaAnswer {
+    let now = clock::now();
+    let answer = |decision| QuotaAnswer {
         ticket: request.ticket,
         workspace: request.workspace.clone(),
         units: request.units,
         decision,
     };
-    gateway.send_message(from, &Message::QuotaAnswer(answer));
+    let before = gateway.state().quota_decisions.get(request.ticket, now);
+    if let Some(decision) = before {
+        metrics::counter!(counters::QUOTA_REPEATS_TOTAL).increment(1);
+        gateway.send_message(from, &Message::QuotaRepeat(answer(decision)));
+        return;
+    }
+    let decision = decide_locally(gateway, workspace, request.units, request.has_room);
+    let mut state = gateway.state();
+    state.quota_decisions.insert(request.ticket, decision, now);
+    drop(state);
+    gateway.send_message(from, &Message::QuotaAnswer(answer(decision)));
+}
+
+/// Handles the answer to a request that this instance has repeated. Unlike the first answer, it stands
+/// for no charge of its own.
+pub fn handle_repeat(gateway: &Gateway, answer: &QuotaAnswer) {
+    let pending = &gateway.pending_quota_requests;
+    if pending.deliver(answer.ticket, answer.decision) {
+        let mut tickets = gateway.repeated_quota_tickets();
+        tickets.push_back(answer.ticket);
+        if tickets.len() > MAX_REPEATED_TICKETS {
+            tickets.pop_front();
+        }
+    }
 }
 
 /// Handles the answer to a quota request of this instance. Returns the units if the request has
 /// been dropped or was answered before.
 pub fn handle_answer(gateway: &Gateway, from: SocketAddr, answer: QuotaAnswer) {
     let pending = &gateway.pending_quota_requests;
-    let is_delivered = pending.deliver(answer.ticket, answer.decision);
+    let is_delivered = pending.deliver(answer.ticket, answer.decision)
+        || gateway.repeated_quota_tickets().contains(&answer.ticket);
     if !is_delivered && answer.decision == Decision::Admitted {
         let message = Message::QuotaReturn(QuotaRefund {
             workspace: answer.workspace,
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -22,6 +22,7 @@
 use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
 use dogwoodpier_core::gateway::quota::Quotas;
+use dogwoodpier_core::gateway::quota::RecentDecisions;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::shutdown::Shutdown;
 use dogwoodpier_core::gateway::software_versions::SeenVersions;
@@ -41,7 +42,7 @@
 use crate::engines::TimingStats;
 use crate::evacuations;
 use crate::greetings;
-use crate::greetings::Greetings;
+use crate::greetings::PeerGreetings;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::paths;
@@ -163,6 +164,7 @@
             permits: Permits::default(),
             peer_reports: PeerReports::new(settings.report_options),
             quotas: Quotas::default(),
+            quota_decisions: RecentDecisions::default(),
             quota_shares: Quotas::default(),
             retries: RetryBudget::default(),
             memory_limits: Default::default(),
@@ -192,7 +194,8 @@
         registration_lost: Notify::new(),
         seen_positions: SeenPositions::default(),
         peer_addresses: registry::PeerAddresses::default(),
-        greetings: Greetings::default(),
+        repeated_quota_tickets: Mutex::default(),
+        greetings: PeerGreetings::default(),
         report_sequence: AtomicU64::new(0),
         settings: ArcSwap::from_pointee(settings),
     }
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::LazyCell;
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -29,6 +30,7 @@
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
 use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::quota::Quotas;
+use dogwoodpier_core::gateway::quota::RecentDecisions;
 use dogwoodpier_core::gateway::retries::PREFILL_RESERVE;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::retries::RetryOptions;
@@ -54,7 +56,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::Features;
 use crate::engines::TimingStats;
-use crate::greetings::Greetings;
+use crate::greetings::PeerGreetings;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::peer_messages::Message;
@@ -130,8 +132,10 @@
     pub seen_positions: SeenPositions,
     /// Addresses of the known peers.
     pub peer_addresses: PeerAddresses,
+    /// Tickets of quota requests that were answered when they were repeated.
+    pub repeated_quota_tickets: Mutex<VecDeque<u64>>,
     /// Peers that are to be sent a report at once.
-    pub greetings: Greetings,
+    pub greetings: PeerGreetings,
     /// Number of the last report to peers.
     pub report_sequence: AtomicU64,
 }
@@ -157,6 +161,8 @@
     pub peer_reports: PeerReports,
     /// Quotas of the workspaces that this instance owns.
     pub quotas: Quotas,
+    /// Recent decisions on quota requests of peers.
+    pub quota_decisions: RecentDecisions,
     /// This instance's own shares of quotas, used when no owner answers.
     pub quota_shares: Quotas,
     /// Retry budgets by service.
@@ -178,6 +184,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the tickets of quota requests that were answered when they were repeated.
+    pub fn repeated_quota_tickets(&self) -> MutexGuard<'_, VecDeque<u64>> {
+        self.repeated_quota_tickets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the optional behaviour that the settings call for.
     pub fn features(&self) -> Features {
         (self.dialect.decode_features)(&self.settings.load().features)
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -136,6 +136,12 @@
         Message::EngineFailure(EngineFailure {
             upstream: "i-1".into(),
         }),
+        Message::QuotaRepeat(QuotaAnswer {
+            ticket: 8,
+            workspace: "firm".into(),
+            units: 5_300,
+            decision: Decision::Admitted,
+        }),
     ]
 }
 
