--- a/crates/dogwoodpier-core/src/gateway/software_versions.rs
+++ b/crates/dogwoodpier-core/src/gateway/software_versions.rs
@@ -61,6 +61,9 @@
     SeveralVersions,
     /// The default version is not the version of the engines.
     DefaultDiffers,
+    /// Engines of another version served when the stream may have begun. It may have no record if it
+    /// began there while the store was away and the default version had no engines.
+    OthersSeen,
     /// Streams of another version are recorded.
     OthersRecorded,
     /// Records may be missing since the store was restored from a copy.
@@ -75,6 +78,7 @@
         match self {
             Self::SeveralVersions => "several_versions",
             Self::DefaultDiffers => "default_differs",
+            Self::OthersSeen => "others_seen",
             Self::OthersRecorded => "others_recorded",
             Self::Restored => "restored",
             Self::SplitRoute => "split_route",
@@ -221,6 +225,14 @@
         }
     }
 
+    /// Returns whether engines of the service have had another version since `since_ms`, as far as the
+    /// instance has seen.
+    pub fn has_seen_others(&self, service: &str, version: &str, since_ms: TimeMs) -> bool {
+        let seen = self.services.get(service);
+        let mut versions = seen.into_iter().flat_map(|seen| &seen.versions);
+        versions.any(|(other, presence)| **other != *version && presence.last_seen_ms >= since_ms)
+    }
+
     /// Returns the version that is to become the default one of a service: the one with the most
     /// slots, once the present default has been absent for `life_ms`. `slots` are the slots of each
     /// version.
--- a/crates/dogwoodpier-core/tests/software_versions.rs
+++ b/crates/dogwoodpier-core/tests/software_versions.rs
@@ -323,6 +323,19 @@
     }
 }
 
+// Streams of a version that served for a while without a record must not pass for ones of the version
+// that is there again.
+#[test]
+fn versions_that_have_left_are_remembered() {
+    let mut seen = SeenVersions::default();
+    observe(&mut seen, &["v1"], 1_000);
+    observe(&mut seen, &["v2"], 1_500);
+    observe(&mut seen, &["v1"], 2_000);
+    assert!(seen.has_seen_others(SERVICE, "v1", TimeMs(1_500)));
+    assert!(!seen.has_seen_others(SERVICE, "v1", TimeMs(1_501)));
+    assert!(!seen.has_seen_others("others", "v1", TimeMs(0)));
+}
+
 fn recorded(era: u64, versions: &[&str]) -> RecordedVersions {
     let versions = versions.iter().map(|version| (*version).into()).collect();
     RecordedVersions {
--- a/crates/dogwoodpier-gateway/src/quota.rs
+++ b/crates/dogwoodpier-gateway/src/quota.rs
@@ -1,7 +1,11 @@
 //! Quota units, requested from the instances that own the workspaces' buckets.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -64,6 +68,30 @@
     pub units: u64,
 }
 
+/// Tickets of the requests of this instance that were answered when they were repeated.
+#[derive(Default)]
+pub struct RepeatedTickets {
+    tickets: Mutex<VecDeque<u64>>,
+}
+
+impl RepeatedTickets {
+    fn record(&self, ticket: u64) {
+        let mut tickets = self.lock();
+        tickets.push_back(ticket);
+        if tickets.len() > MAX_REPEATED_TICKETS {
+            tickets.pop_front();
+        }
+    }
+
+    fn contains(&self, ticket: u64) -> bool {
+        self.lock().contains(&ticket)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VecDeque<u64>> {
+        self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Which instance decided on a request for units.
 #[derive(Clone, Copy, Debug)]
 pub enum DecidedBy {
@@ -279,11 +307,7 @@
 pub fn handle_repeat(gateway: &Gateway, answer: &QuotaAnswer) {
     let pending = &gateway.pending_quota_requests;
     if pending.deliver(answer.ticket, answer.decision) {
-        let mut tickets = gateway.repeated_quota_tickets();
-        tickets.push_back(answer.ticket);
-        if tickets.len() > MAX_REPEATED_TICKETS {
-            tickets.pop_front();
-        }
+        gateway.repeated_tickets.record(answer.ticket);
     }
 }
 
@@ -292,7 +316,7 @@
 pub fn handle_answer(gateway: &Gateway, from: SocketAddr, answer: QuotaAnswer) {
     let pending = &gateway.pending_quota_requests;
     let is_delivered = pending.deliver(answer.ticket, answer.decision)
-        || gateway.repeated_quota_tickets().contains(&answer.ticket);
+        || gateway.repeated_tickets.contains(answer.ticket);
     if !is_delivered && answer.decision == Decision::Admitted {
         let message = Message::QuotaReturn(QuotaRefund {
             workspace: answer.workspace,
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -53,6 +53,7 @@
 use crate::queues;
 use crate::queues::Queues;
 use crate::quota;
+use crate::quota::RepeatedTickets;
 use crate::readiness;
 use crate::registry;
 use crate::reload;
@@ -194,7 +195,7 @@
         registration_lost: Notify::new(),
         seen_positions: SeenPositions::default(),
         peer_addresses: registry::PeerAddresses::default(),
-        repeated_quota_tickets: Mutex::default(),
+        repeated_tickets: RepeatedTickets::default(),
         greetings: PeerGreetings::default(),
         report_sequence: AtomicU64::new(0),
         settings: ArcSwap::from_pointee(settings),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::cell::LazyCell;
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -64,6 +63,7 @@
 use crate::plain_queue::PlainQueues;
 use crate::quarantine::Quarantine;
 use crate::queues::Queues;
+use crate::quota::RepeatedTickets;
 use crate::registry::PeerAddresses;
 use crate::request::ClientRequest;
 use crate::seen_positions::SeenPositions;
@@ -133,7 +133,7 @@
     /// Addresses of the known peers.
     pub peer_addresses: PeerAddresses,
     /// Tickets of quota requests that were answered when they were repeated.
-    pub repeated_quota_tickets: Mutex<VecDeque<u64>>,
+    pub repeated_tickets: RepeatedTickets,
     /// Peers that are to be sent a report at once.
     pub greetings: PeerGreetings,
     /// Number of the last report to peers.
@@ -184,13 +184,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks the tickets of quota requests that were answered when they were repeated.
-    pub fn repeated_quota_tickets(&self) -> MutexGuard<'_, VecDeque<u64>> {
-        self.repeated_quota_tickets
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns the optional behaviour that the settings call for.
     pub fn features(&self) -> Features {
         (self.dialect.decode_features)(&self.settings.load().features)
--- a/crates/dogwoodpier-gateway/src/stream_origins/proof.rs
+++ b/crates/dogwoodpier-gateway/src/stream_origins/proof.rs
@@ -14,12 +14,14 @@
 use serde::Deserialize;
 use tokio::time::Instant;
 
+use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::software_versions;
 use dogwoodpier_core::gateway::software_versions::DefaultVersion;
 use dogwoodpier_core::gateway::software_versions::RecordedVersions;
 use dogwoodpier_core::gateway::software_versions::Unproven;
 use dogwoodpier_platform::Error;
 use dogwoodpier_platform::wire::Listing;
+use dogwoodpier_process::clock;
 
 use crate::request::ClientRequest;
 use crate::state::Gateway;
@@ -30,6 +32,7 @@
 use super::Unknown;
 use super::defaults;
 use super::log_store_failure;
+use super::request_life_ms;
 
 // Time between the beginnings of two listings of an instance. It bounds the calls to the store when
 // many clients resume streams, and delays only those that come right after another one.
@@ -95,6 +98,16 @@
     let service = &request.service.name;
     let slots = gateway.state().upstreams.version_slots(service);
     let only = software_versions::only_version(&slots).map_err(Unknown::Unproven)?;
+    let now = clock::now();
+    let begun_ms = TimeMs(now.0.saturating_sub(request_life_ms(request)));
+    let have_served = {
+        let mut state = gateway.state();
+        state.observe_versions(now);
+        state.versions.has_seen_others(service, only, begun_ms)
+    };
+    if have_served {
+        return Err(Unknown::Unproven(Unproven::OthersSeen));
+    }
     let era = *gateway.store.era().borrow();
     let is_default = |default: &DefaultVersion| default.of_unrecorded(era) == Some(only);
     let known = gateway.stream_origins.known_default(service);
