--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod cost;
 pub mod cost_placement;
 pub mod evacuations;
+pub mod greetings;
 pub mod memory_limit;
 pub mod owners;
 pub mod partition;
--- a/crates/dogwoodpier-gateway/src/quota.rs
+++ b/crates/dogwoodpier-gateway/src/quota.rs
@@ -1,7 +1,11 @@
 //! Quota units, requested from the instances that own the workspaces' buckets.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,14 +16,22 @@
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
 
+use crate::counters;
 use crate::owners;
 use crate::owners::OwnerReply;
 use crate::peer_messages::Message;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
 
-// Time between two updates of the buckets that this instance owns.
-const ADVANCE_INTERVAL: Duration = Duration::from_secs(1);
+// A fraction of the time after which an instance that has observed nothing has stood still.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
+// The buckets that this instance owns are updated once a second: a large fleet has thousands of
+// workspaces whose owner has to be found.
+const OBSERVATIONS_PER_ADVANCE: u32 = 4;
+
+// Requests whose repeated answer came before the first one, which may still arrive: more than messages
+// change their order in the time of a few round trips.
+const MAX_REPEATED_TICKETS: usize = 64;
 
 /// A request for units of a workspace.
 #[wire]
@@ -56,6 +68,30 @@
     pub units: u64,
 }
 
+/// Tickets of the requests of this instance that were answered when they were repeated.
+#[derive(Default)]
+pub struct RepeatedTickets {
+    tickets: Mutex<VecDeque<u64>>,
+}
+
+impl RepeatedTickets {
+    fn record(&self, ticket: u64) {
+        let mut tickets = self.lock();
+        tickets.push_back(ticket);
+        if tickets.len() > MAX_REPEATED_TICKETS {
+            tickets.pop_front();
+        }
+    }
+
+    fn contains(&self, ticket: u64) -> bool {
+        self.lock().contains(&ticket)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VecDeque<u64>> {
+        self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Which instance decided on a request for units.
 #[derive(Clone, Copy, Debug)]
 pub enum DecidedBy {
@@ -189,6 +225,7 @@
         OwnerReply::Peer { address, answer } => (answer, DecidedBy::Peer(address)),
         OwnerReply::NoAnswer => {
             let now = clock::now();
+            observe(gateway);
             let mut state = gateway.state();
             let mut membership = state.peer_reports.membership(now);
             membership.reachable = 1;
@@ -210,6 +247,7 @@
         true => gateway.settings.load().quota_tolerance,
         false => Overdraft::NONE,
     };
+    observe(gateway);
     let mut state = gateway.state();
     let membership = state.peer_reports.membership(now);
     state
@@ -217,6 +255,23 @@
         .admit(workspace, units, membership, tolerance, now)
 }
 
+// Notes that this instance runs, before it decides on units.
+fn observe(gateway: &Gateway) {
+    let now = clock::now();
+    let has_stood_still = {
+        let mut state = gateway.state();
+        state.peer_reports.observe(now);
+        state.quota_shares.observe(now);
+        state.quotas.observe(now)
+    };
+    if has_stood_still {
+        metrics::counter!(counters::STANDSTILLS_TOTAL).increment(1);
+        gateway
+            .events
+            .write("stood_still", serde_json::json!({ "source": "quotas" }));
+    }
+}
+
 /// Answers the quota request of a peer.
 pub fn handle_request(gateway: &Gateway, from: SocketAddr, request: &QuotaRequest) {
     let configuration = gateway.configuration.load();
@@ -227,21 +282,41 @@
     let Some(workspace) = workspace else {
         return;
     };
-    let decision = decide_locally(gateway, workspace, request.units, request.has_room);
-    let answer = QuotaAnswer {
+    let now = clock::now();
+    let answer = |decision| QuotaAnswer {
         ticket: request.ticket,
         workspace: request.workspace.clone(),
         units: request.units,
         decision,
     };
-    gateway.send_message(from, &Message::QuotaAnswer(answer));
+    let before = gateway.state().quota_decisions.get(request.ticket, now);
+    if let Some(decision) = before {
+        metrics::counter!(counters::QUOTA_REPEATS_TOTAL).increment(1);
+        gateway.send_message(from, &Message::QuotaRepeat(answer(decision)));
+        return;
+    }
+    let decision = decide_locally(gateway, workspace, request.units, request.has_room);
+    let mut state = gateway.state();
+    state.quota_decisions.insert(request.ticket, decision, now);
+    drop(state);
+    gateway.send_message(from, &Message::QuotaAnswer(answer(decision)));
+}
+
+/// Handles the answer to a request that this instance has repeated. Unlike the first answer, it stands
+/// for no charge of its own.
+pub fn handle_repeat(gateway: &Gateway, answer: &QuotaAnswer) {
+    let pending = &gateway.pending_quota_requests;
+    if pending.deliver(answer.ticket, answer.decision) {
+        gateway.repeated_tickets.record(answer.ticket);
+    }
 }
 
 /// Handles the answer to a quota request of this instance. Returns the units if the request has
 /// been dropped or was answered before.
 pub fn handle_answer(gateway: &Gateway, from: SocketAddr, answer: QuotaAnswer) {
     let pending = &gateway.pending_quota_requests;
-    let is_delivered = pending.deliver(answer.ticket, answer.decision);
+    let is_delivered = pending.deliver(answer.ticket, answer.decision)
+        || gateway.repeated_tickets.contains(answer.ticket);
     if !is_delivered && answer.decision == Decision::Admitted {
         let message = Message::QuotaReturn(QuotaRefund {
             workspace: answer.workspace,
@@ -260,8 +335,14 @@
 /// Advances the buckets of the workspaces that this instance owns, for as long as the process
 /// lives: they refill even while no units are requested.
 pub async fn advance(gateway: SharedGateway) {
+    let mut observations: u32 = 0;
     loop {
-        tokio::time::sleep(ADVANCE_INTERVAL).await;
+        tokio::time::sleep(OBSERVATION_INTERVAL).await;
+        observe(&gateway);
+        observations = observations.wrapping_add(1);
+        if !observations.is_multiple_of(OBSERVATIONS_PER_ADVANCE) {
+            continue;
+        }
         let Some(configuration) = gateway.configuration.load_full() else {
             continue;
         };
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
 use dogwoodpier_core::gateway::quota::Quotas;
+use dogwoodpier_core::gateway::quota::RecentDecisions;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::shutdown::Shutdown;
 use dogwoodpier_core::gateway::software_versions::SeenVersions;
@@ -39,6 +41,8 @@
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
 use crate::evacuations;
+use crate::greetings;
+use crate::greetings::PeerGreetings;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::paths;
@@ -49,6 +53,7 @@
 use crate::queues;
 use crate::queues::Queues;
 use crate::quota;
+use crate::quota::RepeatedTickets;
 use crate::readiness;
 use crate::registry;
 use crate::reload;
@@ -161,6 +166,7 @@
             permits: Permits::default(),
             peer_reports: PeerReports::new(settings.report_options),
             quotas: Quotas::default(),
+            quota_decisions: RecentDecisions::default(),
             quota_shares: Quotas::default(),
             retries: RetryBudget::default(),
             memory_limits: Default::default(),
@@ -191,6 +197,9 @@
         registration_lost: Notify::new(),
         seen_positions: SeenPositions::default(),
         peer_addresses: registry::PeerAddresses::default(),
+        repeated_tickets: RepeatedTickets::default(),
+        greetings: PeerGreetings::default(),
+        report_sequence: AtomicU64::new(0),
         settings: ArcSwap::from_pointee(settings),
     }
 }
@@ -218,6 +227,7 @@
     spawn_supervised(gateway, "lines", queues::run);
     spawn_supervised(gateway, "receive", peer_messages::receive);
     spawn_supervised(gateway, "report", peer_messages::report);
+    spawn_supervised(gateway, "greetings", greetings::run);
     spawn_supervised(gateway, "quotas", quota::advance);
     spawn_supervised(gateway, "readiness", readiness::report);
     spawn_supervised(gateway, "stream_origins", stream_origins::maintain);
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 
 use arc_swap::ArcSwap;
@@ -28,6 +29,7 @@
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
 use dogwoodpier_core::gateway::quota::Decision;
 use dogwoodpier_core::gateway::quota::Quotas;
+use dogwoodpier_core::gateway::quota::RecentDecisions;
 use dogwoodpier_core::gateway::retries::PREFILL_RESERVE;
 use dogwoodpier_core::gateway::retries::RetryBudget;
 use dogwoodpier_core::gateway::retries::RetryOptions;
@@ -53,6 +55,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::Features;
 use crate::engines::TimingStats;
+use crate::greetings::PeerGreetings;
 use crate::newer_configuration::NewerConfiguration;
 use crate::owners::Owners;
 use crate::peer_messages::Message;
@@ -60,6 +63,7 @@
 use crate::plain_queue::PlainQueues;
 use crate::quarantine::Quarantine;
 use crate::queues::Queues;
+use crate::quota::RepeatedTickets;
 use crate::registry::PeerAddresses;
 use crate::request::ClientRequest;
 use crate::seen_positions::SeenPositions;
@@ -131,6 +135,12 @@
     pub seen_positions: SeenPositions,
     /// Addresses of the known peers.
     pub peer_addresses: PeerAddresses,
+    /// Tickets of quota requests that were answered when they were repeated.
+    pub repeated_tickets: RepeatedTickets,
+    /// Peers that are to be sent a report at once.
+    pub greetings: PeerGreetings,
+    /// Number of the last report to peers.
+    pub report_sequence: AtomicU64,
 }
 
 /// State that routing decisions are made from: what this instance knows of upstreams and peers,
@@ -154,6 +164,8 @@
     pub peer_reports: PeerReports,
     /// Quotas of the workspaces that this instance owns.
     pub quotas: Quotas,
+    /// Recent decisions on quota requests of peers.
+    pub quota_decisions: RecentDecisions,
     /// This instance's own shares of quotas, used when no owner answers.
     pub quota_shares: Quotas,
     /// Retry budgets by service.
