Limit the requests of all instances to upstreams that have just started

An upstream that has started accepts cold-per-s requests a second for a time and crashes well above that; instances sent it their full share at once. Cold state (store entry, response header, report of a peer) is one more source of a limit in UpstreamLimits. Permits for cold upstreams come from one owner, without a successor until the owner has noticed that it is cut off; they are valid for 300 ms, so that those kept during a prefill are renewed.

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! module makes its decisions, without I/O; the `dogwoodpier-gateway` crate carries them out.
 
 pub mod admission_window;
+pub mod cold_upstreams;
 pub mod evacuations;
 pub mod memory_limit;
 pub mod owners;
--- a/crates/dogwoodpier-core/src/gateway/peer_reports.rs
+++ b/crates/dogwoodpier-core/src/gateway/peer_reports.rs
@@ -139,6 +139,10 @@
 // Time without a report after which a peer is not considered live, in heartbeats: three reports may
 // be lost or late.
 const LIVENESS_TIMEOUT_HEARTBEATS: f64 = 10.0 / 3.0;
+// Time without a report after which a peer is not an upstream's only owner any more, in liveness
+// timeouts: the peer may have last heard from this instance one heartbeat later, and notices after
+// one liveness timeout.
+const HANDOVER_LIVENESS_TIMEOUTS: u64 = 2;
 // Least time without a report after which a peer is presumed dead, in heartbeats.
 const DEAD_TIMEOUT_HEARTBEATS: u64 = 5;
 
@@ -437,6 +441,37 @@
             .map(|(name, peer)| (name, peer.capacity))
     }
 
+    /// Returns how many instances are registered or have reported, and how many of them are reachable,
+    /// this one included. Unlike [`Self::membership`], a silent instance counts until it is forgotten,
+    /// as it may be serving beyond a partition.
+    pub fn registered_membership(&self, now: TimeMs) -> Membership {
+        let serving = self.peers.values().filter(|peer| !peer.is_leaving());
+        Membership {
+            members: serving.count() as u32 + 1,
+            ..self.membership(now)
+        }
+    }
+
+    /// Returns all peers that are not leaving, with their relative capacities. A silent one may still
+    /// receive messages.
+    pub fn registered_peers(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let peers = self.peers.iter().filter(|(_, peer)| !peer.is_leaving());
+        peers.map(|(name, peer)| (name, peer.capacity))
+    }
+
+    /// Returns the peers that may own an upstream alone, with their relative capacities. A peer that
+    /// has become silent is among them until it has noticed that it is cut off from this instance, so
+    /// that it does not act as the owner beside its successor.
+    pub fn sole_owner_candidates(&self, now: TimeMs) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let timeout_ms = self.liveness_timeout_ms() * HANDOVER_LIVENESS_TIMEOUTS;
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| {
+                !peer.is_leaving() && now.since(peer.last_contact_ms()) <= timeout_ms
+            })
+            .map(|(name, peer)| (name, peer.capacity))
+    }
+
     /// Returns the peers that have not sent a report for longer than `timeout_ms`, counted from
     /// when they became known if they have never sent one.
     pub fn silent_peers(&self, timeout_ms: u64, now: TimeMs) -> Vec<Arc<str>> {
--- a/crates/dogwoodpier-core/src/gateway/permits.rs
+++ b/crates/dogwoodpier-core/src/gateway/permits.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use dogwoodpier_derive::plain;
 use dogwoodpier_derive::wire;
 
 use crate::TimeMs;
@@ -23,6 +24,9 @@
 
 // Time whose permits may be used at once.
 const BURST_MS: f64 = 250.0;
+// The same for cold upstreams. In any second they must get less than 1.5 times their rate and 5
+// requests, and a permit may be used up to a quarter of a second after it was issued.
+const COLD_BURST_MS: f64 = 50.0;
 // Lowest and highest rate. Without a request now and then, nobody would notice the end of a limit
 // of 0.
 const MIN_RATE_PER_S: f64 = 0.25;
@@ -44,6 +48,44 @@
     },
 }
 
+/// Limit on the requests that an upstream is sent by all instances together.
+#[plain]
+#[derive(Copy)]
+pub struct SendLimit {
+    /// Requests per second.
+    pub rate_per_s: f64,
+    /// Whether the upstream is cold, or was until recently.
+    pub is_cold: bool,
+}
+
+impl SendLimit {
+    /// Returns the limit of a cold upstream.
+    pub fn cold(rate_per_s: f64) -> Self {
+        Self {
+            rate_per_s,
+            is_cold: true,
+        }
+    }
+
+    /// Returns the limit with the lower rate of this one and another one.
+    pub fn lower(self, other: Self) -> Self {
+        Self {
+            rate_per_s: self.rate_per_s.min(other.rate_per_s),
+            is_cold: self.is_cold || other.is_cold,
+        }
+    }
+}
+
+impl From<f64> for SendLimit {
+    /// Returns the limit that an upstream has named.
+    fn from(rate_per_s: f64) -> Self {
+        Self {
+            rate_per_s,
+            is_cold: false,
+        }
+    }
+}
+
 /// The buckets of the upstreams for which this instance issues permits.
 #[derive(Debug, Default)]
 pub struct Permits {
@@ -51,17 +93,20 @@
 }
 
 impl Permits {
-    /// Issues a permit that is valid after at most `max_wait_ms`, or denies it. `limit_per_s` is the
-    /// limit that the upstream has named.
-    pub fn request(
+    /// Issues a permit that is valid after at most `max_wait_ms`, or denies it. `limit` is the limit of
+    /// the upstream.
+    pub fn request<L>(
         &mut self,
         upstream: &Arc<str>,
-        limit_per_s: f64,
+        limit: L,
         max_wait_ms: u64,
         membership: Membership,
         now: TimeMs,
-    ) -> PermitDecision {
-        let rate = bucket_rate(limit_per_s, membership);
+    ) -> PermitDecision
+    where
+        L: Into<SendLimit>,
+    {
+        let rate = bucket_rate(limit.into(), membership);
         let bucket = self.refilled(upstream, rate, now);
         let wait_ms = wait_for_permit_ms(bucket, rate);
         if wait_ms > max_wait_ms {
@@ -75,14 +120,17 @@
 
     /// Returns whether a permit for an upstream is available now. True if none has been requested
     /// before.
-    pub fn is_available(
+    pub fn is_available<L>(
         &self,
         upstream: &str,
-        limit_per_s: f64,
+        limit: L,
         membership: Membership,
         now: TimeMs,
-    ) -> bool {
-        let rate = bucket_rate(limit_per_s, membership);
+    ) -> bool
+    where
+        L: Into<SendLimit>,
+    {
+        let rate = bucket_rate(limit.into(), membership);
         self.buckets.get(upstream).is_none_or(|bucket| {
             let mut bucket = bucket.clone();
             bucket.refill(rate, now);
@@ -92,14 +140,16 @@
 
     /// Records that another instance has issued a permit: for a time, some instances may ask the
     /// owner and others its successor.
-    pub fn record_issued(
+    pub fn record_issued<L>(
         &mut self,
         upstream: &Arc<str>,
-        limit_per_s: f64,
+        limit: L,
         membership: Membership,
         now: TimeMs,
-    ) {
-        let rate = bucket_rate(limit_per_s, membership);
+    ) where
+        L: Into<SendLimit>,
+    {
+        let rate = bucket_rate(limit.into(), membership);
         self.refilled(upstream, rate, now).take(1.0);
     }
 
@@ -134,10 +184,14 @@
     }
 }
 
-fn bucket_rate(limit_per_s: f64, membership: Membership) -> BucketRate {
-    let units_per_ms = permit_rate_per_s(limit_per_s) * membership.share() / 1_000.0;
+fn bucket_rate(limit: SendLimit, membership: Membership) -> BucketRate {
+    let units_per_ms = permit_rate_per_s(limit.rate_per_s) * membership.share() / 1_000.0;
+    let burst_ms = match limit.is_cold {
+        true => COLD_BURST_MS,
+        false => BURST_MS,
+    };
     BucketRate {
         units_per_ms,
-        burst: (units_per_ms * BURST_MS).max(1.0),
+        burst: (units_per_ms * burst_ms).max(1.0),
     }
 }
--- a/crates/dogwoodpier-core/src/gateway/routes.rs
+++ b/crates/dogwoodpier-core/src/gateway/routes.rs
@@ -110,6 +110,18 @@
     pub health_check_path: Option<Arc<str>>,
     /// Present if the upstreams are model engines.
     pub engine: Option<EngineSpec>,
+    /// Present if the upstreams accept only a few requests for some time after they start.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What upstreams accept after they start.
+#[plain]
+#[derive(Copy)]
+pub struct ColdStart {
+    /// Time for which an upstream is usually cold.
+    pub duration_ms: u64,
+    /// Requests per second that it accepts from all instances together while it is cold.
+    pub rate_per_s: f64,
 }
 
 /// How a workspace's quota counts a request.
--- a/crates/dogwoodpier-core/src/gateway/upstream_limits.rs
+++ b/crates/dogwoodpier-core/src/gateway/upstream_limits.rs
@@ -1,4 +1,5 @@
-//! Rate limits that upstreams name in their responses.
+//! Rate limits of upstreams: those that upstreams name in their responses, and those of cold
+//! upstreams.
 //!
 //! Load pattern: an upstream in trouble names the requests per second that it accepts from all
 //! instances together, changes the number, and stops naming one when it has recovered. Each
@@ -14,6 +15,8 @@
 
 use crate::TimeMs;
 
+use super::cold_upstreams::ColdUpstreams;
+use super::permits::SendLimit;
 use super::upstreams::Upstream;
 
 // Time for which the end of a limit is reported: several reports of a fleet of 300 instances.
@@ -72,6 +75,8 @@
 #[derive(Debug, Default)]
 pub struct UpstreamLimits {
     entries: BTreeMap<Arc<str>, Entry>,
+    /// Upstreams that are cold or were until recently.
+    pub cold: ColdUpstreams,
 }
 
 impl UpstreamLimits {
@@ -170,6 +175,16 @@
         entry.latest()?.limit_per_s
     }
 
+    /// Returns the limit on the requests to an upstream, if there is one: the lower of the limit that
+    /// it has named and the limit of a cold upstream.
+    pub fn send_limit(&self, upstream: &Upstream, now: TimeMs) -> Option<SendLimit> {
+        let named = self.limit_per_s(upstream).map(SendLimit::from);
+        match (named, self.cold.limit(upstream, now)) {
+            (Some(named), Some(cold)) => Some(named.lower(cold)),
+            (named, cold) => named.or(cold),
+        }
+    }
+
     /// Records that no permit for an upstream is expected before a time.
     pub fn withhold(&mut self, upstream: &Upstream, deadline_ms: TimeMs) {
         let entry = self.entry(&upstream.id, upstream.started_unix_ms);
@@ -178,7 +193,7 @@
 
     /// Returns the time until a permit for an upstream may be available, 0 if it has no limit.
     pub fn withheld_ms(&self, upstream: &Upstream, now: TimeMs) -> u64 {
-        if self.limit_per_s(upstream).is_none() {
+        if self.send_limit(upstream, now).is_none() {
             return 0;
         }
         let entry = self.entries.get(&upstream.id);
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -10,6 +10,16 @@
 pub const LIMITED_SENDS_TOTAL: &str = "dogwoodpier_gateway_limited_sends_total";
 /// Decisions on permits for upstreams that have named a rate limit, by result.
 pub const PERMITS_TOTAL: &str = "dogwoodpier_gateway_permits_total";
+/// Decisions on permits for cold upstreams, by result; included in the above.
+pub const COLD_PERMITS_TOTAL: &str = "dogwoodpier_gateway_cold_permits_total";
+/// Sends to upstreams that are cold or were until recently, by result.
+pub const COLD_SENDS_TOTAL: &str = "dogwoodpier_gateway_cold_sends_total";
+/// Rejected requests of services whose upstreams are all cold.
+pub const COLD_REJECTED_TOTAL: &str = "dogwoodpier_gateway_cold_rejected_total";
+/// Upstreams that were found to be cold, by how this instance learned it.
+pub const COLD_UPSTREAMS_TOTAL: &str = "dogwoodpier_gateway_cold_upstreams_total";
+/// Remaining cold times that were invalid or out of range.
+pub const INVALID_COLD_TOTAL: &str = "dogwoodpier_gateway_invalid_cold_times_total";
 /// Number of evacuated data centres.
 pub const EVACUATED: &str = "dogwoodpier_gateway_evacuated_data_centres";
 /// Crashes of upstreams, counted for each request that was in flight there.
--- a/crates/dogwoodpier-gateway/src/dialect.rs
+++ b/crates/dogwoodpier-gateway/src/dialect.rs
@@ -72,6 +72,15 @@
     pub gateway_only: Vec<HeaderName>,
 }
 
+/// The time for which an upstream states that it stays cold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdRemaining {
+    /// The time, bounded if it was out of range; `None` if the value is no number of milliseconds.
+    pub remaining_ms: Option<u64>,
+    /// What is wrong with the value, if anything.
+    pub problem: Option<String>,
+}
+
 /// Size of a generation request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptSize {
@@ -139,6 +148,10 @@
     pub decode_configuration: fn(&Value) -> Result<Configuration, DecodeError>,
     /// Decodes an upstream from the name and the value of its entry.
     pub decode_upstream: fn(&str, &Value) -> Result<Upstream, DecodeError>,
+    /// Reads for how long an upstream stays cold from its entry, `None` if that is not stated.
+    pub decode_cold_entry: fn(&Value) -> Option<ColdRemaining>,
+    /// The same from the headers of a response.
+    pub decode_cold_response: fn(&HeaderMap) -> Option<ColdRemaining>,
     /// Reads the size of a generation request from its headers.
     pub decode_prompt_size: fn(&HeaderMap) -> Option<PromptSize>,
     /// Reads the ids of the parts of a generation request's prompt that other requests may share, in
--- a/crates/dogwoodpier-gateway/src/engines.rs
+++ b/crates/dogwoodpier-gateway/src/engines.rs
@@ -27,6 +27,7 @@
 
 use crate::body::ResponseBody;
 use crate::broker;
+use crate::cold;
 use crate::counters;
 use crate::dialect::PromptSize;
 use crate::forwarding;
@@ -259,7 +260,7 @@
         let started_ms = clock::now();
         let backoff_ms = queues::backoff_ms(gateway, service, progress.version.as_ref());
         if backoff_ms > slot_request.queue_deadline_ms.remaining(started_ms) {
-            return Err(reject(request, &progress, backoff_ms));
+            return Err(reject(gateway, request, &progress, backoff_ms));
         }
         let placement = broker::place(gateway, slot_request);
         let placement = gateway
@@ -271,7 +272,7 @@
         let placement = match placement {
             Some(Ok(placement)) => placement,
             Some(Err(refusal)) => {
-                return Err(reject(request, &progress, refusal.retry_after_ms));
+                return Err(reject(gateway, request, &progress, refusal.retry_after_ms));
             }
             None => break,
         };
@@ -297,11 +298,26 @@
     {
         return Err(rejection);
     }
-    Err(reject(request, &progress, queues::NO_ENGINE_RETRY_MS))
+    Err(reject(
+        gateway,
+        request,
+        &progress,
+        queues::NO_ENGINE_RETRY_MS,
+    ))
 }
 
-fn reject(request: &ClientRequest, progress: &Progress, retry_after_ms: u64) -> Rejection {
+fn reject(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    progress: &Progress,
+    retry_after_ms: u64,
+) -> Rejection {
     let remaining_ms = request.deadline_ms.remaining(clock::now());
+    let cold_ms = match progress.attempts.runs {
+        0 => cold::retry_after_ms(gateway, &request.service.name, remaining_ms),
+        _ => None,
+    };
+    let retry_after_ms = cold_ms.unwrap_or(retry_after_ms);
     match (progress.attempts.runs, progress.timed_out) {
         (0, _) if progress.unrecorded => {
             Rejection::with_retry_after(Reason::VersionNotRecorded, retry_after_ms, remaining_ms)
@@ -442,7 +458,9 @@
         SendOutcome::NotExecuted(_) | SendOutcome::Withheld => {
             decode.set_result(broker::GrantOutcome::Full)
         }
-        SendOutcome::NoPath(_) => decode.set_result(broker::GrantOutcome::Withheld),
+        SendOutcome::NoPath(_) | SendOutcome::NoPermit => {
+            decode.set_result(broker::GrantOutcome::Withheld);
+        }
         // The grant ends unused.
         SendOutcome::Quarantined => {}
         SendOutcome::Cut(_) => {
--- a/crates/dogwoodpier-gateway/src/forwarding.rs
+++ b/crates/dogwoodpier-gateway/src/forwarding.rs
@@ -19,8 +19,10 @@
 use dogwoodpier_http::SendError;
 use dogwoodpier_process::clock;
 
+use crate::cold;
 use crate::counters;
 use crate::paths;
+use crate::permits;
 use crate::permits::SendPermit;
 use crate::request::ClientRequest;
 use crate::state::Gateway;
@@ -40,6 +42,8 @@
     NoPath(String),
     /// Nothing was sent, as the upstream asked this instance to back off.
     Withheld,
+    /// Nothing was sent, as the upstream is cold and the permit for it is no longer valid.
+    NoPermit,
     /// Nothing was sent, as the request or a part of its prompt is quarantined.
     Quarantined,
     /// The upstream rejected the request and has not run it.
@@ -60,6 +64,7 @@
             Self::NotSent(_) => "not_sent",
             Self::NoPath(_) => "no_path",
             Self::Withheld => "withheld",
+            Self::NoPermit => "no_permit",
             Self::Quarantined => "quarantined",
             Self::NotExecuted(_) => "not_executed",
             Self::Cut(_) => "cut",
@@ -75,6 +80,7 @@
             Self::NotSent(_)
                 | Self::NoPath(_)
                 | Self::Withheld
+                | Self::NoPermit
                 | Self::Quarantined
                 | Self::NotExecuted(_)
         )
@@ -119,28 +125,44 @@
     gateway: &SharedGateway,
     request: &ClientRequest,
     upstream: &Upstream,
-    // Used up by this send.
-    _permit: SendPermit,
+    permit: SendPermit,
     extra_headers: ExtraHeaders,
     send_deadline_ms: TimeMs,
 ) -> SendOutcome {
     let started_ms = clock::now();
-    let outcome = try_send(gateway, request, upstream, extra_headers, send_deadline_ms).await;
+    let outcome = match permits::renew(gateway, request, upstream, permit).await {
+        Ok(permit) => {
+            try_send(
+                gateway,
+                request,
+                upstream,
+                &permit,
+                extra_headers,
+                send_deadline_ms,
+            )
+            .await
+        }
+        Err(_) => SendOutcome::NoPermit,
+    };
     let elapsed_ms = clock::now().since(started_ms);
     metrics::counter!(counters::SENDS_TOTAL, "result" => outcome.as_str()).increment(1);
     metrics::histogram!(counters::SEND_MS).record(elapsed_ms as f64);
-    if gateway
-        .state()
-        .upstream_limits
-        .limit_per_s(upstream)
-        .is_some()
-    {
+    let limit = {
+        let limits = &gateway.state().upstream_limits;
+        limits.send_limit(upstream, clock::now())
+    };
+    if let Some(limit) = limit {
         metrics::counter!(counters::LIMITED_SENDS_TOTAL, "result" => outcome.as_str()).increment(1);
+        if limit.is_cold {
+            metrics::counter!(counters::COLD_SENDS_TOTAL, "result" => outcome.as_str())
+                .increment(1);
+        }
     }
     match &outcome {
         SendOutcome::Answered(_)
         | SendOutcome::NoPath(_)
         | SendOutcome::Withheld
+        | SendOutcome::NoPermit
         | SendOutcome::Quarantined => {}
         // The upstream may have answered on a path that is lost.
         SendOutcome::TimedOut if gateway.state().partition.is_partitioned() => {}
@@ -176,6 +198,7 @@
         SendOutcome::NotExecuted(status) => format!("status {}", status.as_u16()),
         SendOutcome::Answered(_)
         | SendOutcome::Withheld
+        | SendOutcome::NoPermit
         | SendOutcome::Quarantined
         | SendOutcome::TimedOut => String::new(),
     };
@@ -196,6 +219,8 @@
     gateway: &SharedGateway,
     request: &ClientRequest,
     upstream: &Upstream,
+    // Used up by this send.
+    permit: &SendPermit,
     extra_headers: ExtraHeaders,
     send_deadline_ms: TimeMs,
 ) -> SendOutcome {
@@ -216,7 +241,9 @@
     let result = match send_by(gateway, upstream, send_deadline_ms, build).await {
         Err(SendFailure::NoConnection {
             by_relay: false, ..
-        }) if paths::check(gateway, upstream).await => {
+        }) if paths::check(gateway, upstream).await
+            && permits::is_valid(gateway, upstream, permit) =>
+        {
             send_by(gateway, upstream, send_deadline_ms, build).await
         }
         result => result,
@@ -229,6 +256,10 @@
             }
             apply_response_hints(gateway, upstream, &reply);
             record_limit(gateway, upstream, &reply, now);
+            // Another incarnation than the intended one speaks for itself only.
+            if reply.status != StatusCode::MISDIRECTED_REQUEST {
+                cold::record_response(gateway, upstream, &reply.headers);
+            }
             classify(gateway, reply)
         }
         Err(SendFailure::Invalid(error)) => SendOutcome::NotSent(error.to_string()),
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod broker;
 pub mod codec;
+pub mod cold;
 pub mod counters;
 pub mod dialect;
 pub mod dispatch;
--- a/crates/dogwoodpier-gateway/src/owners.rs
+++ b/crates/dogwoodpier-gateway/src/owners.rs
@@ -97,6 +97,42 @@
     OwnerReply::NoAnswer
 }
 
+/// Sends a request to the only owner of `name`. Nobody is asked in its place, as two owners could not
+/// know of each other's decisions.
+pub async fn ask_sole<A, M>(
+    gateway: &Gateway,
+    name: &str,
+    pending: &PendingRequests<A>,
+    message: M,
+) -> OwnerReply<A>
+where
+    M: Fn(u64) -> Message,
+{
+    let settings = gateway.settings.load();
+    let now = clock::now();
+    let owner = {
+        let state = gateway.state();
+        let peers = state.peer_reports.sole_owner_candidates(now);
+        let members = peers.chain(std::iter::once((&settings.instance, settings.capacity)));
+        owners::rank_owners(name, members, 1).pop()
+    };
+    let Some(owner) = owner.filter(|owner| *owner != settings.instance) else {
+        return OwnerReply::Local;
+    };
+    let is_suspected = gateway.owners.lock().contains(&owner, now);
+    let address = gateway.peer_addresses.get(&owner);
+    let Some(address) = address.filter(|_| !is_suspected) else {
+        return OwnerReply::NoAnswer;
+    };
+    match pending.send(gateway, address, &message).await {
+        Some(answer) => OwnerReply::Peer { address, answer },
+        None => {
+            gateway.owners.record_timeout(gateway, &owner, name);
+            OwnerReply::NoAnswer
+        }
+    }
+}
+
 /// Returns the owner of a service, a workspace or an upstream with a rate limit.
 pub fn owner_of(gateway: &Gateway, name: &str) -> Owner {
     rank_owners(gateway, name, 1, Unresponsive::Excluded)
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -24,6 +24,8 @@
 use crate::broker::PlacementRequest;
 use crate::broker::VersionPlacementRequest;
 use crate::codec;
+use crate::cold;
+use crate::cold::ColdReport;
 use crate::evacuations;
 use crate::forwarding;
 use crate::newer_configuration;
@@ -92,6 +94,8 @@
     AskVersion(VersionPlacementRequest),
     /// A request failed at an engine that the receiver had granted.
     EngineFailure(EngineFailure),
+    /// Upstreams that the sender has found to be cold.
+    Cold(ColdReport),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -158,6 +162,7 @@
             broker::handle_request(gateway, from, request, Some(version));
         }
         Message::EngineFailure(failure) => broker::handle_failure(gateway, &failure),
+        Message::Cold(report) => cold::handle_report(gateway, &report),
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/permits.rs
+++ b/crates/dogwoodpier-gateway/src/permits.rs
@@ -1,5 +1,8 @@
-//! Permits to send requests to upstreams that have named a rate limit, requested from the instances
-//! that issue them.
+//! Permits to send requests to upstreams that have named a rate limit or are cold, requested from the
+//! instances that issue them.
+//!
+//! A permit for a cold upstream is issued by its only owner. If that one does not answer, nothing is
+//! sent: a successor could not know what the owner issues at the same time.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,19 +10,29 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::permits::PermitDecision;
+use dogwoodpier_core::gateway::permits::SendLimit;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 use dogwoodpier_derive::wire;
 use dogwoodpier_process::clock;
 
+use crate::cold;
 use crate::counters;
 use crate::owners;
 use crate::owners::OwnerReply;
 use crate::peer_messages::Message;
 use crate::request::ClientRequest;
 use crate::state::Gateway;
+use crate::state::RoutingState;
 
 // Time after which an owner that did not answer has been replaced, or knows a new upstream.
 const NO_DECISION_RETRY_MS: u64 = 250;
+// Longest wait for a permit for a cold upstream. Permits that were issued ahead by an owner that has
+// since ended add to those of its successor.
+const MAX_COLD_WAIT_MS: u64 = 200;
+// Time after which a permit for a cold upstream is no longer valid: a prefill at a warm engine fits
+// into it. The sends of a second may use the permits of this time more, which fits into the 1.5 times
+// the rate that a cold upstream stands.
+const COLD_PERMIT_VALID_MS: u64 = 300;
 
 /// A request for a permit.
 #[wire]
@@ -54,7 +67,10 @@
 
 /// Permission to send one request to an upstream.
 #[must_use]
-pub struct SendPermit(());
+pub struct SendPermit {
+    // Time at which it was issued, `None` if the upstream had no limit.
+    issued_ms: Option<TimeMs>,
+}
 
 /// A permit was denied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,8 +79,41 @@
     pub retry_after_ms: u64,
 }
 
-/// Gets a permit to send a request to an upstream, at once if the upstream has named no limit. Waits
-/// until `wait_deadline_ms` at most.
+/// Returns whether a request may be sent with a permit. For a cold upstream, the permit must have been
+/// issued recently, and after it was known that the upstream is cold.
+pub fn is_valid(gateway: &Gateway, upstream: &Upstream, permit: &SendPermit) -> bool {
+    let now = clock::now();
+    let limit = gateway.state().upstream_limits.send_limit(upstream, now);
+    let is_recent = |issued_ms| now.since(issued_ms) <= COLD_PERMIT_VALID_MS;
+    !limit.is_some_and(|limit| limit.is_cold) || permit.issued_ms.is_some_and(is_recent)
+}
+
+/// Returns `permit` if it is valid, or else another one, if there is one soon.
+///
+/// # Errors
+///
+/// Fails if there is none.
+pub async fn renew(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    upstream: &Upstream,
+    permit: SendPermit,
+) -> Result<SendPermit, NoPermit> {
+    if is_valid(gateway, upstream, &permit) {
+        return Ok(permit);
+    }
+    let wait_deadline_ms = clock::now().after(MAX_COLD_WAIT_MS);
+    acquire(
+        gateway,
+        request,
+        upstream,
+        wait_deadline_ms.min(request.deadline_ms),
+    )
+    .await
+}
+
+/// Gets a permit to send a request to an upstream, at once if the upstream has no limit. Waits until
+/// `wait_deadline_ms` at most.
 ///
 /// # Errors
 ///
@@ -76,33 +125,44 @@
     wait_deadline_ms: TimeMs,
 ) -> Result<SendPermit, NoPermit> {
     let now = clock::now();
-    let max_wait_ms = wait_deadline_ms.remaining(now);
-    let (limit_per_s, withheld_ms) = {
+    let (limit, withheld_ms) = {
         let limits = &gateway.state().upstream_limits;
-        match limits.limit_per_s(upstream) {
-            None => return Ok(SendPermit(())),
-            Some(limit_per_s) => (limit_per_s, limits.withheld_ms(upstream, now)),
+        match limits.send_limit(upstream, now) {
+            None => return Ok(SendPermit { issued_ms: None }),
+            Some(limit) => (limit, limits.withheld_ms(upstream, now)),
         }
     };
+    let max_wait_ms = match limit.is_cold {
+        true => wait_deadline_ms.remaining(now).min(MAX_COLD_WAIT_MS),
+        false => wait_deadline_ms.remaining(now),
+    };
     if withheld_ms > max_wait_ms {
         return Err(NoPermit {
             retry_after_ms: withheld_ms,
         });
     }
-    let decision = decide(gateway, upstream, limit_per_s, max_wait_ms).await;
-    log_decision(gateway, request, upstream, limit_per_s, decision);
+    let decision = decide(gateway, upstream, limit, max_wait_ms).await;
+    log_decision(gateway, request, upstream, limit, decision);
     match decision {
-        PermitDecision::Granted { wait_ms: 0 } => Ok(SendPermit(())),
+        PermitDecision::Granted { wait_ms: 0 } => Ok(SendPermit {
+            issued_ms: Some(now),
+        }),
         PermitDecision::Granted { wait_ms } => {
             tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             let upstreams = &gateway.state().upstreams;
             let known = upstreams.get(&upstream.id);
             match known.is_some_and(|known| upstreams.is_available(known)) {
-                true => Ok(SendPermit(())),
+                true => Ok(SendPermit {
+                    issued_ms: Some(now.after(wait_ms)),
+                }),
                 false => Err(NoPermit { retry_after_ms: 0 }),
             }
         }
         PermitDecision::Denied { retry_after_ms } => {
+            let retry_after_ms = match limit.is_cold {
+                true => retry_after_ms.max(cold::ask_pause_ms(gateway, limit)),
+                false => retry_after_ms,
+            };
             let deadline_ms = clock::now().after(retry_after_ms);
             let limits = &mut gateway.state().upstream_limits;
             limits.withhold(upstream, deadline_ms);
@@ -123,20 +183,25 @@
 async fn decide(
     gateway: &Gateway,
     upstream: &Upstream,
-    limit_per_s: f64,
+    limit: SendLimit,
     max_wait_ms: u64,
 ) -> PermitDecision {
     let message = |ticket| {
         Message::PermitAsk(PermitRequest {
             ticket,
             upstream: upstream.id.clone(),
-            limit_per_s,
+            limit_per_s: limit.rate_per_s,
             max_wait_ms,
         })
     };
     let pending = &gateway.pending_permit_requests;
-    match owners::ask(gateway, owned_name(upstream), pending, message).await {
-        OwnerReply::Local => decide_locally(gateway, &upstream.id, limit_per_s, max_wait_ms),
+    let name = owned_name(upstream);
+    let reply = match limit.is_cold {
+        true => owners::ask_sole(gateway, name, pending, message).await,
+        false => owners::ask(gateway, name, pending, message).await,
+    };
+    match reply {
+        OwnerReply::Local => decide_locally(gateway, &upstream.id, limit.rate_per_s, max_wait_ms),
         OwnerReply::Peer { answer, .. } => answer,
         OwnerReply::NoAnswer => PermitDecision::Denied {
             retry_after_ms: NO_DECISION_RETRY_MS,
@@ -157,16 +222,21 @@
             retry_after_ms: NO_DECISION_RETRY_MS,
         };
     };
-    let known_limit_per_s = state.upstream_limits.limit_per_s(&upstream);
-    let limit_per_s = known_limit_per_s.unwrap_or(asked_limit_per_s);
-    let membership = state.peer_reports.membership(now);
+    let limit = issuing_limit(&state, &upstream, asked_limit_per_s, now);
+    if limit.is_cold && !state.peers_known {
+        // Others may be issuing permits.
+        return PermitDecision::Denied {
+            retry_after_ms: NO_DECISION_RETRY_MS,
+        };
+    }
+    let membership = state.permit_membership(limit, now);
     let permits = &mut state.permits;
-    let decision = permits.request(&upstream.id, limit_per_s, max_wait_ms, membership, now);
+    let decision = permits.request(&upstream.id, limit, max_wait_ms, membership, now);
     drop(state);
     if let PermitDecision::Granted { .. } = decision {
         let notice = Message::PermitNotice(PermitNotice {
             upstream: upstream.id.clone(),
-            limit_per_s,
+            limit_per_s: limit.rate_per_s,
         });
         for address in owners::candidates(gateway, owned_name(&upstream)) {
             gateway.send_message(address, &notice);
@@ -175,6 +245,23 @@
     decision
 }
 
+// Returns the limit by which permits for an upstream are issued. If the sender of a request knows that
+// the upstream is cold, this instance may not know it yet.
+fn issuing_limit(
+    state: &RoutingState,
+    upstream: &Upstream,
+    asked_limit_per_s: f64,
+    now: TimeMs,
+) -> SendLimit {
+    let limits = &state.upstream_limits;
+    let known = limits.send_limit(upstream, now);
+    if !limits.cold.is_configured(&upstream.service) {
+        return known.unwrap_or(asked_limit_per_s.into());
+    }
+    let asked = SendLimit::cold(asked_limit_per_s);
+    known.map_or(asked, |known| known.lower(asked))
+}
+
 /// Handles a peer's notice of a permit.
 pub fn handle_notice(gateway: &Gateway, notice: &PermitNotice) {
     let now = clock::now();
@@ -182,16 +269,20 @@
     let Some(upstream) = state.upstreams.get(&notice.upstream).cloned() else {
         return;
     };
-    let membership = state.peer_reports.membership(now);
+    let limit = match state.upstream_limits.cold.is_configured(&upstream.service) {
+        true => issuing_limit(&state, &upstream, notice.limit_per_s, now),
+        false => notice.limit_per_s.into(),
+    };
+    let membership = state.permit_membership(limit, now);
     let permits = &mut state.permits;
-    permits.record_issued(&upstream.id, notice.limit_per_s, membership, now);
+    permits.record_issued(&upstream.id, limit, membership, now);
 }
 
 fn log_decision(
     gateway: &Gateway,
     request: &ClientRequest,
     upstream: &Upstream,
-    limit_per_s: f64,
+    limit: SendLimit,
     decision: PermitDecision,
 ) {
     let (result, wait_ms) = match decision {
@@ -199,6 +290,11 @@
         PermitDecision::Denied { retry_after_ms } => ("denied", retry_after_ms),
     };
     metrics::counter!(counters::PERMITS_TOTAL, "result" => result).increment(1);
+    // Tens of permits a second are issued for each cold upstream, so these are only counted.
+    if limit.is_cold {
+        metrics::counter!(counters::COLD_PERMITS_TOTAL, "result" => result).increment(1);
+        return;
+    }
     gateway.events.write(
         "permit",
         serde_json::json!({
@@ -206,7 +302,7 @@
             "upstream": &*upstream.id,
             "result": result,
             "wait_ms": wait_ms,
-            "limit_per_s": limit_per_s,
+            "limit_per_s": limit.rate_per_s,
         }),
     );
 }
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -12,6 +12,7 @@
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
+use dogwoodpier_core::gateway::placement::Candidate;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::placement::Selector;
 use dogwoodpier_core::gateway::retries::Attempts;
@@ -20,6 +21,7 @@
 use dogwoodpier_process::clock;
 
 use crate::body::ResponseBody;
+use crate::cold;
 use crate::forwarding;
 use crate::forwarding::SendOutcome;
 use crate::headers;
@@ -214,6 +216,14 @@
     match permits::acquire(gateway, request, guard.upstream(), wait_deadline_ms).await {
         Ok(permit) => Ok((guard, permit)),
         Err(denied) => {
+            let remaining_ms = request.deadline_ms.remaining(clock::now());
+            let service = &request.service.name;
+            if let Some(retry_after_ms) = cold::retry_after_ms(gateway, service, remaining_ms) {
+                return Err(NotSelected {
+                    reason: Reason::UpstreamLimited,
+                    retry_after_ms,
+                });
+            }
             // Clients that are refused at the same time must not return at the same time.
             let spread = 1.0 + rand::random::<f64>();
             let retry_after_ms = denied.retry_after_ms.max(NOT_RUN_RETRY_MS) as f64 * spread;
@@ -238,7 +248,7 @@
         let candidates = state.candidates(&request.service.name);
         let limited = candidates.into_iter().filter(|candidate| {
             let upstream = &candidate.upstream;
-            state.upstream_limits.limit_per_s(upstream).is_some()
+            state.upstream_limits.send_limit(upstream, now).is_some()
                 && state.health.backoff_ms(&upstream.id, now) == 0
         });
         let next = limited.min_by_key(|candidate| {
@@ -274,7 +284,7 @@
         let now = clock::now();
         candidates.retain(|candidate| {
             let upstream = &candidate.upstream;
-            let is_limited = state.upstream_limits.limit_per_s(upstream).is_some();
+            let is_limited = state.upstream_limits.send_limit(upstream, now).is_some();
             state.health.backoff_ms(&upstream.id, now) == 0 && !(unlimited_only && is_limited)
         });
         state.retain_permitted(&mut candidates, now);
@@ -284,6 +294,16 @@
         {
             candidates.retain(|candidate| !tried.contains(&candidate.upstream.id));
         }
+        // Cold upstreams are slow. They get requests only if the others have no room.
+        let has_room = |candidate: &Candidate| {
+            let upstream = &candidate.upstream;
+            !state.is_cold(upstream, now)
+                && !state.health.is_avoided(&upstream.id, now)
+                && candidate.load.requests < upstream.slots
+        };
+        if candidates.iter().any(has_room) {
+            candidates.retain(|candidate| !state.is_cold(&candidate.upstream, now));
+        }
         let selector = Selector {
             data_centre: &settings.data_centre,
             health: &state.health,
--- a/crates/dogwoodpier-gateway/src/prefill.rs
+++ b/crates/dogwoodpier-gateway/src/prefill.rs
@@ -122,7 +122,7 @@
             return None;
         }
         SendOutcome::Quarantined => return None,
-        SendOutcome::NoPath(_) => {
+        SendOutcome::NoPath(_) | SendOutcome::NoPermit => {
             guard.set_result(broker::GrantOutcome::Withheld);
             return None;
         }
--- a/crates/dogwoodpier-gateway/src/queues.rs
+++ b/crates/dogwoodpier-gateway/src/queues.rs
@@ -466,16 +466,35 @@
         .get(&request.service)
         .copied()
         .unwrap_or_default();
-    let decode = selector.select_decode(
-        &decoding,
-        request.kv_tokens,
-        memory_limit.limit(spec.kv_tokens),
-    )?;
-    let decode = decoding.swap_remove(decode).upstream;
+    let decode = select_warm_first(state, decoding, |engines| {
+        selector.select_decode(
+            engines,
+            request.kv_tokens,
+            memory_limit.limit(spec.kv_tokens),
+        )
+    })?;
     // The KV cache of one software version is not known to suit another.
     prefilling.retain(|candidate| candidate.upstream.software_version == decode.software_version);
-    let prefill = selector
-        .select_prefill(&prefilling, request.prompt_tokens)
-        .map(|placement| prefilling.swap_remove(placement).upstream);
+    let prefill = select_warm_first(state, prefilling, |engines| {
+        selector.select_prefill(engines, request.prompt_tokens)
+    });
     Some((decode, prefill))
 }
+
+// Selects among the engines that are warm, and among the cold ones, which are slow, only if no warm one
+// can be selected.
+fn select_warm_first<S>(
+    state: &RoutingState,
+    engines: Vec<Candidate>,
+    select: S,
+) -> Option<Arc<Upstream>>
+where
+    S: Fn(&[Candidate]) -> Option<usize>,
+{
+    let now = clock::now();
+    let (cold, warm): (Vec<Candidate>, Vec<Candidate>) = engines
+        .into_iter()
+        .partition(|engine| state.is_cold(&engine.upstream, now));
+    let selected = |engines: &[Candidate]| Some(engines[select(engines)?].upstream.clone());
+    selected(&warm).or_else(|| selected(&cold))
+}
--- a/crates/dogwoodpier-gateway/src/registry.rs
+++ b/crates/dogwoodpier-gateway/src/registry.rs
@@ -221,6 +221,7 @@
 }
 
 fn apply_listing(gateway: &SharedGateway, objects: &[Object]) {
+    gateway.state().peers_known = true;
     let known = gateway.peer_addresses.instances();
     let added = objects
         .iter()
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -36,6 +36,7 @@
 use dogwoodpier_process::supervise::supervise;
 
 use crate::broker::Broker;
+use crate::cold::InvalidReports;
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
 use crate::evacuations;
@@ -158,6 +159,7 @@
             health: UpstreamHealth::default(),
             upstream_limits: UpstreamLimits::default(),
             permits: Permits::default(),
+            peers_known: false,
             peer_reports: PeerReports::new(settings.report_options),
             quotas: Quotas::default(),
             quota_shares: Quotas::default(),
@@ -172,6 +174,7 @@
         pending_quota_requests: PendingRequests::default(),
         pending_permit_requests: PendingRequests::default(),
         quarantine: Quarantine::default(),
+        invalid_cold_reports: InvalidReports::default(),
         stream_origins: StreamOrigins::default(),
         timing_stats: TimingStats::default(),
         queues: Queues::default(),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -23,10 +23,12 @@
 use dogwoodpier_core::gateway::permits;
 use dogwoodpier_core::gateway::permits::PermitDecision;
 use dogwoodpier_core::gateway::permits::Permits;
+use dogwoodpier_core::gateway::permits::SendLimit;
 use dogwoodpier_core::gateway::placement::Candidate;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::placement::UpstreamHealth;
 use dogwoodpier_core::gateway::quota::Decision;
+use dogwoodpier_core::gateway::quota::Membership;
 use dogwoodpier_core::gateway::quota::Quotas;
 use dogwoodpier_core::gateway::retries::PREFILL_RESERVE;
 use dogwoodpier_core::gateway::retries::RetryBudget;
@@ -50,6 +52,7 @@
 use crate::broker::EngineFailure;
 use crate::broker::EngineRelease;
 use crate::codec;
+use crate::cold::InvalidReports;
 use crate::dialect::Dialect;
 use crate::dialect::Features;
 use crate::engines::TimingStats;
@@ -94,6 +97,8 @@
     pub pending_permit_requests: PendingRequests<PermitDecision>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
+    /// Invalid remaining cold times that are not logged yet.
+    pub invalid_cold_reports: InvalidReports,
     /// Software versions that began streams.
     pub stream_origins: StreamOrigins,
     /// Statistics on clients' waits and engines' first events.
@@ -143,10 +148,12 @@
     pub upstreams_known: bool,
     /// Recent outcomes of sends, by upstream.
     pub health: UpstreamHealth,
-    /// Rate limits that upstreams have named.
+    /// Rate limits that upstreams have named, and cold upstreams.
     pub upstream_limits: UpstreamLimits,
     /// Permits for the limited upstreams that this instance issues them for.
     pub permits: Permits,
+    /// Whether the registrations of the peers have been read at least once.
+    pub peers_known: bool,
     /// Known peers and their latest reports.
     pub peer_reports: PeerReports,
     /// Quotas of the workspaces that this instance owns.
@@ -317,22 +324,41 @@
         let membership = LazyCell::new(|| self.peer_reports.membership(now));
         candidates.retain(|candidate| {
             let upstream = &candidate.upstream;
-            let limit_per_s = self.upstream_limits.limit_per_s(upstream);
-            limit_per_s.is_none_or(|limit_per_s| {
+            let limit = self.upstream_limits.send_limit(upstream, now);
+            limit.is_none_or(|limit| {
+                let membership = match limit.is_cold {
+                    true => self.permit_membership(limit, now),
+                    false => *membership,
+                };
                 let permits = &self.permits;
                 self.upstream_limits.withheld_ms(upstream, now) == 0
-                    && permits.is_available(&upstream.id, limit_per_s, *membership, now)
+                    && permits.is_available(&upstream.id, limit, membership, now)
             })
         });
     }
 
+    /// Returns the membership that determines this instance's share of an upstream's rate limit.
+    pub fn permit_membership(&self, limit: SendLimit, now: TimeMs) -> Membership {
+        match limit.is_cold {
+            true => self.peer_reports.registered_membership(now),
+            false => self.peer_reports.membership(now),
+        }
+    }
+
+    /// Returns whether an upstream is cold.
+    pub fn is_cold(&self, upstream: &Upstream, now: TimeMs) -> bool {
+        self.upstream_limits.cold.remaining_ms(upstream, now) > 0
+    }
+
     /// Returns the average time between two permits for the decode engines of a service, 0 if one of
     /// them has no rate limit.
     pub fn permit_interval_ms(&self, service: &str) -> f64 {
         let serving = self.upstreams.available(service);
         let decoding = serving.filter(|upstream| upstream.stage != Some(Stage::Prefill));
-        let limits = decoding.map(|upstream| self.upstream_limits.limit_per_s(upstream));
-        let rates = limits.map(|limit_per_s| limit_per_s.map(permits::permit_rate_per_s));
+        let now = clock::now();
+        let limits = decoding.map(|upstream| self.upstream_limits.send_limit(upstream, now));
+        let rates =
+            limits.map(|limit| limit.map(|limit| permits::permit_rate_per_s(limit.rate_per_s)));
         let total_per_s: Option<f64> = rates.sum();
         total_per_s
             .filter(|total_per_s| *total_per_s > 0.0)
@@ -344,8 +370,14 @@
         self.versions.observe(self.upstreams.engine_versions(), now);
     }
 
-    /// Removes what is known of an incarnation of an upstream.
+    /// Removes what is known of an upstream that is gone.
     pub fn forget_upstream(&mut self, id: &str) {
+        self.forget_incarnation(id);
+        self.upstream_limits.cold.forget(id);
+    }
+
+    /// Removes what is known of the former incarnation of an upstream that has restarted.
+    pub fn forget_incarnation(&mut self, id: &str) {
         self.health.forget(id);
         self.upstream_limits.forget(id);
         self.permits.forget(id);
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -28,9 +28,11 @@
 use dogwoodpier_platform::wire::Object;
 use dogwoodpier_process::clock;
 
+use crate::cold;
 use crate::counters;
 use crate::evacuations;
 use crate::state::Gateway;
+use crate::state::RoutingState;
 use crate::state::SharedGateway;
 
 // Pause before a failed call is retried, doubled with each further failure: long enough for a busy
@@ -320,6 +322,7 @@
             "store_version": object.version,
         }),
     );
+    cold::configure(gateway, &configuration);
     gateway.configuration.store(Some(Arc::new(configuration)));
 }
 
@@ -335,11 +338,17 @@
     Follower {
         kind: gateway.dialect.objects.upstream_kind,
         replace: |gateway, listing, was_restored, outage| {
-            let listing: Vec<Upstream> = listing
+            let listed: Vec<(Upstream, &Object)> = listing
                 .items
                 .iter()
-                .filter_map(|object| read_upstream(gateway, object))
+                .filter_map(|object| Some((read_upstream(gateway, object)?, object)))
                 .collect();
+            // Before requests are sent to upstreams that were unknown.
+            for (upstream, object) in &listed {
+                let is_new = is_new_incarnation(&gateway.state(), upstream);
+                cold::record_entry(gateway, upstream, object, is_new);
+            }
+            let listing = listed.into_iter().map(|(upstream, _)| upstream);
             let now = clock::now();
             let held_back_deadline_ms = was_restored.then(|| now.after(LAPSE_MS));
             let grace_deadline_ms = outage.grace_deadline_ms(now);
@@ -356,7 +365,7 @@
             if change.deleted {
                 remove_upstream(gateway, &change.object.name, outage);
             } else if let Some(upstream) = read_upstream(gateway, &change.object) {
-                put_upstream(gateway, upstream);
+                put_upstream(gateway, upstream, &change.object);
             } else {
                 // An entry that was overwritten with invalid data no longer describes an upstream.
                 remove_upstream(gateway, &change.object.name, &StoreOutage::default());
@@ -376,24 +385,30 @@
         .ok()
 }
 
-fn put_upstream(gateway: &SharedGateway, upstream: Upstream) {
+fn is_new_incarnation(state: &RoutingState, upstream: &Upstream) -> bool {
+    let known = state.upstreams.get(&upstream.id);
+    known.is_none_or(|known| known.started_unix_ms != upstream.started_unix_ms)
+}
+
+fn put_upstream(gateway: &SharedGateway, upstream: Upstream, object: &Object) {
     let fields = serde_json::json!({
         "upstream": &*upstream.id,
         "address": upstream.address.to_string(),
         "version": &*upstream.software_version,
         "accepts_work": upstream.accepts_work,
     });
+    let is_new = is_new_incarnation(&gateway.state(), &upstream);
+    // Before requests are sent to this incarnation.
+    cold::record_entry(gateway, &upstream, object, is_new);
     let restarted = {
         let mut state = gateway.state();
-        let before = state.upstreams.get(&upstream.id).cloned();
-        let restarted =
-            before.is_some_and(|before| before.started_unix_ms != upstream.started_unix_ms);
+        let restarted = is_new && state.upstreams.get(&upstream.id).is_some();
         if !state.upstreams.upsert(upstream.clone()) {
             return;
         }
         state.observe_versions(clock::now());
         if restarted {
-            state.forget_upstream(&upstream.id);
+            state.forget_incarnation(&upstream.id);
         }
         for id in state.upstreams.replaced_by(&upstream) {
             state
--- a/crates/dogwoodpier-gateway/src/witness.rs
+++ b/crates/dogwoodpier-gateway/src/witness.rs
@@ -27,6 +27,7 @@
 use dogwoodpier_http::SendError;
 use dogwoodpier_process::clock;
 
+use crate::cold;
 use crate::counters;
 use crate::paths;
 use crate::state::SharedGateway;
@@ -97,6 +98,7 @@
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 return Err("another upstream responded");
             }
+            cold::record_response(&self.gateway, &self.upstream, &head.headers);
             // The request has no id. A faulty upstream may have sent an earlier response once more.
             let id = head.headers.get(&self.gateway.dialect.headers.request_id);
             match id.is_some_and(|id| !id.is_empty()) {
