--- a/crates/dogwoodpier-core/src/gateway/cold_upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/cold_upstreams.rs
@@ -33,8 +33,6 @@
 // depending on the instance.
 const WARM_UP_STEP_MS: u64 = 500;
 const WARM_UP_FACTORS: [f64; 2] = [2.0, 4.0];
-// Upstreams in one report, which has to fit into a datagram.
-const MAX_REPORTED: usize = 200;
 // Entries above which those of warm upstreams are dropped: peers may report upstreams that never
 // become known.
 const MAX_ENTRIES: usize = 10_000;
@@ -89,6 +87,8 @@
     // Version of the store entry that was read last.
     version: Option<u64>,
     presumed: Option<Presumed>,
+    // What a peer has reported last.
+    reported: Option<Observation>,
 }
 
 // A new incarnation that has not stated whether it is cold. The configuration may be read later than
@@ -129,6 +129,7 @@
     /// cold for the time that its service's upstreams usually are. Returns whether the upstream is
     /// cold for longer than was known.
     pub fn record_entry(&mut self, upstream: &Upstream, state: EntryState, now: TimeMs) -> bool {
+        self.make_room(&upstream.id, now);
         let known = self.entries.entry(upstream.id.clone()).or_default();
         let Some(remaining_ms) = state.remaining_ms else {
             if state.is_new {
@@ -183,12 +184,7 @@
     /// Records what a peer has learned. It only extends the cold time, since each instance reads the
     /// end itself. Returns whether the upstream is cold for longer than was known.
     pub fn record_report(&mut self, id: &Arc<str>, reported: ReportedCold, now: TimeMs) -> bool {
-        if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(id) {
-            self.entries.retain(|_, entry| {
-                let latest = entry.latest;
-                latest.is_some_and(|latest| latest.deadline_ms > now)
-            });
-        }
+        self.make_room(id, now);
         let known = self.entries.entry(id.clone()).or_default();
         let observation = Observation {
             started_unix_ms: reported.started_unix_ms,
@@ -196,6 +192,7 @@
             observed_ms: TimeMs(now.0.saturating_sub(reported.age_ms)),
             observer: Observer::Peer,
         };
+        known.reported = Some(observation);
         let is_outdated = known.latest.is_some_and(|latest| {
             let is_earlier_incarnation = observation.started_unix_ms < latest.started_unix_ms;
             let is_same = observation.started_unix_ms == latest.started_unix_ms;
@@ -207,21 +204,21 @@
         !is_outdated && known.replace(observation, now)
     }
 
-    /// Returns what this instance itself has learned of cold upstreams, for its peers.
-    pub fn reports(&self, now: TimeMs) -> BTreeMap<Arc<str>, ReportedCold> {
-        let own = self.entries.iter().filter_map(|(id, entry)| {
-            let latest = entry.latest?;
-            let is_own = latest.observer != Observer::Peer;
-            (is_own && latest.deadline_ms > now).then(|| {
-                let reported = ReportedCold {
-                    started_unix_ms: latest.started_unix_ms,
-                    remaining_ms: latest.deadline_ms.remaining(now),
-                    age_ms: now.since(latest.observed_ms),
-                };
-                (id.clone(), reported)
-            })
+    /// Returns what this instance itself has learned of an upstream, for its peers. `None` if the
+    /// upstream is not cold or a peer has reported the same.
+    pub fn report(&self, id: &str, now: TimeMs) -> Option<ReportedCold> {
+        let entry = self.entries.get(id)?;
+        let latest = entry.latest?;
+        let is_reported = entry.reported.is_some_and(|reported| {
+            reported.started_unix_ms >= latest.started_unix_ms
+                && latest.deadline_ms.since(reported.deadline_ms) <= DEADLINE_TOLERANCE_MS
         });
-        own.take(MAX_REPORTED).collect()
+        let is_news = latest.deadline_ms > now && !is_reported;
+        is_news.then(|| ReportedCold {
+            started_unix_ms: latest.started_unix_ms,
+            remaining_ms: latest.deadline_ms.remaining(now),
+            age_ms: now.since(latest.observed_ms),
+        })
     }
 
     /// Returns the limit of an upstream that is cold or was until recently.
@@ -255,6 +252,16 @@
         self.entries.remove(upstream);
     }
 
+    fn make_room(&mut self, id: &str, now: TimeMs) {
+        if self.entries.len() < MAX_ENTRIES || self.entries.contains_key(id) {
+            return;
+        }
+        self.entries.retain(|_, entry| {
+            let latest = entry.latest;
+            latest.is_some_and(|latest| latest.deadline_ms > now)
+        });
+    }
+
     fn phase(&self, upstream: &Upstream, now: TimeMs) -> Phase {
         let known = self.entries.get(&upstream.id);
         let Some(latest) = known.and_then(|entry| self.latest(upstream, entry)) else {
--- a/crates/dogwoodpier-core/tests/cold_upstreams.rs
+++ b/crates/dogwoodpier-core/tests/cold_upstreams.rs
@@ -14,7 +14,12 @@
 use dogwoodpier_core::gateway::cold_upstreams::EntryState;
 use dogwoodpier_core::gateway::cold_upstreams::MAX_COLD_MS;
 use dogwoodpier_core::gateway::cold_upstreams::ReportedCold;
+use dogwoodpier_core::gateway::peer_reports::PeerReportOptions;
+use dogwoodpier_core::gateway::peer_reports::PeerReports;
+use dogwoodpier_core::gateway::permits::PermitDecision;
+use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::permits::SendLimit;
+use dogwoodpier_core::gateway::quota::Membership;
 use dogwoodpier_core::gateway::upstream_limits::UpstreamLimits;
 use dogwoodpier_core::gateway::upstreams::Upstream;
 
@@ -40,6 +45,9 @@
         duplication in 0.0_f64..0.2,
         faults in proptest::collection::vec(fault(), 0..4),
         seed in any::<u64>(),
+        heartbeat_ms in 300_u64..1_500,
+        has_pauses in any::<bool>(),
+        has_joint_sends in any::<bool>(),
     ) {
         let scenario = Scenario {
             size,
@@ -49,6 +57,9 @@
             duplication,
             faults,
             seed,
+            heartbeat_ms,
+            has_pauses,
+            has_joint_sends,
         };
         let mut fleet = ColdFleet::new(scenario);
         fleet.run();
@@ -88,7 +99,7 @@
 // Guards against a limit that holds only because almost nothing is sent.
 #[test]
 fn most_of_the_rate_is_used() {
-    for size in [1, 4, 8] {
+    for size in [1, 4, 8, 82] {
         let mut fleet = ColdFleet::new(Scenario {
             size,
             rate_per_s: RATE_PER_S,
@@ -97,6 +108,9 @@
             duplication: 0.0,
             faults: Vec::new(),
             seed: 1,
+            heartbeat_ms: 300,
+            has_pauses: false,
+            has_joint_sends: false,
         });
         fleet.run();
         let most = fleet.most_in_a_second();
@@ -229,11 +243,11 @@
     assert_eq!(cold.remaining_ms(&upstream(2), TimeMs(200)), 2_900);
     // What is known of the later incarnation is no longer news.
     assert!(!cold.record_entry(&upstream(2), entry(2_900, 2), TimeMs(200)));
-    // What a peer has reported is not passed on.
-    let mut other = self::cold();
-    other.record_report(&"i-1".into(), reported, TimeMs(100));
-    assert!(other.reports(TimeMs(100)).is_empty());
-    assert_eq!(cold.reports(TimeMs(200))["i-1"].remaining_ms, 2_900);
+    // What a peer has reported is not reported again.
+    assert_eq!(cold.report("i-1", TimeMs(200)), None);
+    cold.record_response(&upstream(2), 4_000, TimeMs(300));
+    let news = cold.report("i-1", TimeMs(400)).expect("a longer time");
+    assert_eq!((news.remaining_ms, news.age_ms), (3_900, 100));
     // An earlier incarnation no longer counts.
     let earlier = ReportedCold {
         started_unix_ms: Some(1),
@@ -275,3 +289,40 @@
     let cold = SendLimit::cold(RATE_PER_S);
     assert_eq!(limits.send_limit(&upstream, TimeMs(1)), Some(cold));
 }
+
+// Guards against requests that were saved up during a pause and arrive beside those of the next second.
+#[test]
+fn pause_saves_up_few_permits_for_a_cold_upstream() {
+    let mut permits = Permits::default();
+    let id: Arc<str> = "i-1".into();
+    let mut granted = 0;
+    for now_ms in [0, 60_000] {
+        granted = 0;
+        let mut request = || {
+            let limit = SendLimit::cold(100.0);
+            permits.request(&id, limit, 0, Membership::ALONE, TimeMs(now_ms))
+        };
+        while request() == (PermitDecision::Granted { wait_ms: 0 }) {
+            granted += 1;
+        }
+    }
+    assert_eq!(granted, 5);
+}
+
+// Guards against a successor that issues permits while the owner has not noticed that it is cut off.
+#[test]
+fn silent_owner_is_replaced_after_it_has_noticed() {
+    let mut peers = PeerReports::new(PeerReportOptions::default());
+    peers.register(&"g1".into(), 1.0, TimeMs(0));
+    let liveness_ms = peers.liveness_timeout_ms();
+    let is_candidate = |now_ms| peers.sole_owner_candidates(TimeMs(now_ms)).count() == 1;
+    assert!(is_candidate(liveness_ms + 1));
+    assert!(is_candidate(liveness_ms * 2));
+    assert!(!is_candidate(liveness_ms * 2 + 1));
+    // Its part of the rate is not used until it is forgotten.
+    let membership = peers.registered_membership(TimeMs(1_000_000));
+    assert_eq!((membership.members, membership.reachable), (2, 1));
+    peers.forget("g1");
+    let membership = peers.registered_membership(TimeMs(1_000_000));
+    assert_eq!(membership, Membership::ALONE);
+}
--- a/crates/dogwoodpier-core/tests/common/cold_fleet.rs
+++ b/crates/dogwoodpier-core/tests/common/cold_fleet.rs
@@ -25,7 +25,10 @@
 const UPSTREAM: &str = "i-1";
 const STEP_MS: u64 = 5;
 const END_MS: u64 = 12_000;
-const HEARTBEAT_MS: u64 = 300;
+// Time after which the demand changes.
+const DEMAND_MS: u64 = 600;
+// Time between two joint sends.
+const JOINT_MS: u64 = 2_500;
 const REWRITE_MS: u64 = 1_200;
 // Time within which a change of the entry is read: the delay of a watch and of a batch.
 const MAX_READ_MS: u64 = 500;
@@ -73,11 +76,17 @@
     pub duplication: f64,
     pub faults: Vec<Fault>,
     pub seed: u64,
+    /// Time between two reports: several seconds in a large fleet.
+    pub heartbeat_ms: u64,
+    /// Whether there are pauses without requests.
+    pub has_pauses: bool,
+    /// Whether permits are kept until the same times, such as the ends of prefills that began together.
+    pub has_joint_sends: bool,
 }
 
 #[derive(Clone, Debug)]
 enum Message {
-    Report(Report),
+    Report(Box<Report>),
     Ask {
         ticket: u64,
         rate_per_s: f64,
@@ -107,14 +116,18 @@
 }
 
 impl Instance {
-    fn new(number: usize, rate_per_s: f64, starts_ms: u64, incarnation: u64) -> Self {
+    fn new(number: usize, scenario: &Scenario, starts_ms: u64, incarnation: u64) -> Self {
         let mut limits = UpstreamLimits::default();
-        let services = [("desk".into(), cold_start(rate_per_s))];
+        let services = [("desk".into(), cold_start(scenario.rate_per_s))];
         limits.cold.configure(services.into(), &name(number));
+        let options = PeerReportOptions {
+            heartbeat_ms: scenario.heartbeat_ms,
+            ..PeerReportOptions::default()
+        };
         Self {
             starts_ms,
             incarnation,
-            peer_reports: PeerReports::new(PeerReportOptions::default()),
+            peer_reports: PeerReports::new(options),
             limits,
             permits: Permits::default(),
             knows_upstream: false,
@@ -164,13 +177,15 @@
     entry: EntryState,
     cold_until_ms: u64,
     sequence: u64,
+    // Probability that an instance has a request in a step.
+    demand: f64,
 }
 
 impl ColdFleet {
     /// Creates a fleet before its start.
     pub fn new(scenario: Scenario) -> Self {
         let instances = (0..scenario.size)
-            .map(|number| Instance::new(number, scenario.rate_per_s, 0, 1))
+            .map(|number| Instance::new(number, &scenario, 0, 1))
             .collect();
         Self {
             random: StdRng::seed_from_u64(scenario.seed),
@@ -188,6 +203,7 @@
             },
             cold_until_ms: 0,
             sequence: 0,
+            demand: 0.3,
             scenario,
         }
     }
@@ -212,6 +228,10 @@
                 self.rewrite(now_ms);
             }
             self.apply_faults(now_ms);
+            if self.scenario.has_pauses && now_ms.is_multiple_of(DEMAND_MS) {
+                let busy = self.random.random_bool(0.5);
+                self.demand = if busy { 0.3 } else { 0.0 };
+            }
             self.deliver(now_ms);
             for number in 0..self.instances.len() {
                 if self.instances[number].starts_ms <= now_ms {
@@ -285,8 +305,7 @@
                 }
                 Fault::Join { at_ms } if is_now(at_ms) => {
                     let number = self.instances.len();
-                    let rate_per_s = self.scenario.rate_per_s;
-                    let instance = Instance::new(number, rate_per_s, now_ms, 1);
+                    let instance = Instance::new(number, &self.scenario, now_ms, 1);
                     self.instances.push(instance);
                     self.registered.push(number);
                 }
@@ -298,8 +317,7 @@
     fn restart(&mut self, instance: usize, starts_ms: u64) {
         let number = instance % self.instances.len();
         let incarnation = self.instances[number].incarnation + 1;
-        let rate_per_s = self.scenario.rate_per_s;
-        self.instances[number] = Instance::new(number, rate_per_s, starts_ms, incarnation);
+        self.instances[number] = Instance::new(number, &self.scenario, starts_ms, incarnation);
     }
 
     fn is_cut(&self, from: usize, to: usize, now_ms: u64) -> bool {
@@ -345,7 +363,7 @@
     fn receive(&mut self, from: usize, to: usize, message: Message, now_ms: u64) {
         let now = TimeMs(now_ms);
         match message {
-            Message::Report(report) => self.instances[to].peer_reports.handle_report(report, now),
+            Message::Report(report) => self.instances[to].peer_reports.handle_report(*report, now),
             Message::Ask { ticket, rate_per_s } => {
                 let decision = self.decide(to, rate_per_s, now_ms);
                 self.send(to, from, Message::Answer { ticket, decision }, now_ms);
@@ -410,9 +428,17 @@
         // A permit may be kept for a time, such as that of a prefill.
         let first_ms = now_ms + wait_ms;
         let last_ms = (asked_ms + wait_ms + PERMIT_VALID_MS).max(first_ms);
-        let at_ms = match self.random.random_bool(0.5) {
-            true => first_ms,
-            false => self.random.random_range(first_ms..=last_ms),
+        let joint_ms = first_ms.next_multiple_of(JOINT_MS);
+        let at_ms = if self.scenario.has_joint_sends {
+            if joint_ms <= last_ms {
+                joint_ms
+            } else {
+                first_ms
+            }
+        } else if self.random.random_bool(0.5) {
+            first_ms
+        } else {
+            self.random.random_range(first_ms..=last_ms)
         };
         self.sends.push(at_ms);
     }
@@ -423,15 +449,16 @@
         {
             self.read(number, now_ms);
         }
-        let phase_ms = (number as u64 * 37) % HEARTBEAT_MS / STEP_MS * STEP_MS;
-        if now_ms % HEARTBEAT_MS == phase_ms {
+        let heartbeat_ms = self.scenario.heartbeat_ms / STEP_MS * STEP_MS;
+        let phase_ms = (number as u64 * 365) % heartbeat_ms / STEP_MS * STEP_MS;
+        if now_ms % heartbeat_ms == phase_ms || now_ms == self.instances[number].starts_ms {
             self.report(number, now_ms);
         }
         let instance = &mut self.instances[number];
         instance
             .asked
             .retain(|_, asked_ms| now_ms <= *asked_ms + ANSWER_TIMEOUT_MS);
-        if !instance.knows_upstream || !self.random.random_bool(0.3) {
+        if !instance.knows_upstream || !self.random.random_bool(self.demand) {
             return;
         }
         match self.instances[number].limits.send_limit(&upstream(1), now) {
@@ -485,7 +512,7 @@
         if !is_news {
             return;
         }
-        let Some(reported) = instance.limits.cold.reports(now).get(UPSTREAM).copied() else {
+        let Some(reported) = instance.limits.cold.report(UPSTREAM, now) else {
             return;
         };
         for peer in (0..self.instances.len()).filter(|peer| *peer != number) {
@@ -499,7 +526,7 @@
             return;
         }
         self.sequence += 1;
-        let report = Report {
+        let report = Box::new(Report {
             instance: name(number),
             incarnation: self.instances[number].incarnation,
             sequence: self.sequence,
@@ -513,7 +540,7 @@
             seen_revisions: Default::default(),
             suspects: Vec::new(),
             evacuations: Default::default(),
-        };
+        });
         for peer in (0..self.instances.len()).filter(|peer| *peer != number) {
             self.send(number, peer, Message::Report(report.clone()), now_ms);
         }
--- a/crates/dogwoodpier-gateway/src/cold.rs
+++ b/crates/dogwoodpier-gateway/src/cold.rs
@@ -5,13 +5,17 @@
 //! sends.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use http::HeaderMap;
+use tokio::sync::Notify;
 
 use dogwoodpier_core::TimeMs;
 use dogwoodpier_core::gateway::cold_upstreams::EntryState;
@@ -29,13 +33,14 @@
 use crate::dialect::ColdRemaining;
 use crate::peer_messages::Message;
 use crate::state::Gateway;
+use crate::state::SharedGateway;
 
 const MS_PER_S: f64 = 1_000.0;
 // Requests for permits that all instances together send for each permit. With fewer, permits would
 // lie unused while some instances have no requests.
 const ASKS_PER_PERMIT: f64 = 2.0;
-// Longest pause before an instance asks again: part of the usual cold time. 550 instances then send
-// an owner 275 requests a second for each cold upstream.
+// Longest average pause before an instance asks again: part of the usual cold time. 550 instances then
+// send an owner 275 requests a second for each cold upstream.
 const MAX_ASK_PAUSE_MS: f64 = 2_000.0;
 // Shortest time over which the clients of rejected requests are spread.
 const MIN_SPREAD_MS: u64 = 300;
@@ -43,6 +48,10 @@
 const MIN_SPREAD_FRACTION: f64 = 0.2;
 // Clients wait for at most this fraction of their remaining time.
 const WAIT_DIVISOR: u64 = 3;
+// Longest pause before the peers are told, in which another instance may tell them.
+const MAX_NEWS_PAUSE_MS: u64 = 20;
+// Upstreams in one message, which has to fit into a datagram.
+const MAX_REPORTED: usize = 200;
 // Time between two log lines about invalid remaining times: a faulty upstream repeats them.
 const INVALID_LOG_MS: u64 = 10_000;
 
@@ -55,6 +64,39 @@
     pub upstreams: BTreeMap<Arc<str>, ReportedCold>,
 }
 
+/// Upstreams of which the peers have to be told.
+#[derive(Default)]
+pub struct ColdNews {
+    ids: Mutex<BTreeSet<Arc<str>>>,
+    added: Notify,
+}
+
+impl ColdNews {
+    fn add(&self, id: &Arc<str>) {
+        self.lock().insert(id.clone());
+        self.added.notify_one();
+    }
+
+    fn take(&self) -> BTreeSet<Arc<str>> {
+        std::mem::take(&mut *self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<Arc<str>>> {
+        self.ids.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How an instance comes to read the entry of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntrySource {
+    /// The upstream was unknown, so that nobody sends to it before reading the same entry.
+    Unknown,
+    /// Another incarnation was known.
+    Restarted,
+    /// The same incarnation was known.
+    Known,
+}
+
 /// Invalid remaining cold times since the last log line.
 #[derive(Default)]
 pub struct InvalidReports {
@@ -89,15 +131,16 @@
     limits.cold.configure(cold.collect(), &instance);
 }
 
-/// Records what the store entry of an upstream states. Must be called after the entry was applied;
-/// `is_new` says whether this incarnation was unknown before.
-pub fn record_entry(gateway: &Gateway, upstream: &Upstream, object: &Object, is_new: bool) {
+/// Records what the store entry of an upstream states. Must be called before the entry is applied, so
+/// that the upstream gets nothing before its cold time is known.
+pub fn record_entry(gateway: &Gateway, upstream: &Upstream, object: &Object) {
+    let source = entry_source(gateway, upstream);
     let stated = (gateway.dialect.decode_cold_entry)(&object.value);
     let remaining_ms = valid(gateway, &upstream.id, stated);
     let state = EntryState {
         remaining_ms,
         version: object.version,
-        is_new,
+        is_new: source != EntrySource::Known,
         age_ms: wall_age_ms(upstream),
     };
     let now = clock::now();
@@ -105,12 +148,25 @@
         let limits = &mut gateway.state().upstream_limits;
         limits.cold.record_entry(upstream, state, now)
     };
-    if has_changed {
-        let source = match remaining_ms {
-            Some(_) => "entry",
-            None => "start",
-        };
-        announce(gateway, upstream, source);
+    if !has_changed {
+        return;
+    }
+    let observed = match remaining_ms {
+        Some(_) => "entry",
+        None => "start",
+    };
+    match source {
+        EntrySource::Unknown => drop(log_cold(gateway, upstream, observed)),
+        EntrySource::Restarted | EntrySource::Known => announce(gateway, upstream, observed),
+    }
+}
+
+fn entry_source(gateway: &Gateway, upstream: &Upstream) -> EntrySource {
+    let state = gateway.state();
+    match state.upstreams.get(&upstream.id) {
+        None => EntrySource::Unknown,
+        Some(known) if known.started_unix_ms == upstream.started_unix_ms => EntrySource::Known,
+        Some(_) => EntrySource::Restarted,
     }
 }
 
@@ -151,7 +207,8 @@
     let membership = gateway.state().permit_membership(limit, clock::now());
     let asks_per_s = permit_rate_per_s(limit.rate_per_s) * ASKS_PER_PERMIT;
     let pause_ms = f64::from(membership.members) / asks_per_s * MS_PER_S;
-    (pause_ms.min(MAX_ASK_PAUSE_MS) * rand::random_range(0.5..1.5)) as u64
+    // From zero, so that permits are used soon after many instances have asked at the same time.
+    (pause_ms.min(MAX_ASK_PAUSE_MS) * rand::random_range(0.0..2.0)) as u64
 }
 
 /// Returns the time after which the client of a rejected request should return, if all upstreams of
@@ -184,24 +241,39 @@
     Some((spread_ms as f64 * rand::random_range(MIN_SPREAD_FRACTION..1.0)) as u64)
 }
 
-// Logs that an upstream is cold and tells all peers, as each of them exceeds its rate until it knows.
-// The first instance that learns it tells the others; those that know it already are silent.
+// Logs that an upstream is cold and has all peers told, as each of them exceeds its rate until it knows.
 fn announce(gateway: &Gateway, upstream: &Upstream, source: &'static str) {
-    if !log_cold(gateway, upstream, source) {
-        return;
-    }
-    let now = clock::now();
-    let mut upstreams = gateway.state().upstream_limits.cold.reports(now);
-    upstreams.retain(|id, _| *id == upstream.id);
-    if upstreams.is_empty() {
-        return;
+    if log_cold(gateway, upstream, source) {
+        gateway.cold_news.add(&upstream.id);
     }
-    let message = Message::Cold(ColdReport {
-        instance: gateway.settings.load().instance.clone(),
-        upstreams,
-    });
-    for address in gateway.peer_addresses.all() {
-        gateway.send_message(address, &message);
+}
+
+/// Tells all peers of upstreams that have become cold, for as long as the process lives. The first
+/// instance that learns it tells the others; those that hear of it meanwhile are silent.
+pub async fn notify_peers(gateway: SharedGateway) {
+    loop {
+        gateway.cold_news.added.notified().await;
+        let pause_ms = rand::random_range(0..=MAX_NEWS_PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let ids = gateway.cold_news.take();
+        let now = clock::now();
+        let upstreams: BTreeMap<Arc<str>, ReportedCold> = {
+            let cold = &gateway.state().upstream_limits.cold;
+            let reports = ids
+                .into_iter()
+                .filter_map(|id| Some((id.clone(), cold.report(&id, now)?)));
+            reports.take(MAX_REPORTED).collect()
+        };
+        if upstreams.is_empty() {
+            continue;
+        }
+        let message = Message::Cold(ColdReport {
+            instance: gateway.settings.load().instance.clone(),
+            upstreams,
+        });
+        for address in gateway.peer_addresses.all() {
+            gateway.send_message(address, &message);
+        }
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/owners.rs
+++ b/crates/dogwoodpier-gateway/src/owners.rs
@@ -156,6 +156,21 @@
     ))
 }
 
+/// Returns the addresses of the peers that any instance may consider the only owner of `name`,
+/// including those that this one does not hear.
+pub fn sole_candidates(gateway: &Gateway, name: &str) -> Vec<SocketAddr> {
+    let settings = gateway.settings.load();
+    let ranking = {
+        let state = gateway.state();
+        let peers = state.peer_reports.registered_peers();
+        let members = peers.chain(std::iter::once((&settings.instance, settings.capacity)));
+        owners::rank_owners(name, members, MAX_OWNERS + 1)
+    };
+    let peers = ranking.iter().filter(|owner| **owner != settings.instance);
+    let addresses = peers.map(|owner| gateway.peer_addresses.get(owner));
+    addresses.flatten().collect()
+}
+
 /// Returns the addresses of the peers that any instance may consider the owner of `name`, whether or
 /// not they answer this one.
 pub fn candidates(gateway: &Gateway, name: &str) -> Vec<SocketAddr> {
--- a/crates/dogwoodpier-gateway/src/permits.rs
+++ b/crates/dogwoodpier-gateway/src/permits.rs
@@ -238,7 +238,12 @@
             upstream: upstream.id.clone(),
             limit_per_s: limit.rate_per_s,
         });
-        for address in owners::candidates(gateway, owned_name(&upstream)) {
+        let name = owned_name(&upstream);
+        let notified = match limit.is_cold {
+            true => owners::sole_candidates(gateway, name),
+            false => owners::candidates(gateway, name),
+        };
+        for address in notified {
             gateway.send_message(address, &notice);
         }
     }
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -36,6 +36,8 @@
 use dogwoodpier_process::supervise::supervise;
 
 use crate::broker::Broker;
+use crate::cold;
+use crate::cold::ColdNews;
 use crate::cold::InvalidReports;
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
@@ -174,6 +176,7 @@
         pending_quota_requests: PendingRequests::default(),
         pending_permit_requests: PendingRequests::default(),
         quarantine: Quarantine::default(),
+        cold_news: ColdNews::default(),
         invalid_cold_reports: InvalidReports::default(),
         stream_origins: StreamOrigins::default(),
         timing_stats: TimingStats::default(),
@@ -219,6 +222,7 @@
     spawn_supervised(gateway, "lines", queues::run);
     spawn_supervised(gateway, "receive", peer_messages::receive);
     spawn_supervised(gateway, "report", peer_messages::report);
+    spawn_supervised(gateway, "cold_news", cold::notify_peers);
     spawn_supervised(gateway, "quotas", quota::advance);
     spawn_supervised(gateway, "readiness", readiness::report);
     spawn_supervised(gateway, "stream_origins", stream_origins::maintain);
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -52,6 +52,7 @@
 use crate::broker::EngineFailure;
 use crate::broker::EngineRelease;
 use crate::codec;
+use crate::cold::ColdNews;
 use crate::cold::InvalidReports;
 use crate::dialect::Dialect;
 use crate::dialect::Features;
@@ -97,6 +98,8 @@
     pub pending_permit_requests: PendingRequests<PermitDecision>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
+    /// Cold upstreams of which the peers have to be told.
+    pub cold_news: ColdNews,
     /// Invalid remaining cold times that are not logged yet.
     pub invalid_cold_reports: InvalidReports,
     /// Software versions that began streams.
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -32,7 +32,6 @@
 use crate::counters;
 use crate::evacuations;
 use crate::state::Gateway;
-use crate::state::RoutingState;
 use crate::state::SharedGateway;
 
 // Pause before a failed call is retried, doubled with each further failure: long enough for a busy
@@ -345,8 +344,7 @@
                 .collect();
             // Before requests are sent to upstreams that were unknown.
             for (upstream, object) in &listed {
-                let is_new = is_new_incarnation(&gateway.state(), upstream);
-                cold::record_entry(gateway, upstream, object, is_new);
+                cold::record_entry(gateway, upstream, object);
             }
             let listing = listed.into_iter().map(|(upstream, _)| upstream);
             let now = clock::now();
@@ -385,11 +383,6 @@
         .ok()
 }
 
-fn is_new_incarnation(state: &RoutingState, upstream: &Upstream) -> bool {
-    let known = state.upstreams.get(&upstream.id);
-    known.is_none_or(|known| known.started_unix_ms != upstream.started_unix_ms)
-}
-
 fn put_upstream(gateway: &SharedGateway, upstream: Upstream, object: &Object) {
     let fields = serde_json::json!({
         "upstream": &*upstream.id,
@@ -397,12 +390,13 @@
         "version": &*upstream.software_version,
         "accepts_work": upstream.accepts_work,
     });
-    let is_new = is_new_incarnation(&gateway.state(), &upstream);
     // Before requests are sent to this incarnation.
-    cold::record_entry(gateway, &upstream, object, is_new);
+    cold::record_entry(gateway, &upstream, object);
     let restarted = {
         let mut state = gateway.state();
-        let restarted = is_new && state.upstreams.get(&upstream.id).is_some();
+        let before = state.upstreams.get(&upstream.id).cloned();
+        let restarted =
+            before.is_some_and(|before| before.started_unix_ms != upstream.started_unix_ms);
         if !state.upstreams.upsert(upstream.clone()) {
             return;
         }
--- a/crates/dogwoodpier-gateway/tests/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/tests/peer_messages.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 
+use dogwoodpier_core::gateway::cold_upstreams::ReportedCold;
 use dogwoodpier_core::gateway::peer_reports::Report;
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
 use dogwoodpier_core::gateway::permits::PermitDecision;
@@ -15,6 +16,7 @@
 use dogwoodpier_gateway::broker::PlacementVerdict;
 use dogwoodpier_gateway::codec;
 use dogwoodpier_gateway::codec::CodecError;
+use dogwoodpier_gateway::cold::ColdReport;
 use dogwoodpier_gateway::peer_messages::LimitReport;
 use dogwoodpier_gateway::peer_messages::Message;
 use dogwoodpier_gateway::permits::PermitAnswer;
@@ -88,6 +90,11 @@
 }
 
 fn messages() -> Vec<Message> {
+    let reported = ReportedCold {
+        started_unix_ms: Some(1_700_000_000_000),
+        remaining_ms: 2_900,
+        age_ms: 15,
+    };
     vec![
         report(2),
         parts(),
@@ -136,6 +143,10 @@
         Message::EngineFailure(EngineFailure {
             upstream: "i-1".into(),
         }),
+        Message::Cold(ColdReport {
+            instance: "front-1".into(),
+            upstreams: [("i-1".into(), reported)].into(),
+        }),
     ]
 }
 
@@ -188,7 +199,7 @@
     // larger than the input.
     #[test]
     fn arbitrary_bytes_do_not_panic(
-        which in 0_usize..5,
+        which in 0_usize..messages().len(),
         changes in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
         noise in proptest::collection::vec(any::<u8>(), 0..200),
     ) {
