Accept a cold time of an incarnation with an earlier start after a time

An upstream whose clock was set back at its restart would otherwise never count as cold again at an instance that knew the former incarnation.

--- a/crates/dogwoodpier-core/src/gateway/cold_upstreams.rs
+++ b/crates/dogwoodpier-core/src/gateway/cold_upstreams.rs
@@ -141,7 +141,7 @@
             }
             return state.is_new && self.remaining_ms(upstream, now) > 0;
         };
-        if known.knows_later_incarnation(upstream) {
+        if known.knows_later_incarnation(upstream, now) {
             return false;
         }
         let is_same_incarnation = known
@@ -178,7 +178,7 @@
             observed_ms: now,
             observer: Observer::Response,
         };
-        !known.knows_later_incarnation(upstream) && known.replace(observation, now)
+        !known.knows_later_incarnation(upstream, now) && known.replace(observation, now)
     }
 
     /// Records what a peer has learned. It only extends the cold time, since each instance reads the
@@ -318,10 +318,13 @@
 }
 
 impl Entry {
-    fn knows_later_incarnation(&self, upstream: &Upstream) -> bool {
-        let started_unix_ms = upstream.started_unix_ms;
-        self.latest
-            .is_some_and(|latest| latest.started_unix_ms > started_unix_ms)
+    // Returns whether what is read of an incarnation may have been written before a later one started.
+    // After a time, an earlier start means that the clock of the upstream was set back.
+    fn knows_later_incarnation(&self, upstream: &Upstream, now: TimeMs) -> bool {
+        self.latest.is_some_and(|latest| {
+            latest.started_unix_ms > upstream.started_unix_ms
+                && now.since(latest.observed_ms) < MAX_ENTRY_AGE_MS
+        })
     }
 
     // Replaces what is known. Returns whether the upstream is cold for longer than was known.
--- a/crates/dogwoodpier-core/tests/cold_upstreams.rs
+++ b/crates/dogwoodpier-core/tests/cold_upstreams.rs
@@ -257,6 +257,16 @@
     assert_eq!(cold.remaining_ms(&upstream(3), TimeMs(200)), 0);
 }
 
+// Guards against an upstream whose cold times are ignored for good once its clock was set back.
+#[test]
+fn earlier_start_counts_after_a_time() {
+    let mut cold = cold();
+    assert!(cold.record_entry(&upstream(9), entry(1_000, 1), TimeMs(0)));
+    assert!(!cold.record_entry(&upstream(2), entry(3_000, 2), TimeMs(2_000)));
+    assert!(cold.record_entry(&upstream(2), entry(3_000, 3), TimeMs(3_200)));
+    assert_eq!(cold.remaining_ms(&upstream(2), TimeMs(3_200)), 3_000);
+}
+
 // Guards against a limit in deployments that don't configure one, and against a time without end.
 #[test]
 fn only_configured_services_have_cold_upstreams() {
