--- a/crates/dogwoodpier-core/tests/cold_upstreams.rs
+++ b/crates/dogwoodpier-core/tests/cold_upstreams.rs
@@ -3,6 +3,8 @@
 
 #[path = "common/cold_fleet.rs"]
 mod cold_fleet;
+#[path = "common/cold_scenario.rs"]
+mod cold_scenario;
 mod common;
 
 use std::sync::Arc;
@@ -24,10 +26,10 @@
 use dogwoodpier_core::gateway::upstreams::Upstream;
 
 use self::cold_fleet::ColdFleet;
-use self::cold_fleet::Fault;
-use self::cold_fleet::Scenario;
-use self::cold_fleet::cold_start;
-use self::cold_fleet::upstream;
+use self::cold_scenario::Fault;
+use self::cold_scenario::Scenario;
+use self::cold_scenario::cold_start;
+use self::cold_scenario::upstream;
 
 const RATE_PER_S: f64 = 37.0;
 
--- a/crates/dogwoodpier-core/tests/common/cold_fleet.rs
+++ b/crates/dogwoodpier-core/tests/common/cold_fleet.rs
@@ -18,11 +18,14 @@
 use dogwoodpier_core::gateway::permits::PermitDecision;
 use dogwoodpier_core::gateway::permits::Permits;
 use dogwoodpier_core::gateway::permits::SendLimit;
-use dogwoodpier_core::gateway::routes::ColdStart;
 use dogwoodpier_core::gateway::upstream_limits::UpstreamLimits;
-use dogwoodpier_core::gateway::upstreams::Upstream;
 
-const UPSTREAM: &str = "i-1";
+use super::cold_scenario::Fault;
+use super::cold_scenario::Scenario;
+use super::cold_scenario::UPSTREAM;
+use super::cold_scenario::cold_start;
+use super::cold_scenario::upstream;
+
 const STEP_MS: u64 = 5;
 const END_MS: u64 = 12_000;
 // Time after which the demand changes.
@@ -39,51 +42,6 @@
 const PERMIT_VALID_MS: u64 = 300;
 const NOTIFIED: usize = 3;
 
-/// A fault during a run.
-#[derive(Clone, Debug)]
-pub enum Fault {
-    /// No message passes between two halves of the fleet, or only in one direction.
-    Partition {
-        from_ms: u64,
-        for_ms: u64,
-        one_way: bool,
-    },
-    /// An instance is killed and starts again.
-    Restart {
-        at_ms: u64,
-        instance: usize,
-        for_ms: u64,
-    },
-    /// All instances are killed and start again.
-    RestartAll { at_ms: u64, for_ms: u64 },
-    /// An instance is killed for good.
-    Leave { at_ms: u64, instance: usize },
-    /// A new instance starts.
-    Join { at_ms: u64 },
-    /// Nothing can be read from the store.
-    StoreOutage { from_ms: u64, for_ms: u64 },
-    /// The upstream becomes cold again.
-    ColdAgain { at_ms: u64 },
-}
-
-/// A run.
-#[derive(Clone, Debug)]
-pub struct Scenario {
-    pub size: usize,
-    pub rate_per_s: f64,
-    pub max_delay_ms: u64,
-    pub loss: f64,
-    pub duplication: f64,
-    pub faults: Vec<Fault>,
-    pub seed: u64,
-    /// Time between two reports: several seconds in a large fleet.
-    pub heartbeat_ms: u64,
-    /// Whether there are pauses without requests.
-    pub has_pauses: bool,
-    /// Whether permits are kept until the same times, such as the ends of prefills that began together.
-    pub has_joint_sends: bool,
-}
-
 #[derive(Clone, Debug)]
 enum Message {
     Report(Box<Report>),
@@ -138,29 +96,6 @@
     }
 }
 
-/// Returns the cold start of the service.
-pub fn cold_start(rate_per_s: f64) -> ColdStart {
-    ColdStart {
-        duration_ms: 3_000,
-        rate_per_s,
-    }
-}
-
-/// Returns an incarnation of the upstream.
-pub fn upstream(started_unix_ms: u64) -> Upstream {
-    Upstream {
-        id: UPSTREAM.into(),
-        service: "desk".into(),
-        address: ([10, 0, 0, 1], 80).into(),
-        data_centre: "a".into(),
-        software_version: "v1".into(),
-        slots: 6,
-        accepts_work: true,
-        stage: None,
-        started_unix_ms: Some(started_unix_ms),
-    }
-}
-
 /// The instances, the network, the store and the upstream.
 pub struct ColdFleet {
     scenario: Scenario,
@@ -214,14 +149,10 @@
             Fault::ColdAgain { at_ms } => Some(*at_ms),
             _ => None,
         });
-        let mut cold_starts: Vec<u64> = cold_again.chain([1_000, 6_000]).collect();
-        cold_starts.sort_unstable();
+        let cold_starts: Vec<u64> = cold_again.chain([1_000, 6_000]).collect();
         for now_ms in (0..END_MS).step_by(STEP_MS as usize) {
-            if cold_starts.contains(&(now_ms / STEP_MS * STEP_MS))
-                || cold_starts
-                    .iter()
-                    .any(|at| (now_ms..now_ms + STEP_MS).contains(at))
-            {
+            let step_ms = now_ms..now_ms + STEP_MS;
+            if cold_starts.iter().any(|at_ms| step_ms.contains(at_ms)) {
                 self.start_cold(now_ms);
             }
             if now_ms.is_multiple_of(REWRITE_MS) {
