--- a/crates/dogwoodpier-gateway/src/owners.rs
+++ b/crates/dogwoodpier-gateway/src/owners.rs
@@ -97,6 +97,42 @@
     OwnerReply::NoAnswer
 }
 
+/// Sends a request to the only owner of `name`. Nobody is asked in its place, as two owners could not
+/// know of each other's decisions.
+pub async fn ask_sole<A, M>(
+    gateway: &Gateway,
+    name: &str,
+    pending: &PendingRequests<A>,
+    message: M,
+) -> OwnerReply<A>
+where
+    M: Fn(u64) -> Message,
+{
+    let settings = gateway.settings.load();
+    let now = clock::now();
+    let owner = {
+        let state = gateway.state();
+        let peers = state.peer_reports.sole_owner_candidates(now);
+        let members = peers.chain(std::iter::once((&settings.instance, settings.capacity)));
+        owners::rank_owners(name, members, 1).pop()
+    };
+    let Some(owner) = owner.filter(|owner| *owner != settings.instance) else {
+        return OwnerReply::Local;
+    };
+    let is_suspected = gateway.owners.lock().contains(&owner, now);
+    let address = gateway.peer_addresses.get(&owner);
+    let Some(address) = address.filter(|_| !is_suspected) else {
+        return OwnerReply::NoAnswer;
+    };
+    match pending.send(gateway, address, &message).await {
+        Some(answer) => OwnerReply::Peer { address, answer },
+        None => {
+            gateway.owners.record_timeout(gateway, &owner, name);
+            OwnerReply::NoAnswer
+        }
+    }
+}
+
 /// Returns the owner of a service, a workspace or an upstream with a rate limit.
 pub fn owner_of(gateway: &Gateway, name: &str) -> Owner {
     rank_owners(gateway, name, 1, Unresponsive::Excluded)
@@ -120,6 +156,21 @@
     ))
 }
 
+/// Returns the addresses of the peers that any instance may consider the only owner of `name`,
+/// including those that this one does not hear.
+pub fn sole_candidates(gateway: &Gateway, name: &str) -> Vec<SocketAddr> {
+    let settings = gateway.settings.load();
+    let ranking = {
+        let state = gateway.state();
+        let peers = state.peer_reports.registered_peers();
+        let members = peers.chain(std::iter::once((&settings.instance, settings.capacity)));
+        owners::rank_owners(name, members, MAX_OWNERS + 1)
+    };
+    let peers = ranking.iter().filter(|owner| **owner != settings.instance);
+    let addresses = peers.map(|owner| gateway.peer_addresses.get(owner));
+    addresses.flatten().collect()
+}
+
 /// Returns the addresses of the peers that any instance may consider the owner of `name`, whether or
 /// not they answer this one.
 pub fn candidates(gateway: &Gateway, name: &str) -> Vec<SocketAddr> {
--- a/crates/dogwoodpier-gateway/src/peer_messages.rs
+++ b/crates/dogwoodpier-gateway/src/peer_messages.rs
@@ -25,6 +25,8 @@
 use crate::broker::PlacementRequest;
 use crate::broker::VersionPlacementRequest;
 use crate::codec;
+use crate::cold;
+use crate::cold::ColdReport;
 use crate::evacuations;
 use crate::forwarding;
 use crate::newer_configuration;
@@ -100,6 +102,8 @@
     /// The answer to a request for units that has arrived before and is not charged again. Instances of
     /// an earlier build, which would refund it, ignore it.
     QuotaRepeat(QuotaAnswer),
+    /// Upstreams that the sender has found to be cold.
+    Cold(ColdReport),
 }
 
 /// Rate limits of upstreams that an instance itself has observed.
@@ -168,6 +172,7 @@
         Message::EngineFailure(failure) => broker::handle_failure(gateway, &failure),
         Message::Speeds(report) => upstream_speeds::handle_report(gateway, report),
         Message::QuotaRepeat(answer) => quota::handle_repeat(gateway, &answer),
+        Message::Cold(report) => cold::handle_report(gateway, &report),
     }
 }
 
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -38,6 +38,9 @@
 use dogwoodpier_process::supervise::supervise;
 
 use crate::broker::Broker;
+use crate::cold;
+use crate::cold::ColdNews;
+use crate::cold::InvalidReports;
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
 use crate::evacuations;
@@ -164,6 +167,7 @@
             health: UpstreamHealth::default(),
             upstream_limits: UpstreamLimits::default(),
             permits: Permits::default(),
+            peers_known: false,
             peer_reports: PeerReports::new(settings.report_options),
             quotas: Quotas::default(),
             quota_decisions: RecentDecisions::default(),
@@ -179,6 +183,8 @@
         pending_quota_requests: PendingRequests::default(),
         pending_permit_requests: PendingRequests::default(),
         quarantine: Quarantine::default(),
+        cold_news: ColdNews::default(),
+        invalid_cold_reports: InvalidReports::default(),
         stream_origins: StreamOrigins::default(),
         learned_costs: LearnedCosts::default(),
         timing_stats: TimingStats::default(),
@@ -228,6 +234,7 @@
     spawn_supervised(gateway, "receive", peer_messages::receive);
     spawn_supervised(gateway, "report", peer_messages::report);
     spawn_supervised(gateway, "greetings", greetings::run);
+    spawn_supervised(gateway, "cold_news", cold::notify_peers);
     spawn_supervised(gateway, "quotas", quota::advance);
     spawn_supervised(gateway, "readiness", readiness::report);
     spawn_supervised(gateway, "stream_origins", stream_origins::maintain);
--- a/crates/dogwoodpier-gateway/src/store.rs
+++ b/crates/dogwoodpier-gateway/src/store.rs
@@ -28,6 +28,7 @@
 use dogwoodpier_platform::wire::Object;
 use dogwoodpier_process::clock;
 
+use crate::cold;
 use crate::counters;
 use crate::evacuations;
 use crate::state::Gateway;
@@ -320,6 +321,7 @@
             "store_version": object.version,
         }),
     );
+    cold::configure(gateway, &configuration);
     gateway.configuration.store(Some(Arc::new(configuration)));
 }
 
@@ -335,11 +337,16 @@
     Follower {
         kind: gateway.dialect.objects.upstream_kind,
         replace: |gateway, listing, was_restored, outage| {
-            let listing: Vec<Upstream> = listing
+            let listed: Vec<(Upstream, &Object)> = listing
                 .items
                 .iter()
-                .filter_map(|object| read_upstream(gateway, object))
+                .filter_map(|object| Some((read_upstream(gateway, object)?, object)))
                 .collect();
+            // Before requests are sent to upstreams that were unknown.
+            for (upstream, object) in &listed {
+                cold::record_entry(gateway, upstream, object);
+            }
+            let listing = listed.into_iter().map(|(upstream, _)| upstream);
             let now = clock::now();
             let held_back_deadline_ms = was_restored.then(|| now.after(LAPSE_MS));
             let grace_deadline_ms = outage.grace_deadline_ms(now);
@@ -356,7 +363,7 @@
             if change.deleted {
                 remove_upstream(gateway, &change.object.name, outage);
             } else if let Some(upstream) = read_upstream(gateway, &change.object) {
-                put_upstream(gateway, upstream);
+                put_upstream(gateway, upstream, &change.object);
             } else {
                 // An entry that was overwritten with invalid data no longer describes an upstream.
                 remove_upstream(gateway, &change.object.name, &StoreOutage::default());
@@ -376,13 +383,15 @@
         .ok()
 }
 
-fn put_upstream(gateway: &SharedGateway, upstream: Upstream) {
+fn put_upstream(gateway: &SharedGateway, upstream: Upstream, object: &Object) {
     let fields = serde_json::json!({
         "upstream": &*upstream.id,
         "address": upstream.address.to_string(),
         "version": &*upstream.software_version,
         "accepts_work": upstream.accepts_work,
     });
+    // Before requests are sent to this incarnation.
+    cold::record_entry(gateway, &upstream, object);
     let restarted = {
         let mut state = gateway.state();
         let before = state.upstreams.get(&upstream.id).cloned();
@@ -393,7 +402,7 @@
         }
         state.observe_versions(clock::now());
         if restarted {
-            state.forget_upstream(&upstream.id);
+            state.forget_incarnation(&upstream.id);
             gateway.learned_costs.forget(&upstream.id);
         }
         for id in state.upstreams.replaced_by(&upstream) {
