Gateway: one budget for the bytes and connections of clients

Cause: only complete bodies of requests were counted, a response no longer once it had been handed to its connection, and connections not at all. Clients within the limits of the configuration took a gateway of 88 MB to 213 MB and used up its descriptors.

Bytes are now counted by the allocation of each buffer as they arrive, until the last reference to them is dropped. Large items share a part of the memory; items of up to 64 KiB have a reserve. Connections of clients, of the readiness and of the operator servers are limited by memory and descriptors (max_descriptors, or the limit of the process). The least useful one is closed first. Bodies and responses without progress end after body_progress_s and response_progress_s. The servers of pages have limits on heads, idle times and connections. Idle connections to upstreams are limited as well: with half of the descriptors for clients, 500 clients took 308 of 300.

A head may have as many fields as fit into max-header-bytes; hyper's limit of 100 answered 431 to requests within the limits.

--- a/crates/dogwoodpier-core/src/gateway/mod.rs
+++ b/crates/dogwoodpier-core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! module makes its decisions, without I/O; the `dogwoodpier-gateway` crate carries them out.
 
 pub mod admission_window;
+pub mod client_limits;
 pub mod cost;
 pub mod cost_placement;
 pub mod evacuations;
--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -1,11 +1,9 @@
 //! Admission of requests: checks of route, key, body and quota.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -16,6 +14,7 @@
 use hyper::body::Incoming;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::client_limits::Purpose;
 use dogwoodpier_core::gateway::placement;
 use dogwoodpier_core::gateway::routes::Configuration;
 use dogwoodpier_core::gateway::routes::QuotaUnit;
@@ -28,6 +27,8 @@
 use dogwoodpier_core::rendezvous;
 use dogwoodpier_process::clock;
 
+use crate::client_budget::Buffer;
+use crate::client_budget::HeldBytes;
 use crate::dialect::PromptSize;
 use crate::headers;
 use crate::newer_configuration;
@@ -39,9 +40,9 @@
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
-use crate::request::HeldBytes;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
+use crate::traffic::Traffic;
 
 // Time after which a client may retry at an instance that has no configuration yet.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
@@ -49,6 +50,9 @@
 // that is rejected meanwhile has to connect anew.
 const FIRST_READING_WAIT_MS: u64 = 150;
 const FIRST_READING_POLL: Duration = Duration::from_millis(5);
+// Memory of a header field in a decoded head: its entry in the map, its places in the index and its
+// share of the room for growth.
+const FIELD_BYTES: usize = 192;
 // Time after which bodies held now are likely to be released.
 const NO_MEMORY_RETRY_MS: u64 = 500;
 
@@ -72,6 +76,7 @@
     };
     let (head, body) = request.into_parts();
     let names = &gateway.dialect.headers;
+    let held_head = hold_head(gateway, &head)?;
     let id = head.headers.get(&names.request_id).cloned();
     let id = id
         .filter(|id| !id.is_empty())
@@ -90,7 +95,8 @@
         .cloned()
         .ok_or(Rejection::new(Reason::NoUpstream))?;
     let limit = configuration.limits.max_body_bytes;
-    let body = read_body(gateway, body, limit, deadline_ms).await?;
+    let traffic = head.extensions.get::<Traffic>();
+    let body = read_body(gateway, body, traffic, limit, deadline_ms).await?;
     let prompt = (gateway.dialect.decode_prompt_size)(&head.headers);
     let mut forwarded = headers::to_upstream(&head.headers, names);
     if let Some(workspace) = &workspace {
@@ -135,7 +141,7 @@
         method: head.method,
         target: head.uri,
         headers: forwarded,
-        held: HeldBytes::of_request(gateway, body.len()),
+        held_head,
         body,
         route,
         service,
@@ -229,9 +235,23 @@
     Ok(workspace)
 }
 
+// Counts what the head of a request takes once it is decoded, for the client's and the forwarded
+// fields.
+fn hold_head(gateway: &SharedGateway, head: &Parts) -> Result<HeldBytes, Rejection> {
+    let mut held = HeldBytes::new(gateway, Purpose::Request);
+    let bytes = 2 * head.headers.len() * FIELD_BYTES;
+    held.grow_to(bytes).map_err(|_| no_memory())?;
+    Ok(held)
+}
+
+fn no_memory() -> Rejection {
+    Rejection::with_retry_after(Reason::NoMemory, NO_MEMORY_RETRY_MS, u64::MAX)
+}
+
 async fn read_body(
-    gateway: &Gateway,
+    gateway: &SharedGateway,
     mut body: Incoming,
+    traffic: Option<&Traffic>,
     max_bytes: usize,
     deadline_ms: TimeMs,
 ) -> Result<Bytes, Rejection> {
@@ -241,18 +261,18 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(Rejection::new(Reason::BodyTooLarge));
     }
-    let held = gateway.buffered_bytes.load(Ordering::Relaxed);
-    if held > gateway.settings.load().max_buffered_bytes {
-        return Err(Rejection::with_retry_after(
-            Reason::NoMemory,
-            NO_MEMORY_RETRY_MS,
-            u64::MAX,
-        ));
-    }
+    let stated_bytes = body.size_hint().upper();
+    let stated_bytes = stated_bytes.map_or(max_bytes, |upper| upper.min(max_bytes as u64) as usize);
+    let _reading = traffic.map(Traffic::begin_body);
     let limit = Duration::from_millis(deadline_ms.remaining(clock::now()));
+    let progress_limit = Duration::from_millis(gateway.settings.load().progress_limits.body_ms);
     let read = async {
-        let mut whole = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        let mut whole = Buffer::new(gateway, Purpose::Request);
+        loop {
+            let Ok(frame) = tokio::time::timeout(progress_limit, body.frame()).await else {
+                return Err(Rejection::new(Reason::BodyTimeout));
+            };
+            let Some(frame) = frame else { break };
             let Ok(frame) = frame else {
                 return Err(Rejection::new(Reason::Malformed));
             };
@@ -263,9 +283,9 @@
             if whole.len() + data.len() > max_bytes {
                 return Err(Rejection::new(Reason::BodyTooLarge));
             }
-            whole.extend_from_slice(&data);
+            whole.push(&data, stated_bytes).map_err(|_| no_memory())?;
         }
-        Ok(whole.freeze())
+        Ok(whole.into_bytes())
     };
     tokio::time::timeout(limit, read)
         .await
--- a/crates/dogwoodpier-gateway/src/body.rs
+++ b/crates/dogwoodpier-gateway/src/body.rs
@@ -12,7 +12,6 @@
 
 use dogwoodpier_process::drain::InFlight;
 
-use crate::request::HeldBytes;
 use crate::stream::StreamCut;
 use crate::stream::UpstreamBody;
 use crate::traffic::ActiveRequest;
@@ -28,7 +27,6 @@
     // Guards that are held until the response has been sent.
     in_flight: Option<InFlight>,
     active: Option<ActiveRequest>,
-    held: Option<HeldBytes>,
 }
 
 impl ResponseBody {
@@ -38,7 +36,6 @@
             content: Content::Full(Full::new(bytes)),
             in_flight: None,
             active: None,
-            held: None,
         }
     }
 
@@ -48,15 +45,9 @@
             content: Content::Streamed(Box::new(body)),
             in_flight: None,
             active: None,
-            held: None,
         }
     }
 
-    /// Counts the bytes of the body as held in memory until they have been sent.
-    pub fn hold_bytes(&mut self, held: HeldBytes) {
-        self.held = Some(held);
-    }
-
     /// Counts the request as in flight until its response has been sent.
     pub fn hold_in_flight(&mut self, in_flight: InFlight) {
         self.in_flight = Some(in_flight);
--- a/crates/dogwoodpier-gateway/src/counters.rs
+++ b/crates/dogwoodpier-gateway/src/counters.rs
@@ -46,6 +46,16 @@
 pub const CONFIG_VERSION: &str = "dogwoodpier_gateway_config_version";
 /// Entries of the store that can't be decoded.
 pub const UNREADABLE_TOTAL: &str = "dogwoodpier_gateway_unreadable_entries_total";
+/// Connections of clients that were closed before the client closed them, by server and cause.
+pub const CLIENT_CLOSED_TOTAL: &str = "dogwoodpier_gateway_client_closed_total";
+/// Connections of clients that were refused since none of the others could be closed, by server.
+pub const CLIENT_REFUSED_TOTAL: &str = "dogwoodpier_gateway_client_refused_total";
+/// Bytes of requests or responses that found no room, counted once for each attempt, by purpose.
+pub const BYTES_DENIED_TOTAL: &str = "dogwoodpier_gateway_bytes_denied_total";
+/// Bytes held for clients, by purpose.
+pub const HELD_BYTES: &str = "dogwoodpier_gateway_held_bytes";
+/// Open connections of clients.
+pub const CLIENT_CONNECTIONS: &str = "dogwoodpier_gateway_client_connections";
 /// Log lines lost because standard output was too slow.
 pub const LOG_LINES_LOST: &str = "dogwoodpier_gateway_log_lines_lost";
 /// Calls to the store that failed.
--- a/crates/dogwoodpier-gateway/src/lib.rs
+++ b/crates/dogwoodpier-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod body;
 pub mod broker;
+pub mod client_budget;
 pub mod codec;
 pub mod counters;
 pub mod dialect;
--- a/crates/dogwoodpier-gateway/src/operators.rs
+++ b/crates/dogwoodpier-gateway/src/operators.rs
@@ -10,6 +10,11 @@
 /// Returns all metrics in the Prometheus text format.
 pub fn metrics(gateway: &Gateway) -> String {
     metrics::gauge!(counters::LOG_LINES_LOST).set(gateway.events.lines_lost() as f64);
+    let held = gateway.client_budget.held();
+    metrics::gauge!(counters::HELD_BYTES, "purpose" => "request").set(held.request_bytes as f64);
+    metrics::gauge!(counters::HELD_BYTES, "purpose" => "response").set(held.response_bytes as f64);
+    let connections = gateway.client_budget.clients.len();
+    metrics::gauge!(counters::CLIENT_CONNECTIONS).set(connections as f64);
     recorder::render()
 }
 
--- a/crates/dogwoodpier-gateway/src/plain.rs
+++ b/crates/dogwoodpier-gateway/src/plain.rs
@@ -1,16 +1,16 @@
 //! Requests to plain services, with one buffered response each.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 
 use dogwoodpier_core::TimeMs;
+use dogwoodpier_core::gateway::client_limits::Purpose;
 use dogwoodpier_core::gateway::peer_reports::UpstreamLoad;
 use dogwoodpier_core::gateway::placement::Outcome;
 use dogwoodpier_core::gateway::placement::Selector;
@@ -20,6 +20,7 @@
 use dogwoodpier_process::clock;
 
 use crate::body::ResponseBody;
+use crate::client_budget::Buffer;
 use crate::forwarding;
 use crate::forwarding::SendOutcome;
 use crate::headers;
@@ -32,8 +33,6 @@
 use crate::reject::Reason;
 use crate::reject::Rejection;
 use crate::request::ClientRequest;
-use crate::request::HeldBytes;
-use crate::state::Gateway;
 use crate::state::Holder;
 use crate::state::LoadGuard;
 use crate::state::SharedGateway;
@@ -51,8 +50,6 @@
 const MAX_DENIED_PERMITS: u32 = 3;
 // Largest response; it is buffered until it is complete.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
-// Responses up to this size are read even if others take all the memory that bodies may take.
-const SMALL_RESPONSE_BYTES: usize = 64 * 1024;
 // Time after which a service that rejects is likely to have room: a few of its usual response
 // times.
 const NOT_RUN_RETRY_MS: u64 = 300;
@@ -62,15 +59,12 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
-    held: HeldBytes,
     is_framed: bool,
 }
 
 impl BufferedResponse {
     fn into_response(self) -> Response<ResponseBody> {
-        let mut body = ResponseBody::full(self.body);
-        body.hold_bytes(self.held);
-        let mut response = Response::new(body);
+        let mut response = Response::new(ResponseBody::full(self.body));
         *response.status_mut() = self.status;
         *response.headers_mut() = headers::to_client(&self.headers);
         response
@@ -438,13 +432,6 @@
     }
 }
 
-// Returns whether long responses have room in memory. They don't take that of requests, so that a
-// faulty upstream can't have the requests to others refused.
-fn has_room(gateway: &Gateway) -> bool {
-    let held = gateway.buffered_response_bytes.load(Ordering::Relaxed);
-    held <= gateway.settings.load().max_buffered_response_bytes
-}
-
 // Reads a response to its end.
 async fn read_response(
     gateway: &SharedGateway,
@@ -457,26 +444,27 @@
     let is_framed = reply.is_framed;
     let headers = reply.headers.clone();
     let (mut body, connection) = reply.into_body();
+    let stated_bytes = body.size_hint().upper();
+    let stated_bytes = stated_bytes.map_or(MAX_RESPONSE_BYTES, |upper| {
+        upper.min(MAX_RESPONSE_BYTES as u64) as usize
+    });
     let limit = std::time::Duration::from_millis(send_deadline_ms.remaining(clock::now()));
-    let mut held = HeldBytes::of_response(gateway);
     let read = async {
-        let mut buffer = BytesMut::new();
+        let mut buffer = Buffer::new(gateway, Purpose::Response);
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| ReadError::Cut)?.into_data() {
-                buffer.extend_from_slice(&data);
-                held.add(data.len());
+                if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
+                    return Err(ReadError::TooLarge);
+                }
+                buffer
+                    .push(&data, stated_bytes)
+                    .map_err(|_| ReadError::NoMemory)?;
                 if let Some(witness) = &witness {
                     witness.record_chunk();
                 }
             }
-            if buffer.len() > MAX_RESPONSE_BYTES {
-                return Err(ReadError::TooLarge);
-            }
-            if buffer.len() > SMALL_RESPONSE_BYTES && !has_room(gateway) {
-                return Err(ReadError::NoMemory);
-            }
         }
-        Ok(buffer.freeze())
+        Ok(buffer.into_bytes())
     };
     let body = tokio::time::timeout(limit, read)
         .await
@@ -491,7 +479,6 @@
         status,
         headers,
         body,
-        held,
         is_framed,
     })
 }
--- a/crates/dogwoodpier-gateway/src/readiness.rs
+++ b/crates/dogwoodpier-gateway/src/readiness.rs
@@ -1,30 +1,31 @@
 //! HTTP pages for the balancer's readiness checks and for operators.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use bytes::Bytes;
-use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
 
+use dogwoodpier_core::gateway::client_limits;
+use dogwoodpier_process::clock;
+
+use crate::body::ResponseBody;
+use crate::client_budget::ConnectionTable;
 use crate::newer_configuration;
 use crate::operators;
+use crate::server;
+use crate::server::Connection;
 use crate::state::Gateway;
 use crate::state::SharedGateway;
+use crate::traffic::Traffic;
 
 // Short enough for an operator who waits for a start.
 const REPORT_INTERVAL: Duration = Duration::from_secs(3);
 
-type Page = Response<Full<Bytes>>;
+type Page = Response<ResponseBody>;
 
 /// Returns whether the instance accepts requests: it has read all it needs from the store and isn't
 /// stopping.
@@ -68,38 +69,35 @@
     !gateway.settings.load().evacuations || gateway.state().upstreams.evacuations.are_known()
 }
 
-/// Starts a server of small pages at `address`.
+/// Starts a server of small pages at `address`. `name` names it in logs and metrics.
 pub async fn start(
     gateway: SharedGateway,
+    name: &'static str,
     address: SocketAddr,
     page: fn(&SharedGateway, &str) -> Page,
 ) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address)
-        .await
-        .with_context(|| format!("can't bind {address}"))?;
+    let listener = server::bind(address).with_context(|| format!("can't bind {address}"))?;
+    let table = Arc::new(ConnectionTable::new(name));
     tokio::spawn(async move {
         loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log::warn!("can't accept a connection at {address}: {error}");
-                    tokio::task::yield_now().await;
-                    continue;
-                }
+            let stream = server::accept(&gateway, &listener, &table).await;
+            let traffic = Traffic::new(clock::now());
+            let descriptors = gateway.client_budget.descriptors(&gateway.settings.load());
+            let max_connections = client_limits::max_page_connections(descriptors);
+            let Some(open) = table.admit(&gateway, &traffic, max_connections) else {
+                continue;
+            };
+            let connection = Connection {
+                gateway: gateway.clone(),
+                table: table.clone(),
+                open,
+                traffic,
+                is_page: true,
             };
-            let gateway = gateway.clone();
-            let service = service_fn(move |request: Request<Incoming>| {
+            tokio::spawn(connection.serve(stream, move |gateway, request| {
                 let response = page(&gateway, request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
-            });
-            tokio::spawn(async move {
-                let served = http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-                if let Err(error) = served {
-                    log::debug!("serving a page failed: {error}");
-                }
-            });
+                std::future::ready(response)
+            }));
         }
     });
     Ok(())
@@ -120,14 +118,14 @@
 /// Returns the pages for operators.
 pub fn operator_page(gateway: &SharedGateway, path: &str) -> Page {
     match path {
-        "/metrics" => Response::new(Full::new(Bytes::from(operators::metrics(gateway)))),
-        "/state" => Response::new(Full::new(Bytes::from(operators::state(gateway)))),
+        "/metrics" => Response::new(ResponseBody::full(Bytes::from(operators::metrics(gateway)))),
+        "/state" => Response::new(ResponseBody::full(Bytes::from(operators::state(gateway)))),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
 
 fn status(status: StatusCode) -> Page {
-    let mut response = Response::new(Full::default());
+    let mut response = Response::new(ResponseBody::full(Bytes::new()));
     *response.status_mut() = status;
     response
 }
--- a/crates/dogwoodpier-gateway/src/reload.rs
+++ b/crates/dogwoodpier-gateway/src/reload.rs
@@ -80,6 +80,8 @@
 fn load(gateway: &SharedGateway, file: &Path, cause: &str) {
     let outcome = match settings::load(file) {
         Ok(settings) => {
+            let budget = &gateway.client_budget;
+            budget.limit_idle_upstreams(&settings, &gateway.connections);
             gateway.settings.store(Arc::new(settings));
             "reloaded".to_owned()
         }
--- a/crates/dogwoodpier-gateway/src/request.rs
+++ b/crates/dogwoodpier-gateway/src/request.rs
@@ -1,8 +1,6 @@
 //! An admitted request of a client.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -16,53 +14,11 @@
 use dogwoodpier_core::gateway::routes::Service;
 use dogwoodpier_core::gateway::routes::Workspace;
 
+use crate::client_budget::HeldBytes;
 use crate::dialect::PromptSize;
 use crate::quarantine::InFlight;
 use crate::quarantine::RequestContent;
 use crate::quota::Charge;
-use crate::state::Gateway;
-use crate::state::SharedGateway;
-
-/// A count of body bytes held in memory. Dropping it ends the count.
-pub struct HeldBytes {
-    gateway: SharedGateway,
-    counter: fn(&Gateway) -> &AtomicUsize,
-    bytes: usize,
-}
-
-impl HeldBytes {
-    /// Counts the body of a request.
-    pub fn of_request(gateway: &SharedGateway, bytes: usize) -> Self {
-        Self::new(gateway, |gateway| &gateway.buffered_bytes, bytes)
-    }
-
-    /// Counts the body of a response, of which nothing has been read yet.
-    pub fn of_response(gateway: &SharedGateway) -> Self {
-        Self::new(gateway, |gateway| &gateway.buffered_response_bytes, 0)
-    }
-
-    fn new(gateway: &SharedGateway, counter: fn(&Gateway) -> &AtomicUsize, bytes: usize) -> Self {
-        let mut held = Self {
-            gateway: gateway.clone(),
-            counter,
-            bytes: 0,
-        };
-        held.add(bytes);
-        held
-    }
-
-    /// Counts further bytes.
-    pub fn add(&mut self, bytes: usize) {
-        (self.counter)(&self.gateway).fetch_add(bytes, Ordering::Relaxed);
-        self.bytes += bytes;
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        (self.counter)(&self.gateway).fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
 
 /// An admitted request of a client, with its body read.
 pub struct ClientRequest {
@@ -80,8 +36,8 @@
     pub body: Bytes,
     /// What it has in common with other requests that may crash upstreams.
     pub content: RequestContent,
-    /// Count of the body's bytes.
-    pub held: HeldBytes,
+    /// Count of the head's bytes. The body counts its own.
+    pub held_head: HeldBytes,
     /// Route that matches it.
     pub route: Arc<Route>,
     /// Service that runs it.
--- a/crates/dogwoodpier-gateway/src/settings.rs
+++ b/crates/dogwoodpier-gateway/src/settings.rs
@@ -9,6 +9,8 @@
 use dogwoodpier_config::reader::Diagnostics;
 use dogwoodpier_config::reader::TableReader;
 use dogwoodpier_config::settings;
+use dogwoodpier_core::gateway::client_limits::ByteLimits;
+use dogwoodpier_core::gateway::client_limits::ProgressLimits;
 use dogwoodpier_core::gateway::peer_reports::PeerReportOptions;
 use dogwoodpier_core::gateway::quota::Overdraft;
 use dogwoodpier_core::gateway::retries::RetryOptions;
@@ -19,11 +21,8 @@
 // of other instances are under way.
 const QUOTA_TOLERANCE_SHARE: f64 = 0.6;
 const BYTES_PER_MB: usize = 1 << 20;
-// Part of the memory that all request bodies together may take.
-const BODY_MEMORY_DIVISOR: usize = 4;
-// Part of the memory that all buffered responses together may take. Their buffers may have twice the
-// size.
-const RESPONSE_MEMORY_DIVISOR: usize = 8;
+// A client must be given longer than the time between two steps of a slow but sound one.
+const MIN_PROGRESS_S: f64 = 0.1;
 
 /// Settings of a gateway.
 #[plain]
@@ -56,10 +55,14 @@
     pub grace_ms: u64,
     /// Time for which the entry of an upstream may be missing after an outage of the store.
     pub entry_grace_ms: u64,
-    /// Limit on the bytes of request bodies held at once.
-    pub max_buffered_bytes: usize,
-    /// Limit on the bytes of long responses that are buffered.
-    pub max_buffered_response_bytes: usize,
+    /// Memory of this instance.
+    pub memory_bytes: usize,
+    /// Limits on the bytes that are held for clients at once.
+    pub byte_limits: ByteLimits,
+    /// Time limits on the progress of clients.
+    pub progress_limits: ProgressLimits,
+    /// Maximum number of open file descriptors; absent for the limit of the process itself.
+    pub max_descriptors: Option<usize>,
     /// Heartbeat of reports to peers, and limits on the trust in them.
     pub report_options: PeerReportOptions,
     /// Time limits of calls.
@@ -127,6 +130,18 @@
     let grace_s = number(&mut root, "grace_s", 0.5, 3_600.0, report);
     let entry_grace_s = number(&mut root, "entry_grace_s", 0.0, 3_600.0, report);
     let memory_mb = number(&mut root, "memory_mb", 32.0, 1_048_576.0, report);
+    let max_descriptors = match root.has("max_descriptors") {
+        true => number(&mut root, "max_descriptors", 64.0, 1e9, report).map(Some),
+        false => Some(None),
+    };
+    let progress = ProgressLimits::default();
+    let body_ms = progress_ms(&mut root, "body_progress_s", progress.body_ms, report);
+    let response_ms = progress_ms(
+        &mut root,
+        "response_progress_s",
+        progress.response_ms,
+        report,
+    );
     // The default is for a fleet of equal instances.
     let capacity = match root.has("processor_share") {
         true => number(&mut root, "processor_share", 0.001, 1_024.0, report),
@@ -141,6 +156,7 @@
     let window_s = number(&mut retries, "window_s", 0.1, 3_600.0, report);
     retries.finish(report);
     root.finish(report);
+    let memory_bytes = memory_mb? as usize * BYTES_PER_MB;
     Some(Settings {
         instance: instance?,
         data_centre: data_centre?,
@@ -162,13 +178,32 @@
         features,
         grace_ms: (grace_s? * MS_PER_S) as u64,
         entry_grace_ms: (entry_grace_s? * MS_PER_S) as u64,
-        max_buffered_bytes: memory_mb? as usize * BYTES_PER_MB / BODY_MEMORY_DIVISOR,
-        max_buffered_response_bytes: memory_mb? as usize * BYTES_PER_MB / RESPONSE_MEMORY_DIVISOR,
+        memory_bytes,
+        byte_limits: ByteLimits::of_memory(memory_bytes),
+        progress_limits: ProgressLimits {
+            body_ms: body_ms?,
+            response_ms: response_ms?,
+        },
+        max_descriptors: max_descriptors?.map(|descriptors| descriptors as usize),
         report_options: PeerReportOptions::default(),
         timing: Timing::default(),
     })
 }
 
+// Reads an optional time limit on the progress of clients.
+fn progress_ms(
+    fields: &mut TableReader<'_, '_>,
+    field: &'static str,
+    default_ms: u64,
+    report: &mut Diagnostics<'_>,
+) -> Option<u64> {
+    if !fields.has(field) {
+        return Some(default_ms);
+    }
+    let seconds = number(fields, field, MIN_PROGRESS_S, 3_600.0, report)?;
+    Some((seconds * MS_PER_S) as u64)
+}
+
 fn name(
     fields: &mut TableReader<'_, '_>,
     field: &'static str,
--- a/crates/dogwoodpier-gateway/src/start.rs
+++ b/crates/dogwoodpier-gateway/src/start.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -38,6 +37,7 @@
 use dogwoodpier_process::supervise::supervise;
 
 use crate::broker::Broker;
+use crate::client_budget::ClientBudget;
 use crate::dialect::Dialect;
 use crate::engines::TimingStats;
 use crate::evacuations;
@@ -91,15 +91,19 @@
     let gateway = Arc::new(build(settings, dialect, socket));
     log_to_events(&gateway)?;
     let settings = gateway.settings.load_full();
+    let budget = &gateway.client_budget;
+    budget.limit_idle_upstreams(&settings, &gateway.connections);
     spawn_tasks(&gateway);
     readiness::start(
         gateway.clone(),
+        "readiness",
         settings.readiness_address,
         readiness::balancer_page,
     )
     .await?;
     readiness::start(
         gateway.clone(),
+        "operators",
         settings.operator_address,
         readiness::operator_page,
     )
@@ -189,8 +193,7 @@
         store,
         drain: Arc::default(),
         events,
-        buffered_bytes: AtomicUsize::new(0),
-        buffered_response_bytes: AtomicUsize::new(0),
+        client_budget: ClientBudget::default(),
         report_needed: Notify::new(),
         close_idle: Notify::new(),
         shutdown: Mutex::new(None),
--- a/crates/dogwoodpier-gateway/src/state.rs
+++ b/crates/dogwoodpier-gateway/src/state.rs
@@ -8,7 +8,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
@@ -51,6 +50,7 @@
 use crate::broker::Broker;
 use crate::broker::EngineFailure;
 use crate::broker::EngineRelease;
+use crate::client_budget::ClientBudget;
 use crate::codec;
 use crate::dialect::Dialect;
 use crate::dialect::Features;
@@ -119,10 +119,8 @@
     pub drain: Arc<Drain>,
     /// Event log.
     pub events: EventLog,
-    /// Bytes of request bodies held in memory.
-    pub buffered_bytes: AtomicUsize,
-    /// The same of the bodies of responses that are buffered until they are complete.
-    pub buffered_response_bytes: AtomicUsize,
+    /// Bytes and connections that clients use.
+    pub client_budget: ClientBudget,
     /// Wakes the task that reports to peers.
     pub report_needed: Notify,
     /// Makes clients' connections close as soon as they are idle.
--- a/crates/dogwoodpier-http/src/connections.rs
+++ b/crates/dogwoodpier-http/src/connections.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -79,6 +81,8 @@
 #[derive(Default)]
 struct Shared {
     idle: Mutex<BTreeMap<Arc<str>, Vec<Idle>>>,
+    // Limit on the idle connections; 0 if there is none.
+    max_idle: AtomicUsize,
     relay_failures: RelayFailures,
 }
 
@@ -216,6 +220,12 @@
         }
     }
 
+    /// Limits the number of idle connections. A connection that becomes idle beyond it is closed.
+    pub fn set_max_idle(&self, max_idle: usize) {
+        let max_idle = max_idle.max(1);
+        self.shared.max_idle.store(max_idle, Ordering::Relaxed);
+    }
+
     /// Closes all idle connections.
     pub fn close_all_idle(&self) {
         self.idle().clear();
@@ -321,11 +331,20 @@
             deadline: Instant::now() + self.keep_alive,
             was_used: self.was_used,
         };
-        self.connections
-            .idle()
-            .entry(self.id.clone())
-            .or_default()
-            .push(entry);
+        let max_idle = self.connections.shared.max_idle.load(Ordering::Relaxed);
+        let mut idle = self.connections.idle();
+        let is_full = |idle: &BTreeMap<Arc<str>, Vec<Idle>>| {
+            max_idle > 0 && idle.values().map(Vec::len).sum::<usize>() >= max_idle
+        };
+        if is_full(&idle) {
+            let now = Instant::now();
+            for entries in idle.values_mut() {
+                entries.retain(|entry| !entry.channel.sender.is_closed() && entry.deadline > now);
+            }
+        }
+        if !is_full(&idle) {
+            idle.entry(self.id.clone()).or_default().push(entry);
+        }
     }
 }
 
