Count the head of a request before it waits for the first reading of the store

Requests that arrive in the first 150 ms after a start held their decoded heads uncounted, up to 1 MB each.

--- a/crates/dogwoodpier-gateway/src/admission.rs
+++ b/crates/dogwoodpier-gateway/src/admission.rs
@@ -62,6 +62,8 @@
     request: Request<Incoming>,
     received_ms: TimeMs,
 ) -> Result<ClientRequest, Rejection> {
+    let (head, body) = request.into_parts();
+    let held_head = hold_head(gateway, &head)?;
     wait_for_first_reading(gateway).await;
     let configuration = gateway.configuration.load_full();
     let configuration = configuration.filter(|_| {
@@ -74,9 +76,7 @@
             u64::MAX,
         ));
     };
-    let (head, body) = request.into_parts();
     let names = &gateway.dialect.headers;
-    let held_head = hold_head(gateway, &head)?;
     let id = head.headers.get(&names.request_id).cloned();
     let id = id
         .filter(|id| !id.is_empty())
