Update the buckets of a started owner each 250 ms for two seconds

Cause: since instances greet each other, the test's requests come sooner after the start, and an owner's bucket began only with the first update, a second after it.

--- a/crates/dogwoodpier-gateway/src/quota.rs
+++ b/crates/dogwoodpier-gateway/src/quota.rs
@@ -28,6 +28,9 @@
 // The buckets that this instance owns are updated once a second: a large fleet has thousands of
 // workspaces whose owner has to be found.
 const OBSERVATIONS_PER_ADVANCE: u32 = 4;
+// Observations after the start with an update each: a bucket that begins a second later lacks the units
+// of that second.
+const STARTING_OBSERVATIONS: u32 = 8;
 
 // Requests whose repeated answer came before the first one, which may still arrive: more than messages
 // change their order in the time of a few round trips.
@@ -339,8 +342,9 @@
     loop {
         tokio::time::sleep(OBSERVATION_INTERVAL).await;
         observe(&gateway);
-        observations = observations.wrapping_add(1);
-        if !observations.is_multiple_of(OBSERVATIONS_PER_ADVANCE) {
+        observations = observations.saturating_add(1);
+        let is_starting = observations <= STARTING_OBSERVATIONS;
+        if !is_starting && !observations.is_multiple_of(OBSERVATIONS_PER_ADVANCE) {
             continue;
         }
         let Some(configuration) = gateway.configuration.load_full() else {
