--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -48,6 +49,8 @@
     pub address: SocketAddr,
     /// Address of the readiness page.
     pub readiness: SocketAddr,
+    /// Address of the metrics.
+    pub operator: SocketAddr,
     /// Name of the instance.
     pub name: String,
 }
@@ -57,6 +60,24 @@
     listener.local_addr().expect("an address")
 }
 
+fn spawn(folder: &Path) -> Child {
+    let mut options = File::options();
+    let log = options.create(true).append(true).open(folder.join("log"));
+    let log = log.expect("a log");
+    let errors = log.try_clone().expect("a log");
+    let child = Command::new(PROGRAM)
+        .args(["gateway", "--settings"])
+        .arg(folder.join("settings.toml"))
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn();
+    child.unwrap_or_else(|error| {
+        eprintln!("{PROGRAM} can't be started: {error}");
+        exit(NOT_RUN)
+    })
+}
+
 impl Gateway {
     /// Starts a gateway.
     pub fn start(name: &str, store: &Store, options: &Options) -> Self {
@@ -74,30 +95,24 @@
              \"platform\"]\n{}\n[retries]\nratio = 0.2\nallowance = 54\nwindow_s = 10\n",
             store.address, options.memory_mb, options.further
         );
-        let settings = folder.join("settings.toml");
-        fs::write(&settings, text).expect("settings");
-        let log = File::create(folder.join("log")).expect("a log");
-        let errors = log.try_clone().expect("a log");
-        let child = Command::new(PROGRAM)
-            .args(["gateway", "--settings"])
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn();
-        let child = child.unwrap_or_else(|error| {
-            eprintln!("{PROGRAM} can't be started: {error}");
-            exit(NOT_RUN)
-        });
+        fs::write(folder.join("settings.toml"), text).expect("settings");
         Self {
-            child,
+            child: spawn(&folder),
             folder,
             address: client,
             readiness: ready,
+            operator,
             name: name.to_owned(),
         }
     }
 
+    /// Ends the process by a signal and starts it again with the same settings, as the platform does.
+    pub fn restart(&mut self, signal: &str) {
+        self.signal(signal);
+        let _ = self.child.wait();
+        self.child = spawn(&self.folder);
+    }
+
     /// Waits until the gateway says that it is ready.
     pub fn wait_ready(&mut self) {
         let deadline = Instant::now() + START_TIMEOUT;
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -69,25 +69,30 @@
 /// Reads the body of a message whose head states how it ends. Without that, there is no body.
 pub fn read_body<R: BufRead>(reader: &mut R, message: &mut Message) -> Result<()> {
     if message.field("transfer-encoding") == "chunked" {
-        loop {
-            let mut line = String::new();
-            reader.read_line(&mut line)?;
-            let size = usize::from_str_radix(line.trim(), 16)
-                .map_err(|_| Error::other("a chunk without a size"))?;
-            let start = message.body.len();
-            message.body.resize(start + size, 0);
-            reader.read_exact(&mut message.body[start..])?;
-            reader.read_line(&mut String::new())?;
-            if size == 0 {
-                return Ok(());
-            }
+        while let Some(chunk) = read_chunk(reader)?.filter(|chunk| !chunk.is_empty()) {
+            message.body.extend(chunk);
         }
+        return Ok(());
     }
     let length = message.field("content-length").parse().unwrap_or(0);
     message.body.resize(length, 0);
     reader.read_exact(&mut message.body)
 }
 
+/// Reads a chunk of a body, empty at the end of the body. Returns `None` at the end of the connection.
+pub fn read_chunk<R: BufRead>(reader: &mut R) -> Result<Option<Vec<u8>>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let size = usize::from_str_radix(line.trim(), 16)
+        .map_err(|_| Error::other("a chunk without a size"))?;
+    let mut chunk = vec![0; size];
+    reader.read_exact(&mut chunk)?;
+    reader.read_line(&mut String::new())?;
+    Ok(Some(chunk))
+}
+
 /// Reads a complete message. Returns `None` at the end of the connection.
 pub fn read_message<R: BufRead>(reader: &mut R) -> Result<Option<Message>> {
     let Some(mut message) = read_head(reader)? else {
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -62,6 +62,13 @@
         changed.notify_all();
     }
 
+    /// Removes an object for the operator or a runner.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let (state, changed) = &*self.shared;
+        state.lock().unwrap().remove(kind, name);
+        changed.notify_all();
+    }
+
     /// Returns the number of objects of a kind.
     pub fn count(&self, kind: &str) -> usize {
         let state = self.shared.0.lock().unwrap();
@@ -149,6 +156,15 @@
         object
     }
 
+    fn remove(&mut self, kind: &str, name: &str) {
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(object) = self.objects.remove(&key) {
+            self.revision += 1;
+            let event = json!({ "removed": true, "object": object });
+            self.events.push((self.revision, kind.to_owned(), event));
+        }
+    }
+
     fn events_after(&self, kind: &str, after: u64) -> Vec<Value> {
         let events = self.events.iter();
         let events = events.filter(|(revision, known, _)| *revision > after && known == kind);
@@ -190,10 +206,7 @@
                 (409, object)
             }
             "DELETE" => {
-                self.objects.remove(&key(name));
-                self.revision += 1;
-                let event = json!({ "removed": true, "object": object });
-                self.events.push((self.revision, kind.to_owned(), event));
+                self.remove(kind, name);
                 (200, object)
             }
             _ => (200, self.put(kind, name, body["spec"].clone())),
