--- a/review/standins-2/src/bin/short_fields.rs
+++ b/review/standins-2/src/bin/short_fields.rs
@@ -32,7 +32,7 @@
 const ORDER_INTERVAL: Duration = Duration::from_millis(100);
 const WORK: Duration = Duration::from_millis(20);
 // Clients that don't behave. Each waits for an answer before it sends its next request.
-const CROWD: usize = 60;
+const CROWD: usize = 100;
 // Together these take 15,900 of the 16,384 bytes that a head may have.
 const CONNECTION_OPTIONS: usize = 3_900;
 const SHORT_FIELDS: usize = 1_950;
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -10,18 +10,23 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::process::exit;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::http;
-use crate::record::NOT_RUN;
 use crate::store::Store;
 
 // The program of the deploy file, from the root of the repository.
 const PROGRAM: &str = "target/release/dogwoodpier";
 const START_TIMEOUT: Duration = Duration::from_secs(15);
+// Time after which a process whose addresses are taken has ended.
+const START_PAUSE: Duration = Duration::from_millis(200);
+const MAX_STARTS: usize = 5;
+
+static STARTS: AtomicUsize = AtomicUsize::new(0);
 
 /// Settings that differ between cases.
 #[derive(Clone)]
@@ -55,9 +60,10 @@
     pub name: String,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+// Returns addresses that are free now. Another program may take one of them before it is used.
+fn free_addresses() -> [SocketAddr; 4] {
+    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address"))
 }
 
 fn spawn(folder: &Path) -> Child {
@@ -72,19 +78,31 @@
         .stdout(log)
         .stderr(errors)
         .spawn();
-    child.unwrap_or_else(|error| {
-        eprintln!("{PROGRAM} can't be started: {error}");
-        exit(NOT_RUN)
-    })
+    child.expect("the program of the deploy file starts")
 }
 
 impl Gateway {
     /// Starts a gateway.
     pub fn start(name: &str, store: &Store, options: &Options) -> Self {
+        let mut gateway = Self::try_start(name, store, options);
+        for _ in 1..MAX_STARTS {
+            thread::sleep(START_PAUSE);
+            if !gateway.has_ended() {
+                break;
+            }
+            // One of its addresses was taken.
+            gateway = Self::try_start(name, store, options);
+        }
+        gateway
+    }
+
+    fn try_start(name: &str, store: &Store, options: &Options) -> Self {
         let process = std::process::id();
-        let folder = std::env::temp_dir().join(format!("dogwoodpier-review-{process}-{name}"));
+        let number = STARTS.fetch_add(1, Ordering::Relaxed);
+        let folder = format!("dogwoodpier-review-{process}-{number}");
+        let folder = std::env::temp_dir().join(folder);
         fs::create_dir_all(&folder).expect("a folder");
-        let [client, ready, operator, peer] = [(); 4].map(|()| free_address());
+        let [client, ready, operator, peer] = free_addresses();
         let text = format!(
             "instance = \"{name}\"\ndata_centre = \"a\"\nclient_address = \"{client}\"\n\
              readiness_address = \"{ready}\"\noperator_address = \"{operator}\"\n\
@@ -114,14 +132,19 @@
     }
 
     /// Waits until the gateway says that it is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it doesn't.
     pub fn wait_ready(&mut self) {
         let deadline = Instant::now() + START_TIMEOUT;
         while !self.is_ready() {
-            if Instant::now() > deadline {
-                eprintln!("{} didn't become ready", self.name);
-                self.end();
-                exit(NOT_RUN);
-            }
+            // Ends all processes of the case, and the case with "not run".
+            assert!(
+                Instant::now() < deadline,
+                "{} didn't become ready",
+                self.name
+            );
             thread::sleep(Duration::from_millis(50));
         }
     }
@@ -172,16 +195,10 @@
     }
 }
 
-impl Gateway {
-    fn end(&mut self) {
+impl Drop for Gateway {
+    fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        self.end();
-    }
-}
