--- a/review/standins-2/src/bin/kept_samples.rs
+++ b/review/standins-2/src/bin/kept_samples.rs
@@ -1,5 +1,6 @@
 //! Many requests come, and then a crowd whose bodies stop just short of their end. Nobody reads the
-//! gateway's metrics meanwhile.
+//! gateway's metrics meanwhile. The platform kills the process once it exceeds its memory, while ordinary
+//! clients have orders at sound runners.
 
 use std::io::BufReader;
 use std::io::Write;
@@ -20,10 +21,10 @@
 use review_standins_2::gateway::Gateway;
 use review_standins_2::gateway::Options;
 use review_standins_2::http;
+use review_standins_2::ordinary;
+use review_standins_2::ordinary::Ledger;
 use review_standins_2::record;
 use review_standins_2::record::Record;
-use review_standins_2::runner;
-use review_standins_2::runner::Next;
 use review_standins_2::store::Store;
 
 // The smallest machine of the deployments in force.
@@ -33,7 +34,8 @@
 const FLOOD_BATCH: usize = 200;
 // Too short for a send, so that no runner gets these requests.
 const FLOOD_WAIT_MS: u64 = 2;
-const CROWD: usize = 440;
+// With the ordinary clients fewer connections than the gateway keeps.
+const CROWD: usize = 415;
 const BODY_BYTES: usize = 65_000;
 const MISSING_BYTES: usize = 10;
 const LARGE_ANSWERS: usize = 20;
@@ -43,23 +45,16 @@
 
 fn main() {
     let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
-    let record = Record::create(&folder);
+    let record = Arc::new(Record::create(&folder));
     std::process::exit(play(&record));
 }
 
-fn play(record: &Record) -> i32 {
+fn play(record: &Arc<Record>) -> i32 {
     let store = Store::start();
-    let address = runner::start(|request, connection| {
-        let id = request.field("dogwoodpier-request-id");
-        let body = "x".repeat(ANSWER_BYTES);
-        match connection.stream.write_all(&runner::sealed(id, &body)) {
-            Ok(()) => Next::Keep,
-            Err(_) => Next::Close,
-        }
-    });
-    let entry = runner::entry(configuration::PLAIN, address, 6, None);
-    store.put("servers", "runner-1", entry);
+    let ledger = Arc::new(Ledger::default());
+    ordinary::start_runners(&store, &ledger, &"x".repeat(ANSWER_BYTES));
     let mut configuration = configuration::configuration(WAIT_MS);
+    ordinary::add_tenant(&mut configuration);
     // Orders need no key, and no quota bounds them.
     configuration["routes"][0]["public"] = json!(true);
     store.put("config", "main", configuration);
@@ -73,6 +68,7 @@
         "resident at the start: {:.1} MB",
         gateway.resident_mb()
     ));
+    let clients = ordinary::start_clients(gateway.address, record, &ledger);
     if record::has_trouble() {
         let answers = flood(record, &gateway);
         thread::sleep(Duration::from_secs(2));
@@ -81,13 +77,18 @@
             "{answers} requests answered, resident {resident_mb:.1} MB after them"
         ));
     }
-    let (crowd, largest_mb) = press(record, &gateway);
+    let (crowd, largest_mb) = press(record, &mut gateway);
+    thread::sleep(Duration::from_secs(1));
+    let (answered, lost) = ledger.finish(clients);
+    drop(crowd);
     record.say(format!(
-        "resident {largest_mb:.1} MB of {MEMORY_MB} MB with the crowd"
+        "resident {largest_mb:.1} MB of {MEMORY_MB} MB at most with the crowd; of the ordinary orders \
+         {answered} answered, {lost} passed on and closed without an answer"
     ));
-    drop(crowd);
-    // The platform kills a process that exceeds its memory.
-    match largest_mb > f64::from(MEMORY_MB) || gateway.has_ended() {
+    if answered == 0 {
+        return record::NOT_RUN;
+    }
+    match lost > ordinary::ALLOWED {
         true => record::BROKEN,
         false => record::HELD,
     }
@@ -133,7 +134,7 @@
 }
 
 // Opens the crowd's connections. Returns them and the largest resident memory.
-fn press(record: &Record, gateway: &Gateway) -> (Vec<TcpStream>, f64) {
+fn press(record: &Record, gateway: &mut Gateway) -> (Vec<TcpStream>, f64) {
     let mut open = Vec::new();
     for number in 0..CROWD {
         let id = format!("crowd-{number}");
@@ -158,6 +159,9 @@
     while begun.elapsed() < WATCHED {
         thread::sleep(Duration::from_millis(250));
         largest_mb = largest_mb.max(gateway.resident_mb());
+        if gateway.kill_over_memory(MEMORY_MB, record) {
+            break;
+        }
     }
     (open, largest_mb)
 }
--- a/review/standins-2/src/bin/remembered_streams.rs
+++ b/review/standins-2/src/bin/remembered_streams.rs
@@ -1,5 +1,6 @@
 //! Clients send many requests ahead on a connection and don't read the answers. Each request is of
-//! legal size and resumes a stream whose id is long.
+//! legal size and resumes a stream whose id is long. The platform kills the process once it exceeds its
+//! memory, while ordinary clients have orders at sound runners.
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 use review_standins_2::gateway::Gateway;
 use review_standins_2::gateway::Options;
 use review_standins_2::http;
+use review_standins_2::ordinary;
+use review_standins_2::ordinary::Ledger;
 use review_standins_2::record;
 use review_standins_2::record::Record;
 use review_standins_2::runner;
@@ -29,6 +32,7 @@
 const SHORT_ID_BYTES: usize = 16;
 const WATCHED: Duration = Duration::from_secs(25);
 const WAIT_MS: u64 = 14_000;
+const SETTLE: Duration = Duration::from_secs(1);
 
 fn main() {
     let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
@@ -62,7 +66,11 @@
         let entry = runner::entry(configuration::ENGINES, address, 12, Some(stage));
         store.put("servers", name, entry);
     }
-    store.put("config", "main", configuration::configuration(800));
+    let ledger = Arc::new(Ledger::default());
+    ordinary::start_runners(&store, &ledger, "");
+    let mut configuration = configuration::configuration(800);
+    ordinary::add_tenant(&mut configuration);
+    store.put("config", "main", configuration);
     let options = Options {
         memory_mb: MEMORY_MB,
         ..Options::default()
@@ -73,6 +81,8 @@
         "resident at the start: {:.1} MB",
         gateway.resident_mb()
     ));
+    let clients = ordinary::start_clients(gateway.address, record, &ledger);
+    thread::sleep(SETTLE);
     // The same requests, with ids of the usual length, are the play without the disruption.
     let id_bytes = match record::has_trouble() {
         true => ID_BYTES,
@@ -89,28 +99,28 @@
     }
     let begun = Instant::now();
     let mut largest_mb: f64 = 0.0;
-    while begun.elapsed() < WATCHED && !gateway.has_ended() {
-        thread::sleep(Duration::from_millis(500));
-        let resident_mb = gateway.resident_mb();
-        largest_mb = largest_mb.max(resident_mb);
+    let mut is_killed = false;
+    while begun.elapsed() < WATCHED && !is_killed {
+        thread::sleep(Duration::from_millis(250));
+        largest_mb = largest_mb.max(gateway.resident_mb());
         record.line(format!(
-            "resident {resident_mb:.1} MB; {} requests sent, {} run",
+            "resident {largest_mb:.1} MB at most; {} requests sent, {} run",
             sent.load(Ordering::Relaxed),
             runs.load(Ordering::Relaxed)
         ));
-        if resident_mb > f64::from(MEMORY_MB) {
-            break;
-        }
+        is_killed = gateway.kill_over_memory(MEMORY_MB, record);
     }
+    thread::sleep(SETTLE);
+    let (answered, lost) = ledger.finish(clients);
     let sent = sent.load(Ordering::Relaxed);
     record.say(format!(
-        "{sent} requests sent; resident {largest_mb:.1} MB of {MEMORY_MB} MB"
+        "{sent} requests of the crowd sent; resident {largest_mb:.1} MB of {MEMORY_MB} MB at most; of the \
+         ordinary orders {answered} answered, {lost} passed on and closed without an answer"
     ));
-    if sent == 0 || runs.load(Ordering::Relaxed) == 0 {
+    if sent == 0 || runs.load(Ordering::Relaxed) == 0 || answered == 0 {
         return record::NOT_RUN;
     }
-    // The platform kills a process that exceeds its memory.
-    match largest_mb > f64::from(MEMORY_MB) || gateway.has_ended() {
+    match lost > ordinary::ALLOWED {
         true => record::BROKEN,
         false => record::HELD,
     }
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use crate::http;
+use crate::record::Record;
 use crate::store::Store;
 
 // The program of the deploy file, from the root of the repository.
@@ -187,6 +188,19 @@
         number.and_then(|kb| kb.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
     }
 
+    /// Kills the process if it exceeds its memory, as the platform does. Returns whether it has.
+    pub fn kill_over_memory(&mut self, limit_mb: u32, record: &Record) -> bool {
+        let resident_mb = self.resident_mb();
+        if resident_mb <= f64::from(limit_mb) {
+            return false;
+        }
+        record.say(format!(
+            "{resident_mb:.1} MB of {limit_mb} MB: the platform kills the process"
+        ));
+        self.signal("KILL");
+        true
+    }
+
     /// Returns the lines of the log that contain a text.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = fs::read_to_string(self.folder.join("log")).unwrap_or_default();
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod gateway;
 pub mod http;
+pub mod ordinary;
 pub mod record;
 pub mod runner;
 pub mod store;
